--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: each module runs alone as ``python -m benchmarks.bench_NAME``."""
--- /dev/null
+++ b/hyssopshelf/__init__.py
@@ -0,0 +1,22 @@
+"""hyssopshelf: a database proxy with session consistency and ranked service."""
+
+__version__ = "0.1.0"
+
+__all__ = [
+    "__version__",
+    "base",
+    "blackboard",
+    "client",
+    "configuration",
+    "connections",
+    "consistency",
+    "exceptions",
+    "failover",
+    "membership",
+    "messages",
+    "node",
+    "runtime",
+    "scheduling",
+    "standins",
+    "statements",
+]
--- /dev/null
+++ b/hyssopshelf/client/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' library."""
--- /dev/null
+++ b/hyssopshelf/command/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/hyssopshelf/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Declared resources, their validation, versioned documents and their spread."""
--- /dev/null
+++ b/hyssopshelf/connections/__init__.py
@@ -0,0 +1,1 @@
+"""Pooled connections to endpoints and their states."""
--- /dev/null
+++ b/hyssopshelf/exceptions.py
@@ -0,0 +1,130 @@
+"""The closed list of error kinds and the table from kind to answer."""
+
+import enum
+
+import attrs
+
+
+class ErrorKind(enum.Enum):
+    """Every kind of error that an answer can carry."""
+
+    NOT_RUN = "not_run"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    REFUSED = "refused"
+    STALE_TOKEN = "stale_token"
+    BAD_TOKEN = "bad_token"
+    CONFLICT = "conflict"
+    BAD_REQUEST = "bad_request"
+    DEADLINE_PASSED = "deadline_passed"
+    NOT_FOUND = "not_found"
+    UNAVAILABLE = "unavailable"
+    INTERNAL = "internal"
+
+
+class Ran(enum.Enum):
+    """Whether the statement behind an answer ran at an endpoint."""
+
+    NO = "no"
+    UNKNOWN = "unknown"
+
+
+@attrs.frozen(kw_only=True)
+class Disposition:
+    """What an error kind means to a caller.
+
+    Attributes
+    ----------
+    http_status : int
+        Status code of the HTTP answer.
+    ran : Ran
+        Whether the statement ran.
+    repeatable : bool
+        Whether the same request may be sent again as it is.
+    """
+
+    http_status: int
+    ran: Ran
+    repeatable: bool
+
+
+DISPOSITIONS: dict[ErrorKind, Disposition] = {
+    ErrorKind.NOT_RUN: Disposition(http_status=503, ran=Ran.NO, repeatable=True),
+    ErrorKind.OUTCOME_UNKNOWN: Disposition(
+        http_status=504, ran=Ran.UNKNOWN, repeatable=False
+    ),
+    ErrorKind.REFUSED: Disposition(http_status=429, ran=Ran.NO, repeatable=True),
+    ErrorKind.STALE_TOKEN: Disposition(http_status=410, ran=Ran.NO, repeatable=False),
+    ErrorKind.BAD_TOKEN: Disposition(http_status=401, ran=Ran.NO, repeatable=False),
+    ErrorKind.CONFLICT: Disposition(http_status=409, ran=Ran.NO, repeatable=False),
+    ErrorKind.BAD_REQUEST: Disposition(http_status=400, ran=Ran.NO, repeatable=False),
+    ErrorKind.DEADLINE_PASSED: Disposition(
+        http_status=408, ran=Ran.NO, repeatable=False
+    ),
+    ErrorKind.NOT_FOUND: Disposition(http_status=404, ran=Ran.NO, repeatable=False),
+    ErrorKind.UNAVAILABLE: Disposition(http_status=503, ran=Ran.NO, repeatable=True),
+    ErrorKind.INTERNAL: Disposition(http_status=500, ran=Ran.UNKNOWN, repeatable=False),
+}
+
+
+class HyssopshelfError(Exception):
+    """Base class of the exceptions that this package raises."""
+
+
+class SettingError(HyssopshelfError):
+    """A setting is unknown or has a value that is not allowed."""
+
+
+class InvariantError(HyssopshelfError):
+    """An invariant of the core does not hold; the statement must not go on."""
+
+
+class CodecError(HyssopshelfError):
+    """A message cannot be decoded."""
+
+
+class TokenError(HyssopshelfError):
+    """A session token is truncated, forged or signed with an unknown key."""
+
+
+class ValidationError(HyssopshelfError):
+    """A declared resource breaks a rule.
+
+    Parameters
+    ----------
+    field : str
+        Path of the field, such as ``spec.capacity.steyrtal``.
+    rule : str
+        The rule that the value breaks.
+    """
+
+    def __init__(self, field: str, rule: str) -> None:
+        super().__init__(f"{field}: {rule}")
+        self.field = field
+        self.rule = rule
+
+
+class AnswerError(HyssopshelfError):
+    """A request ended with an error answer.
+
+    Parameters
+    ----------
+    kind : ErrorKind
+        Kind of the error.
+    message : str
+        Explanation for the caller.
+    retry_after_seconds : float
+        Time after which a repeat may succeed, 0 if unknown.
+    """
+
+    def __init__(
+        self, kind: ErrorKind, message: str = "", retry_after_seconds: float = 0.0
+    ) -> None:
+        super().__init__(f"{kind.value}: {message}")
+        self.kind = kind
+        self.message = message
+        self.retry_after_seconds = retry_after_seconds
+
+    @property
+    def disposition(self) -> Disposition:
+        """Return what the error means to a caller."""
+        return DISPOSITIONS[self.kind]
--- /dev/null
+++ b/hyssopshelf/failover/__init__.py
@@ -0,0 +1,1 @@
+"""Failure detection, promotion and confirmation of writes."""
--- /dev/null
+++ b/hyssopshelf/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which hosts are alive and which host serves which endpoint."""
--- /dev/null
+++ b/tests/test_messages.py
@@ -0,0 +1,41 @@
+"""Tests of the codec for messages between nodes."""
+
+import pytest
+
+from hyssopshelf import exceptions, messages
+
+STATEMENT = messages.Statement(
+    id="1",
+    pool="labelstore",
+    database="racks",
+    partner="priehradka",
+    kind="scan",
+    operation=messages.Operation.APPEND,
+    key="slot-7",
+    value="label",
+)
+FORWARD = messages.ForwardStatement(
+    request_id="h.1.1",
+    endpoint="labelstore/racks/a",
+    statement=STATEMENT,
+    required=messages.Position(term=2, index=9),
+    remaining_seconds=1.5,
+)
+ENVELOPE = messages.Envelope(host="h1", address="127.0.0.1:1", message=FORWARD)
+
+
+def test_envelope_survives_the_wire():
+    """Guards against fields lost or retyped between two nodes."""
+    assert messages.decode(messages.encode(ENVELOPE)) == ENVELOPE
+
+
+@pytest.mark.parametrize("kept", [0, 1, 10, -1])
+def test_truncated_message_is_refused(kept):
+    """Guards against a cut message taken for a whole one."""
+    with pytest.raises(exceptions.CodecError):
+        messages.decode(messages.encode(ENVELOPE)[:kept])
+
+
+def test_every_error_kind_has_a_disposition():
+    """Guards against an error kind that has no answer."""
+    assert set(exceptions.DISPOSITIONS) == set(exceptions.ErrorKind)
