--- a/hyssopshelf/scheduling/queues.py
+++ b/hyssopshelf/scheduling/queues.py
@@ -68,9 +68,10 @@
         item.started_at = None
         self._waiting[item.id] = item
 
-    def finish(self, work_id: str, now: float) -> None:
-        """Release the slot of a work item and account its slot time."""
-        self._running.pop(work_id, None)
+    def finish(self, work_id: str, now: float) -> float:
+        """Release the slot of a work item and return its slot time in seconds."""
+        item = self._running.pop(work_id, None)
+        return now - item.started_at if item is not None else 0.0
 
     def expire(self, now: float) -> list[work.Work]:
         """Remove and return waiting work that can no longer meet its deadline."""
