--- a/hyssopshelf/messages.py
+++ b/hyssopshelf/messages.py
@@ -265,6 +265,7 @@
 
     NOT_PRIMARY = "not_primary"
     NO_TRANSACTION = "no_transaction"
+    CONFLICT = "conflict"
     BAD_REQUEST = "bad_request"
 
 
