--- a/hyssopshelf/blackboard.py
+++ b/hyssopshelf/blackboard.py
@@ -11,6 +11,7 @@
 
 from hyssopshelf import base, logs, messages
 from hyssopshelf.configuration import resources, views
+from hyssopshelf.connections import records
 from hyssopshelf.scheduling import queues, work
 
 
@@ -116,37 +117,6 @@
     fenced_term: int = 0
 
 
-class ConnectionState(enum.Enum):
-    """States of a pooled connection."""
-
-    OPENING = "opening"
-    IDLE = "idle"
-    BUSY = "busy"
-    IN_TRANSACTION = "in_transaction"
-
-
-@attrs.define(kw_only=True)
-class ConnectionRecord:
-    """A pooled connection.
-
-    Attributes
-    ----------
-    transaction : str
-        Transaction that owns the connection, empty if none.
-    work_id : str
-        Request that runs on it, empty if none.
-    idle_at : float
-        Time at which it last became idle.
-    """
-
-    id: str
-    endpoint: str
-    state: ConnectionState = ConnectionState.OPENING
-    transaction: str = ""
-    work_id: str = ""
-    idle_at: float = 0.0
-
-
 @attrs.define(kw_only=True)
 class EntryRequest:
     """A statement at its entry node.
@@ -168,17 +138,22 @@
     deadline: float
     received_at: float
     token_positions: dict[str, messages.Position]
+    staleness_seconds: float = 0.0
     endpoint: str = ""
     host: str = ""
     attempts: int = 0
     parked: bool = False
     parked_term: int = 0
+    retry_at: float = 0.0
+    sent_at: float = 0.0
     primary_only: bool = False
+    answer: messages.ServedAnswer | None = None
 
 
 class ServedState(enum.Enum):
     """States of a statement at its serving node."""
 
+    WAITING = "waiting"
     QUEUED = "queued"
     RUNNING = "running"
     CONFIRMING = "confirming"
@@ -197,9 +172,11 @@
     work: work.Work
     staleness_seconds: float
     acknowledge: str
+    received_at: float
     state: ServedState = ServedState.QUEUED
     connection: str = ""
     sent_at: float = 0.0
+    wait_deadline: float = 0.0
     answer: messages.EndpointAnswer | None = None
 
 
@@ -224,6 +201,22 @@
     wrote: bool = False
 
 
+@attrs.define(kw_only=True)
+class SenderRecord:
+    """Request numbers received from one incarnation of a node.
+
+    Attributes
+    ----------
+    floor : int
+        Numbers up to this one are refused as late or doubled.
+    received : dict of int to float
+        Numbers above the floor with the time at which they were received.
+    """
+
+    floor: int = 0
+    received: dict[int, float] = attrs.field(factory=dict)
+
+
 class ConfirmationLevel(enum.Enum):
     """What must be known before a ticket is confirmed.
 
@@ -298,14 +291,28 @@
     pools: dict[str, views.PoolView] = attrs.field(factory=dict)
     placement: dict[str, str] = attrs.field(factory=dict)
     endpoint_queues: dict[str, queues.EndpointQueue] = attrs.field(factory=dict)
-    connections: dict[str, ConnectionRecord] = attrs.field(factory=dict)
+    connections: dict[str, records.ConnectionRecord] = attrs.field(factory=dict)
+    endpoint_connections: dict[str, dict[str, records.ConnectionRecord]] = attrs.field(
+        factory=dict
+    )
+    idle_connections: dict[str, list[records.ConnectionRecord]] = attrs.field(
+        factory=dict
+    )
     transactions: dict[str, TransactionRecord] = attrs.field(factory=dict)
     requests: dict[str, EntryRequest] = attrs.field(factory=dict)
     served: dict[str, ServedRequest] = attrs.field(factory=dict)
+    waiting_reads: dict[str, ServedRequest] = attrs.field(factory=dict)
+    ready_endpoints: set[str] = attrs.field(factory=set)
+    local_answers: list[messages.ServedAnswer] = attrs.field(factory=list)
+    confirmations: dict[str, EntryRequest] = attrs.field(factory=dict)
+    senders: dict[str, SenderRecord] = attrs.field(factory=dict)
+    next_polls: dict[str, float] = attrs.field(factory=dict)
+    polls: dict[str, float] = attrs.field(factory=dict)
     tickets: dict[str, Ticket] = attrs.field(factory=dict)
 
     actions: list[base.Action] = attrs.field(factory=list)
     counters: dict[str, float] = attrs.field(factory=dict)
+    now: float = 0.0
     ticked_at: float | None = None
     pause_seconds: float = 0.0
     draining: bool = False
@@ -319,6 +326,17 @@
         identity = self.identity
         return f"{identity.host}.{identity.incarnation}.{self._sequence}"
 
+    def sender(self, name: str) -> SenderRecord:
+        """Return the record of an incarnation of a node, a new one if unknown."""
+        return self.senders.setdefault(name, SenderRecord())
+
+    def add_connection(self, endpoint: str) -> records.ConnectionRecord:
+        """Add the record of a connection that is being opened."""
+        record = records.ConnectionRecord(id=self.next_id(), endpoint=endpoint)
+        self.connections[record.id] = record
+        self.endpoint_connections.setdefault(endpoint, {})[record.id] = record
+        return record
+
     def act(self, action: base.Action) -> None:
         """Append an action for the adapters."""
         self.actions.append(action)
--- /dev/null
+++ b/hyssopshelf/consistency/reads.py
@@ -0,0 +1,94 @@
+"""Which endpoint may serve a read, and whether an answer satisfies it."""
+
+import enum
+
+from hyssopshelf import messages
+from hyssopshelf.consistency import positions
+
+
+class Verdict(enum.Enum):
+    """Result of comparing an endpoint's state with what a read needs.
+
+    ``SATISFIED``: the state satisfies the read. ``BEHIND``: it does not, a
+    later state may. ``DISCARDED``: the state that the session saw is not in
+    the log any more and never will be.
+    """
+
+    SATISFIED = "satisfied"
+    BEHIND = "behind"
+    DISCARDED = "discarded"
+
+
+def needs_primary(
+    consistency: messages.Consistency, required: messages.Position | None
+) -> bool:
+    """Return whether a read must run on the primary."""
+    if consistency is messages.Consistency.STRONG:
+        return True
+    return consistency is messages.Consistency.SESSION and required is None
+
+
+def needs_confirmation(
+    consistency: messages.Consistency, required: messages.Position | None
+) -> bool:
+    """Return whether a read on the primary holds only in a confirmed term.
+
+    A session read with a token is decided by containment alone: a log that
+    contains the session's position has everything the session wrote or saw.
+    """
+    return consistency is not messages.Consistency.SESSION or required is None
+
+
+def compute_lag(status: messages.EndpointStatus, asked_at: float, now: float) -> float:
+    """Return an upper bound of the age of the endpoint's data, in seconds.
+
+    The time since the status was asked for is added, so that an old or slow
+    report never makes data look newer than it is.
+    """
+    return status.lag_seconds + (now - asked_at)
+
+
+def check_state(
+    status: messages.EndpointStatus,
+    asked_at: float,
+    consistency: messages.Consistency,
+    required: messages.Position | None,
+    staleness_seconds: float,
+    now: float,
+) -> Verdict:
+    """Compare an endpoint's state with what a read needs.
+
+    Parameters
+    ----------
+    status : EndpointStatus
+        State of the endpoint when the read ran, or its last known state.
+    asked_at : float
+        Time at which that state was asked for.
+    consistency : Consistency
+        What the read has to see.
+    required : Position or None
+        Position from the session's token.
+    staleness_seconds : float
+        Bound on the age of the data of a bounded read.
+    now : float
+        Time of the check.
+    """
+    if required is not None:
+        if positions.is_discarded(status.history, required):
+            return Verdict.DISCARDED
+        if not positions.contains(status.history, status.applied, required):
+            return Verdict.BEHIND
+    if status.role is messages.Role.PRIMARY:
+        return Verdict.SATISFIED
+    if needs_primary(consistency, required):
+        return Verdict.BEHIND
+    if consistency is messages.Consistency.BOUNDED:
+        lag = compute_lag(status, asked_at, now)
+        if lag > staleness_seconds:
+            return Verdict.BEHIND
+    return Verdict.SATISFIED
+
+
+def find_seen(status: messages.EndpointStatus) -> messages.Position:
+    """Return the position that a session has seen after a read in this state."""
+    return positions.locate(status.history, status.applied)
--- /dev/null
+++ b/hyssopshelf/consistency/routing.py
@@ -0,0 +1,89 @@
+"""Choice of the endpoint for a statement at its entry node."""
+
+import attrs
+
+from hyssopshelf import messages
+from hyssopshelf.consistency import reads
+
+STATUS_TRUST_SECONDS = 1.0
+"""An entry node tries a replica again when its knowledge is older than this."""
+
+CATCH_UP_SECONDS = 0.05
+"""A replica whose data is not older than this is worth a short wait."""
+
+
+@attrs.frozen(kw_only=True)
+class Route:
+    """An endpoint for a statement and why it was chosen."""
+
+    endpoint: str
+    reason: str
+
+
+def choose_endpoint(board, request, now: float) -> Route | None:
+    """Return the endpoint for a statement, None if there is none to use now.
+
+    Parameters
+    ----------
+    board : blackboard.Blackboard
+        State of the entry node.
+    request : blackboard.EntryRequest
+        The statement.
+    now : float
+        Time on the node's clock.
+    """
+    statement = request.statement
+    database = board.databases[f"{statement.pool}/{statement.database}"]
+    required = request.token_positions.get(database.name)
+    reading = statement.operation is messages.Operation.GET
+    if (
+        reading
+        and not request.primary_only
+        and not reads.needs_primary(statement.consistency, required)
+    ):
+        replica = _choose_replica(board, database, request, required, now)
+        if replica is not None:
+            return Route(endpoint=replica, reason="replica")
+    if not database.primary or database.primary not in board.endpoints:
+        return None
+    return Route(endpoint=database.primary, reason="primary")
+
+
+def _choose_replica(board, database, request, required, now: float) -> str | None:
+    candidates = []
+    for name in database.endpoints:
+        record = board.endpoints[name]
+        if name == database.primary or record.leaving_at is not None:
+            continue
+        if _may_satisfy(record, request, required, now):
+            candidates.append((_distance(board, record), board.random.random(), name))
+    return min(candidates)[2] if candidates else None
+
+
+def _may_satisfy(record, request, required, now: float) -> bool:
+    """Return whether a replica is worth trying.
+
+    The serving node decides; an unknown or old state is worth a try.
+    """
+    status = record.status
+    if status is None or now - record.status_asked_at > STATUS_TRUST_SECONDS:
+        return True
+    verdict = reads.check_state(
+        status,
+        record.status_asked_at,
+        request.statement.consistency,
+        required,
+        request.staleness_seconds,
+        now,
+    )
+    if verdict is reads.Verdict.BEHIND:
+        return status.lag_seconds < CATCH_UP_SECONDS
+    return True
+
+
+def _distance(board, record) -> int:
+    if record.place == board.identity.place:
+        return 0
+    regions = {host.place: host.region for host in board.hosts.values()}
+    near = regions.get(record.place) == board.identity.region
+    return 1 if near else 2
--- a/hyssopshelf/messages.py
+++ b/hyssopshelf/messages.py
@@ -347,6 +347,15 @@
         The serving node's knowledge of the database, for routing.
     queueing_seconds : float
         Time the statement waited in the queue.
+    processing_seconds : float
+        Time between the statement's arrival and this answer.
+    age_seconds : float
+        Upper bound of the age of the data that a read returned.
+    status : EndpointStatus or None
+        State of the endpoint, for the sender's next choices.
+    confirmed : bool
+        The answer holds only while its term is confirmed; the acknowledgement
+        must leave within the freshness bound or be confirmed again.
     """
 
     request_id: str
@@ -362,6 +371,10 @@
     primary: str = ""
     term: int = 0
     queueing_seconds: float = 0.0
+    processing_seconds: float = 0.0
+    age_seconds: float = 0.0
+    status: EndpointStatus | None = None
+    confirmed: bool = False
 
 
 @register("statements.cancel")
--- a/hyssopshelf/standins/database.py
+++ b/hyssopshelf/standins/database.py
@@ -209,8 +209,11 @@
             self.role = messages.Role.PRIMARY
             self.primary = self.name
             start = messages.TermStart(term=self.term, first=self.position + 1)
-            kept = tuple(s for s in self.history if s.first < start.first)
-            self.history = (*kept, start)
+            self.history = (*self.history, start)
+            # The empty entry lets a majority hold an entry of this term. A
+            # majority that holds only entries of older terms does not keep them
+            # from a log with an entry of a term in between.
+            self._append_entry((), "", now)
         granted = mine and self.role is messages.Role.PRIMARY
         return messages.ControlAnswer(granted=granted, status=self.report_status(now))
 
--- /dev/null
+++ b/hyssopshelf/statements/answers.py
@@ -0,0 +1,158 @@
+"""Answers to callers at the entry node."""
+
+from hyssopshelf import base, blackboard, exceptions, logs, messages
+from hyssopshelf.consistency import reads, tokens
+from hyssopshelf.failover import terms
+from hyssopshelf.statements import completion, polling
+
+TICKET_PREFIX = "entry:"
+
+
+def learn(board, request, message: messages.ServedAnswer) -> None:
+    """Learn from an answer what the entry node needs for its next choices."""
+    statement = request.statement
+    database = f"{statement.pool}/{statement.database}"
+    terms.learn_primary(board, database, message.term, message.primary)
+    if message.status is not None:
+        polling.store_status(board, message.endpoint, message.status, request.sent_at)
+
+
+def is_too_old(request, message: messages.ServedAnswer, now: float) -> bool:
+    """Return whether a bounded read's data exceeded its bound on the way."""
+    statement = request.statement
+    if (
+        message.error is not None
+        or not message.from_replica
+        or statement.operation is not messages.Operation.GET
+        or statement.consistency is not messages.Consistency.BOUNDED
+    ):
+        return False
+    transit = max(0.0, now - request.sent_at - message.processing_seconds)
+    return message.age_seconds + transit > request.staleness_seconds
+
+
+def needs_confirmation(request, message: messages.ServedAnswer, now: float) -> bool:
+    """Return whether an acknowledgement came too late to leave unconfirmed.
+
+    The confirming round began after the statement was sent, so the time since
+    then bounds the age of the confirmation without a shared clock.
+    """
+    return message.confirmed and now - request.sent_at > completion.FRESHNESS_SECONDS
+
+
+def file_ticket(board, request, message: messages.ServedAnswer, now: float) -> None:
+    """Ask the database's endpoints again before an acknowledgement leaves."""
+    statement = request.statement
+    request.answer = message
+    ticket_id = f"{TICKET_PREFIX}{message.request_id}"
+    board.confirmations[ticket_id] = request
+    board.tickets[ticket_id] = blackboard.Ticket(
+        id=ticket_id,
+        database=f"{statement.pool}/{statement.database}",
+        level=blackboard.ConfirmationLevel.TERM,
+        position=messages.Position(
+            term=message.status.term, index=message.status.position
+        ),
+        filed_at=now,
+        deadline=request.deadline,
+    )
+
+
+def settle(board, now: float) -> None:
+    """Answer the statements whose repeated confirmation is decided or overdue."""
+    for ticket_id in list(board.confirmations):
+        ticket = board.tickets.get(ticket_id)
+        request = board.confirmations[ticket_id]
+        late = now >= request.deadline
+        if ticket is not None and ticket.outcome is None and not late:
+            continue
+        del board.confirmations[ticket_id]
+        board.tickets.pop(ticket_id, None)
+        confirmed = (
+            ticket is not None
+            and ticket.outcome is blackboard.ConfirmationOutcome.CONFIRMED
+        )
+        if confirmed and now - ticket.confirmed_from <= completion.FRESHNESS_SECONDS:
+            reply(board, request, request.answer)
+        elif confirmed and not late:
+            file_ticket(board, request, request.answer, now)
+        else:
+            reply_lost(board, request, "the primary was replaced")
+
+
+def reply(board, request, message: messages.ServedAnswer) -> None:
+    """Send the answer to the caller with the session's new token."""
+    statement = request.statement
+    token = statement.token
+    if message.error is None and message.seen is not None:
+        database = f"{statement.pool}/{statement.database}"
+        known = tokens.merge(request.token_positions, database, message.seen)
+        token = tokens.sign(known, board.token_keys)
+    answer = messages.Answer(
+        id=statement.id,
+        error=message.error,
+        message=message.message,
+        value=message.value,
+        token=token,
+        transaction=message.transaction,
+        retry_after_seconds=message.retry_after_seconds,
+        endpoint=message.endpoint,
+        from_replica=message.from_replica,
+    )
+    _send(board, request, answer)
+
+
+def reply_lost(board, request, message: str) -> None:
+    """Answer that the outcome of a statement is unknown."""
+    board.log(
+        logs.LogEvent.STATEMENT_UNKNOWN,
+        request=request.id,
+        endpoint=request.endpoint,
+        reason=message,
+    )
+    reply_failure(board, request, exceptions.ErrorKind.OUTCOME_UNKNOWN, message)
+
+
+def reply_failure(board, request, kind: exceptions.ErrorKind, message: str) -> None:
+    """Answer a statement with an error of the entry node."""
+    answer = messages.Answer(
+        id=request.statement.id,
+        error=kind,
+        message=message,
+        token=request.statement.token,
+        transaction=request.statement.transaction,
+    )
+    _send(board, request, answer)
+
+
+def reply_error(board, caller: str, statement_id: str, problem) -> None:
+    """Answer a statement that was refused before it was routed."""
+    board.count(f"errors_{problem.kind.value}")
+    answer = messages.Answer(
+        id=statement_id, error=problem.kind, message=problem.message
+    )
+    board.act(base.Reply(caller=caller, answer=answer))
+
+
+def _send(board, request, answer: messages.Answer) -> None:
+    _count(board, request, answer)
+    board.log(
+        logs.LogEvent.STATEMENT_ANSWERED,
+        request=request.id,
+        endpoint=answer.endpoint,
+        error=answer.error.value if answer.error else "none",
+    )
+    board.act(base.Reply(caller=request.caller, answer=answer))
+
+
+def _count(board, request, answer: messages.Answer) -> None:
+    if answer.error is not None:
+        board.count(f"errors_{answer.error.value}")
+        return
+    statement = request.statement
+    if statement.operation is messages.Operation.GET and reads.needs_primary(
+        statement.consistency, None
+    ):
+        board.count("reads_primary_only")
+    if answer.from_replica:
+        board.count("reads_replica")
--- /dev/null
+++ b/hyssopshelf/statements/completion.py
@@ -0,0 +1,362 @@
+"""Statements at their serving node: endpoint answers, confirmation, outcomes."""
+
+from hyssopshelf import base, blackboard, exceptions, logs, messages
+from hyssopshelf.configuration import resources
+from hyssopshelf.connections import pool
+from hyssopshelf.consistency import positions, reads
+from hyssopshelf.failover import terms
+from hyssopshelf.scheduling import work
+from hyssopshelf.statements import polling, transactions
+
+FRESHNESS_SECONDS = 0.2
+"""An acknowledgement that rests on the term alone must leave within this time of
+the start of the confirming round. A promoter holds 0.5 s before a promotion, so
+the acknowledged primary has not been replaced when the answer leaves."""
+
+
+def receive_answer(board, connection_id: str, request_id: str, answer, now) -> None:
+    """Apply an endpoint's answer to the request it belongs to."""
+    served = board.served.get(request_id)
+    connection = board.connections.get(connection_id)
+    if (
+        served is None
+        or connection is None
+        or served.connection != connection_id
+        or connection.work_id != request_id
+        or served.state is not blackboard.ServedState.RUNNING
+    ):
+        board.log(
+            logs.LogEvent.ANSWER_DROPPED,
+            request=request_id,
+            connection=connection_id,
+            reason="no such request runs on this connection",
+        )
+        return
+    _free_slot(board, served, now)
+    polling.store_status(board, served.endpoint, answer.status, served.sent_at)
+    terms.learn_status(board, answer.status)
+    served.answer = answer
+    if answer.error is not None:
+        _finish_endpoint_error(board, served, connection, answer, now)
+        return
+    _advance_connection(board, served, connection, answer, now)
+    if served.statement.operation is messages.Operation.GET:
+        _finish_read(board, served, answer, now)
+    elif answer.written is not None:
+        _confirm(board, served, now)
+    else:
+        _finish_success(board, served, None)
+
+
+def receive_closed(board, connection_id: str, now: float) -> None:
+    """Apply that a connection closed or broke."""
+    connection = pool.forget_connection(board, connection_id)
+    if connection is None:
+        return
+    if connection.transaction:
+        board.transactions.pop(connection.transaction, None)
+    board.ready_endpoints.add(connection.endpoint)
+    served = board.served.get(connection.work_id)
+    if served is None:
+        return
+    if served.state is blackboard.ServedState.RUNNING:
+        _free_slot(board, served, now)
+        _finish_lost(board, served)
+        return
+    queue = board.endpoint_queues.get(served.endpoint)
+    if queue is not None:
+        queue.discard(served.id)
+    finish_error(
+        board, served, exceptions.ErrorKind.NOT_RUN, "the transaction was rolled back"
+    )
+
+
+def settle(board, now: float) -> None:
+    """Answer the statements whose confirmation is decided."""
+    for ticket in [t for t in board.tickets.values() if t.outcome is not None]:
+        served = board.served.get(ticket.id)
+        if served is None:
+            continue
+        del board.tickets[ticket.id]
+        _finish_ticket(board, served, ticket, now)
+
+
+def expire_request(board, served, now: float) -> None:
+    """End a statement whose deadline passed."""
+    if served.state is blackboard.ServedState.RUNNING:
+        _free_slot(board, served, now)
+        connection = board.connections.get(served.connection)
+        if connection is not None and connection.transaction:
+            board.transactions.pop(connection.transaction, None)
+        pool.discard_connection(board, served.connection, "answer is overdue")
+        finish_unknown(board, served, "no answer of the endpoint before the deadline")
+    elif served.state is blackboard.ServedState.CONFIRMING:
+        board.tickets.pop(served.id, None)
+        finish_unknown(board, served, "not confirmed before the deadline")
+
+
+def finish_error(
+    board, served, kind: exceptions.ErrorKind, message: str, **fields
+) -> None:
+    """Answer a statement with an error."""
+    _finish(board, served, error=kind, message=message, **fields)
+
+
+def finish_unknown(board, served, message: str) -> None:
+    """Answer that the outcome of a statement is unknown."""
+    board.log(
+        logs.LogEvent.STATEMENT_UNKNOWN,
+        request=served.id,
+        endpoint=served.endpoint,
+        reason=message,
+    )
+    finish_error(board, served, exceptions.ErrorKind.OUTCOME_UNKNOWN, message)
+
+
+def finish_refused(board, served, refusal: work.Refusal) -> None:
+    """Answer that limits refused a statement before it ran."""
+    if served.connection:
+        connection = board.connections.get(served.connection)
+        if connection is not None and connection.work_id == served.id:
+            connection.work_id = ""
+    board.log(
+        logs.LogEvent.STATEMENT_REFUSED,
+        request=served.id,
+        endpoint=served.endpoint,
+        partner=served.work.partner,
+        rank=served.work.rank,
+        reason=refusal.reason,
+    )
+    finish_error(
+        board,
+        served,
+        exceptions.ErrorKind.REFUSED,
+        refusal.reason,
+        retry_after_seconds=refusal.retry_after_seconds,
+    )
+
+
+def finish_behind(board, served) -> None:
+    """Answer that the endpoint's state cannot satisfy a read."""
+    board.log(logs.LogEvent.READ_DISCARDED, request=served.id, endpoint=served.endpoint)
+    finish_error(
+        board,
+        served,
+        exceptions.ErrorKind.UNAVAILABLE,
+        "the endpoint's state does not satisfy the read",
+        behind=True,
+    )
+
+
+def send(board, host: str, answer: messages.ServedAnswer) -> None:
+    """Send an answer to the entry node, which may be this node."""
+    if host == board.identity.host:
+        board.local_answers.append(answer)
+        return
+    board.act(base.SendPeer(host=host, message=answer))
+
+
+def _free_slot(board, served, now: float) -> None:
+    queue = board.endpoint_queues.get(served.endpoint)
+    if queue is not None:
+        queue.finish(served.id, now)
+    board.ready_endpoints.add(served.endpoint)
+
+
+def _finish_lost(board, served) -> None:
+    """End a statement whose connection closed while it ran."""
+    operation = served.statement.operation
+    if operation is messages.Operation.GET:
+        finish_behind(board, served)
+    elif served.statement.transaction and operation is not messages.Operation.COMMIT:
+        finish_error(
+            board,
+            served,
+            exceptions.ErrorKind.NOT_RUN,
+            "the connection closed; the transaction was rolled back",
+        )
+    elif operation is messages.Operation.BEGIN:
+        finish_error(
+            board, served, exceptions.ErrorKind.NOT_RUN, "the connection closed"
+        )
+    else:
+        finish_unknown(board, served, "the connection closed while the write ran")
+
+
+def _finish_endpoint_error(board, served, connection, answer, now) -> None:
+    """End a statement that the endpoint did not carry out."""
+    if connection.transaction:
+        board.transactions.pop(connection.transaction, None)
+        pool.discard_connection(board, connection.id, "transaction ended by an error")
+    else:
+        pool.release_connection(board, connection, now)
+    kinds = {
+        messages.EndpointError.CONFLICT: exceptions.ErrorKind.CONFLICT,
+        messages.EndpointError.BAD_REQUEST: exceptions.ErrorKind.BAD_REQUEST,
+        messages.EndpointError.NO_TRANSACTION: exceptions.ErrorKind.NOT_FOUND,
+        messages.EndpointError.NOT_PRIMARY: exceptions.ErrorKind.NOT_RUN,
+    }
+    text = f"the endpoint answered {answer.error.value}"
+    finish_error(board, served, kinds[answer.error], text)
+
+
+def _advance_connection(board, served, connection, answer, now) -> None:
+    """Move a connection to the state that a successful answer leaves it in."""
+    operation = served.statement.operation
+    if operation is messages.Operation.BEGIN:
+        transaction = transactions.make_id(board, served.endpoint)
+        board.transactions[transaction] = blackboard.TransactionRecord(
+            id=transaction,
+            endpoint=served.endpoint,
+            connection=connection.id,
+            partner=served.statement.partner,
+            idle_deadline=now + transactions.IDLE_SECONDS,
+            term=answer.status.term,
+        )
+        pool.hold_connection(board, connection, transaction)
+        return
+    ended = operation in (messages.Operation.COMMIT, messages.Operation.ROLLBACK)
+    if connection.transaction and not ended:
+        pool.hold_connection(board, connection, connection.transaction)
+        return
+    if connection.transaction:
+        board.transactions.pop(connection.transaction, None)
+    pool.release_connection(board, connection, now)
+
+
+def _finish_read(board, served, answer, now) -> None:
+    """Check a read's answer against the state in which it ran."""
+    statement = served.statement
+    if statement.transaction:
+        _finish_success(board, served, None)
+        return
+    verdict = reads.check_state(
+        answer.status,
+        served.sent_at,
+        statement.consistency,
+        served.required,
+        served.staleness_seconds,
+        now,
+    )
+    if verdict is reads.Verdict.DISCARDED:
+        finish_error(
+            board,
+            served,
+            exceptions.ErrorKind.STALE_TOKEN,
+            "a change of primary discarded what this session wrote or saw",
+        )
+    elif verdict is reads.Verdict.BEHIND:
+        finish_behind(board, served)
+    elif answer.status.role is messages.Role.PRIMARY and reads.needs_confirmation(
+        statement.consistency, served.required
+    ):
+        position = messages.Position(
+            term=answer.status.term, index=answer.status.applied
+        )
+        level = blackboard.ConfirmationLevel.TERM
+        _file_ticket(board, served, position, level, now)
+    else:
+        _finish_success(board, served, reads.find_seen(answer.status))
+
+
+def _confirm(board, served, now: float) -> None:
+    """File a ticket for the log end at which a write ran.
+
+    The log end always lies in the primary's own term, because a promotion
+    writes an entry. The position of a repeated write may lie in an older term,
+    and a majority that holds an entry of an older term does not make it safe.
+    """
+    level = blackboard.ConfirmationLevel.TERM
+    if served.acknowledge == resources.MAJORITY:
+        level = blackboard.ConfirmationLevel.LOG
+    status = served.answer.status
+    position = messages.Position(term=status.term, index=status.position)
+    _file_ticket(board, served, position, level, now)
+
+
+def _file_ticket(board, served, position, level, now) -> None:
+    served.state = blackboard.ServedState.CONFIRMING
+    statement = served.statement
+    board.tickets[served.id] = blackboard.Ticket(
+        id=served.id,
+        database=f"{statement.pool}/{statement.database}",
+        level=level,
+        position=position,
+        filed_at=now,
+        deadline=served.deadline,
+    )
+
+
+def _finish_ticket(board, served, ticket, now: float) -> None:
+    reading = served.statement.operation is messages.Operation.GET
+    if ticket.outcome is blackboard.ConfirmationOutcome.REPLACED:
+        if reading:
+            finish_behind(board, served)
+        else:
+            finish_unknown(board, served, "the primary was replaced")
+        return
+    by_term = ticket.level is blackboard.ConfirmationLevel.TERM
+    if by_term and not reading and now - ticket.confirmed_from > FRESHNESS_SECONDS:
+        _file_ticket(board, served, ticket.position, ticket.level, now)
+        return
+    seen = reads.find_seen(served.answer.status) if reading else served.answer.written
+    _finish_success(board, served, seen, by_term and not reading)
+
+
+def _finish_success(board, served, seen, confirmed: bool = False) -> None:
+    answer = served.answer
+    if (
+        seen is not None
+        and served.required is not None
+        and positions.is_discarded(answer.status.history, served.required)
+    ):
+        # The token keeps the discarded position, so that the session's next
+        # read tells it that a change of primary discarded what it had seen.
+        seen = None
+    transaction = served.statement.transaction
+    if served.statement.operation is messages.Operation.BEGIN:
+        transaction = board.connections[served.connection].transaction
+    elif served.statement.operation in (
+        messages.Operation.COMMIT,
+        messages.Operation.ROLLBACK,
+    ):
+        transaction = ""
+    _finish(
+        board,
+        served,
+        value=answer.value,
+        seen=seen,
+        transaction=transaction,
+        confirmed=confirmed,
+        from_replica=answer.status.role is not messages.Role.PRIMARY,
+        age_seconds=reads.compute_lag(answer.status, served.sent_at, board.now),
+    )
+
+
+def _finish(board, served, **fields) -> None:
+    board.served.pop(served.id, None)
+    now = board.now
+    statement = served.statement
+    database = board.databases.get(f"{statement.pool}/{statement.database}")
+    started_at = served.work.started_at
+    answer = messages.ServedAnswer(
+        request_id=served.id,
+        endpoint=served.endpoint,
+        primary=database.primary if database else "",
+        term=database.term if database else 0,
+        status=_find_status(board, served),
+        processing_seconds=now - served.received_at,
+        queueing_seconds=(
+            started_at - served.work.enqueued_at if started_at is not None else 0.0
+        ),
+        **fields,
+    )
+    send(board, served.host, answer)
+
+
+def _find_status(board, served) -> messages.EndpointStatus | None:
+    """Return the endpoint's state when the statement ran, else its last known."""
+    if served.answer is not None:
+        return served.answer.status
+    record = board.endpoints.get(served.endpoint)
+    return record.status if record is not None else None
--- /dev/null
+++ b/hyssopshelf/statements/entry.py
@@ -0,0 +1,233 @@
+"""Statements at their entry node: checks, routing, answers to callers."""
+
+from hyssopshelf import base, blackboard, exceptions, logs, messages
+from hyssopshelf.consistency import routing, tokens
+from hyssopshelf.membership import placement
+from hyssopshelf.statements import answers, checks, serving, transactions
+
+GRACE_SECONDS = 0.05
+"""Time after the deadline for which the serving node's answer is awaited."""
+
+RETRY_SECONDS = 0.25
+"""Pause before a parked statement is routed again without news, in seconds."""
+
+
+@base.handle.register
+def handle_statement(event: base.StatementReceived, board, now) -> None:
+    """Check a caller's statement and send it to its serving node."""
+    statement = event.statement
+    problem = checks.check_statement(board, statement)
+    if problem is not None:
+        answers.reply_error(board, event.caller, statement.id, problem)
+        return
+    try:
+        positions = tokens.verify(statement.token, board.token_keys)
+    except exceptions.TokenError as error:
+        problem = checks.Problem(
+            kind=exceptions.ErrorKind.BAD_TOKEN, message=str(error)
+        )
+        answers.reply_error(board, event.caller, statement.id, problem)
+        return
+    kind = board.pools[statement.pool].kinds[(statement.partner, statement.kind)]
+    request = blackboard.EntryRequest(
+        id="",
+        caller=event.caller,
+        statement=statement,
+        rank=kind.rank,
+        deadline=now + statement.remaining_seconds - board.pause_seconds,
+        received_at=now,
+        token_positions=positions,
+        staleness_seconds=kind.staleness_seconds,
+    )
+    board.count(f"statements_{statement.operation.value}")
+    dispatch(board, request, now)
+
+
+@base.handle.register
+def handle_caller_gone(event: base.CallerGone, board, now) -> None:
+    """Cancel the statements of a caller that is gone."""
+    for request in list(board.requests.values()):
+        if request.caller != event.caller:
+            continue
+        del board.requests[request.id]
+        if request.host and request.host != board.identity.host:
+            cancel = messages.CancelStatement(request_id=request.id)
+            board.act(base.SendPeer(host=request.host, message=cancel))
+
+
+@base.handle.register
+def handle_unsent(event: base.PeerUnsent, board, now) -> None:
+    """Route a statement again whose message was certainly not sent."""
+    if not isinstance(event.message, messages.ForwardStatement):
+        return
+    request = board.requests.pop(event.message.request_id, None)
+    if request is not None:
+        park(board, request, "the serving node cannot be reached", now)
+
+
+@base.receive.register
+def receive_answer(message: messages.ServedAnswer, board, host, now) -> None:
+    """Pass a serving node's answer to the request that it belongs to."""
+    request = board.requests.get(message.request_id)
+    if request is None or request.host != host or request.parked:
+        board.log(
+            logs.LogEvent.ANSWER_DROPPED,
+            request=message.request_id,
+            host=host,
+            reason="no such request waits for an answer of this host",
+        )
+        return
+    del board.requests[message.request_id]
+    answers.learn(board, request, message)
+    if message.behind:
+        request.primary_only = True
+        _reroute(board, request, message, now)
+    elif message.error is exceptions.ErrorKind.NOT_RUN and _may_move(request):
+        park(board, request, message.message, now, term=message.term)
+    elif message.error is exceptions.ErrorKind.UNAVAILABLE and _may_move(request):
+        park(board, request, message.message, now)
+    elif answers.is_too_old(request, message, now):
+        request.primary_only = True
+        _reroute(board, request, message, now)
+    elif answers.needs_confirmation(request, message, now):
+        answers.file_ticket(board, request, message, now)
+    else:
+        answers.reply(board, request, message)
+
+
+def dispatch(board, request, now: float) -> None:
+    """Choose the endpoint and serving node of a statement and send it there."""
+    target = _choose_target(board, request, now)
+    if target is None:
+        park(board, request, "no endpoint or serving node is known", now)
+        return
+    route, host = target
+    request.parked = False
+    request.id = board.next_id()
+    request.endpoint = route.endpoint
+    request.host = host
+    request.attempts += 1
+    request.sent_at = now
+    board.requests[request.id] = request
+    statement = request.statement
+    board.log(
+        logs.LogEvent.STATEMENT_ROUTED,
+        request=request.id,
+        database=f"{statement.pool}/{statement.database}",
+        endpoint=route.endpoint,
+        host=host,
+        partner=statement.partner,
+        rank=request.rank,
+        reason=route.reason,
+    )
+    _send(board, request, now)
+
+
+def park(board, request, reason: str, now: float, term: int = 0) -> None:
+    """Hold a statement that did not run until it can be routed again."""
+    request.id = board.next_id()
+    request.endpoint = request.host = ""
+    request.parked = True
+    request.parked_term = term
+    request.retry_at = now + RETRY_SECONDS
+    board.requests[request.id] = request
+    board.log(logs.LogEvent.STATEMENT_PARKED, request=request.id, reason=reason)
+
+
+def settle(board, now: float) -> None:
+    """Apply local answers and decided confirmations."""
+    while board.local_answers:
+        answer = board.local_answers.pop(0)
+        receive_answer(answer, board, board.identity.host, now)
+    answers.settle(board, now)
+
+
+def step(board, now: float) -> None:
+    """Apply deadlines and route parked statements again."""
+    for request in list(board.requests.values()):
+        if request.parked:
+            _step_parked(board, request, now)
+        elif now >= request.deadline + GRACE_SECONDS:
+            del board.requests[request.id]
+            answers.reply_lost(board, request, "no answer before the deadline")
+        elif _is_host_dead(board, request.host):
+            del board.requests[request.id]
+            _finish_dead_host(board, request, now)
+
+
+def _choose_target(board, request, now):
+    """Return the route of a statement and its serving host, None if unknown."""
+    location = transactions.parse_id(request.statement.transaction)
+    if location is not None:
+        route = routing.Route(endpoint=location.endpoint, reason="transaction")
+        return (route, location.host) if location.host in board.hosts else None
+    route = routing.choose_endpoint(board, request, now)
+    if route is None:
+        return None
+    host = placement.locate(board, route.endpoint, now)
+    return (route, host) if host else None
+
+
+def _send(board, request, now: float) -> None:
+    statement = request.statement
+    database = board.databases[f"{statement.pool}/{statement.database}"]
+    message = messages.ForwardStatement(
+        request_id=request.id,
+        endpoint=request.endpoint,
+        statement=statement,
+        required=request.token_positions.get(database.name),
+        remaining_seconds=request.deadline - now,
+        term=database.term,
+    )
+    if request.host == board.identity.host:
+        serving.receive_forward(message, board, request.host, now)
+        return
+    board.act(base.SendPeer(host=request.host, message=message))
+
+
+def _may_move(request) -> bool:
+    """Return whether a statement that did not run may run elsewhere."""
+    return not request.statement.transaction
+
+
+def _reroute(board, request, message, now: float) -> None:
+    """Send a read on to the primary."""
+    board.log(
+        logs.LogEvent.STATEMENT_REROUTED,
+        request=request.id,
+        endpoint=message.endpoint,
+        reason="the endpoint's state does not satisfy the read",
+    )
+    if request.attempts > 1:
+        park(board, request, "the primary is not known", now, term=message.term)
+        return
+    dispatch(board, request, now)
+
+
+def _step_parked(board, request, now: float) -> None:
+    statement = request.statement
+    if now >= request.deadline:
+        del board.requests[request.id]
+        kind = exceptions.ErrorKind.DEADLINE_PASSED
+        message = "no endpoint could take the statement before its deadline"
+        answers.reply_failure(board, request, kind, message)
+        return
+    database = board.databases.get(f"{statement.pool}/{statement.database}")
+    if database is None:
+        return
+    news = request.parked_term and database.term > request.parked_term
+    if news or now >= request.retry_at:
+        del board.requests[request.id]
+        dispatch(board, request, now)
+
+
+def _is_host_dead(board, host: str) -> bool:
+    record = board.hosts.get(host)
+    return record is not None and record.state is blackboard.HostState.DEAD
+
+
+def _finish_dead_host(board, request, now: float) -> None:
+    if request.statement.operation is messages.Operation.GET and _may_move(request):
+        park(board, request, "the serving host is dead", now)
+        return
+    answers.reply_lost(board, request, "the serving host is dead")
--- /dev/null
+++ b/hyssopshelf/statements/serving.py
@@ -0,0 +1,302 @@
+"""Statements at the serving node of their endpoint: admission and start."""
+
+from hyssopshelf import base, blackboard, exceptions, logs, messages
+from hyssopshelf.connections import pool
+from hyssopshelf.consistency import reads
+from hyssopshelf.scheduling import queues, work
+from hyssopshelf.statements import completion, polling, replay, transactions
+
+WAIT_SECONDS = 0.05
+"""Longest wait for a replica to reach the position a read needs, in seconds."""
+
+LEAVING_GRACE_SECONDS = 2.0
+"""New work is refused this long after an endpoint was seen leaving; the stated
+bound is 3 s and leaves 1 s for the news to arrive."""
+
+OPERATIONS_WITH_VALUE = (messages.Operation.PUT, messages.Operation.APPEND)
+
+
+@base.receive.register
+def receive_forward(message: messages.ForwardStatement, board, host, now) -> None:
+    """Admit a forwarded statement."""
+    if not replay.accept_request(board, message.request_id, now):
+        board.log(
+            logs.LogEvent.MESSAGE_DROPPED,
+            request=message.request_id,
+            host=host,
+            reason="received before or too late",
+        )
+        return
+    deadline = now + message.remaining_seconds - board.pause_seconds
+    served = _make_request(board, message, host, deadline, now)
+    if served is None:
+        _answer_unserved(board, message, host)
+        return
+    board.served[served.id] = served
+    if deadline <= now:
+        completion.finish_error(
+            board, served, exceptions.ErrorKind.DEADLINE_PASSED, "deadline passed"
+        )
+    elif served.statement.transaction:
+        _admit_to_transaction(board, served, now)
+    else:
+        _admit(board, served, now)
+
+
+@base.receive.register
+def receive_cancel(message: messages.CancelStatement, board, host, now) -> None:
+    """Drop a statement that waits and whose caller is gone."""
+    served = board.served.get(message.request_id)
+    if served is None or served.state not in (
+        blackboard.ServedState.WAITING,
+        blackboard.ServedState.QUEUED,
+    ):
+        return
+    queue = board.endpoint_queues.get(served.endpoint)
+    if queue is not None:
+        queue.discard(served.id)
+    del board.served[served.id]
+
+
+def _make_request(board, message, host, deadline, now):
+    """Return the record of a forwarded statement, None if it cannot be served."""
+    statement = message.statement
+    view = board.pools.get(statement.pool)
+    endpoint = board.endpoints.get(message.endpoint)
+    if view is None or endpoint is None:
+        return None
+    kind = view.kinds.get((statement.partner, statement.kind))
+    if kind is None:
+        return None
+    leaving = (
+        endpoint.leaving_at is not None
+        and now >= endpoint.leaving_at + LEAVING_GRACE_SECONDS
+    )
+    if leaving and not statement.transaction:
+        return None
+    item = work.Work(
+        id=message.request_id,
+        partner=statement.partner,
+        rank=kind.rank,
+        kind=kind.name,
+        deadline=deadline,
+        enqueued_at=now,
+        in_transaction=bool(statement.transaction),
+    )
+    return blackboard.ServedRequest(
+        id=message.request_id,
+        host=host,
+        endpoint=message.endpoint,
+        statement=statement,
+        required=message.required,
+        deadline=deadline,
+        work=item,
+        staleness_seconds=kind.staleness_seconds,
+        acknowledge=view.ranks[kind.rank].acknowledge,
+        received_at=now,
+    )
+
+
+def _answer_unserved(board, message, host) -> None:
+    reading = message.statement.operation is messages.Operation.GET
+    database = board.databases.get(
+        f"{message.statement.pool}/{message.statement.database}"
+    )
+    answer = messages.ServedAnswer(
+        request_id=message.request_id,
+        error=exceptions.ErrorKind.UNAVAILABLE,
+        message="endpoint takes no new work at this node",
+        endpoint=message.endpoint,
+        behind=reading,
+        primary=database.primary if database else "",
+        term=database.term if database else 0,
+    )
+    completion.send(board, host, answer)
+
+
+def _admit_to_transaction(board, served, now) -> None:
+    record = board.transactions.get(served.statement.transaction)
+    if record is None or record.partner != served.statement.partner:
+        completion.finish_error(
+            board,
+            served,
+            exceptions.ErrorKind.NOT_FOUND,
+            "no such open transaction; it was rolled back",
+        )
+        return
+    connection = board.connections[record.connection]
+    if connection.work_id:
+        completion.finish_error(
+            board,
+            served,
+            exceptions.ErrorKind.BAD_REQUEST,
+            "a statement of this transaction is running",
+        )
+        return
+    connection.work_id = served.id
+    served.connection = connection.id
+    record.idle_deadline = max(
+        record.idle_deadline, served.deadline + transactions.IDLE_SECONDS
+    )
+    _enqueue(board, served, now)
+
+
+def _admit(board, served, now) -> None:
+    if served.statement.operation is messages.Operation.GET:
+        verdict = _check_known_state(board, served, now)
+        if verdict is reads.Verdict.BEHIND:
+            _wait(board, served, now)
+            return
+    _enqueue(board, served, now)
+
+
+def _check_known_state(board, served, now) -> reads.Verdict:
+    """Compare the endpoint's last known state with what a read needs.
+
+    An unknown state counts as satisfied; the check after the read decides.
+    """
+    record = board.endpoints[served.endpoint]
+    if record.status is None:
+        return reads.Verdict.SATISFIED
+    return reads.check_state(
+        record.status,
+        record.status_asked_at,
+        served.statement.consistency,
+        served.required,
+        served.staleness_seconds,
+        now,
+    )
+
+
+def _wait(board, served, now) -> None:
+    """Hold a read until the replica's state satisfies it, for a short time."""
+    served.state = blackboard.ServedState.WAITING
+    served.wait_deadline = min(now + WAIT_SECONDS, served.deadline)
+    board.waiting_reads[served.id] = served
+    polling.poll_endpoint(board, served.endpoint, polling.URGENT_POLL_SECONDS, now)
+
+
+def _enqueue(board, served, now) -> None:
+    """Put a statement into the endpoint's queue."""
+    served.state = blackboard.ServedState.QUEUED
+    view = board.pools[served.statement.pool]
+    queue = board.endpoint_queues.get(served.endpoint)
+    if queue is None:
+        queue = queues.EndpointQueue(
+            endpoint=served.endpoint, pool=served.statement.pool
+        )
+        board.endpoint_queues[served.endpoint] = queue
+    outcome = queue.admit(served.work, view, now)
+    if outcome.is_err():
+        completion.finish_refused(board, served, outcome.unwrap_err())
+        return
+    for shed in outcome.unwrap():
+        other = board.served.get(shed.id)
+        if other is not None:
+            refusal = work.Refusal(
+                reason="shed for work of more worth", retry_after_seconds=1.0
+            )
+            completion.finish_refused(board, other, refusal)
+    pump(board, served.endpoint, now)
+
+
+def pump(board, endpoint: str, now: float) -> None:
+    """Start statements while the endpoint has free slots and connections."""
+    queue = board.endpoint_queues.get(endpoint)
+    record = board.endpoints.get(endpoint)
+    view = board.pools.get(queue.pool) if queue is not None else None
+    if queue is None or record is None or view is None:
+        return
+    while (item := queue.take(view, now)) is not None:
+        served = board.served[item.id]
+        if not served.connection:
+            connection = pool.claim_connection(board, endpoint, served.id)
+            if connection is None:
+                queue.put_back(item)
+                wanted = max(1, min(view.slots, queue.waiting))
+                pool.open_connections(board, endpoint, wanted, view.connections, now)
+                return
+            served.connection = connection.id
+        _start(board, served, now)
+
+
+def _start(board, served, now) -> None:
+    statement = served.statement
+    writing = statement.operation is not messages.Operation.GET
+    database = board.databases.get(f"{statement.pool}/{statement.database}")
+    term = database.term if database is not None and writing else 0
+    if statement.transaction:
+        term = board.transactions[statement.transaction].term
+    served.state = blackboard.ServedState.RUNNING
+    served.sent_at = now
+    board.act(
+        base.Execute(
+            connection=served.connection,
+            request_id=served.id,
+            request=messages.EndpointRequest(
+                operation=statement.operation,
+                key=statement.key,
+                value=statement.value,
+                idempotency_key=statement.idempotency_key,
+                term=term,
+            ),
+        )
+    )
+
+
+def settle(board, now: float) -> None:
+    """Start work at endpoints where a slot or connection became free."""
+    while board.ready_endpoints:
+        pump(board, board.ready_endpoints.pop(), now)
+
+
+def step(board, now: float) -> None:
+    """Apply deadlines and retry endpoints that had no connection."""
+    for served in list(board.waiting_reads.values()):
+        _step_waiting(board, served, now)
+    for endpoint, queue in board.endpoint_queues.items():
+        for item in queue.expire(now):
+            _expire_queued(board, item)
+        if queue.waiting:
+            board.ready_endpoints.add(endpoint)
+    for served in list(board.served.values()):
+        if now >= served.deadline:
+            completion.expire_request(board, served, now)
+
+
+def receive_status(board, endpoint: str, now: float) -> None:
+    """Look again at the reads that wait for an endpoint's state."""
+    for served in list(board.waiting_reads.values()):
+        if served.endpoint == endpoint:
+            _step_waiting(board, served, now)
+
+
+def _step_waiting(board, served, now) -> None:
+    if served.id not in board.served:
+        del board.waiting_reads[served.id]
+        return
+    verdict = _check_known_state(board, served, now)
+    if verdict is not reads.Verdict.BEHIND:
+        del board.waiting_reads[served.id]
+        _enqueue(board, served, now)
+    elif now >= served.wait_deadline:
+        del board.waiting_reads[served.id]
+        completion.finish_behind(board, served)
+    elif now >= board.next_polls.get(served.endpoint, 0.0):
+        polling.poll_endpoint(board, served.endpoint, polling.URGENT_POLL_SECONDS, now)
+
+
+def _expire_queued(board, item) -> None:
+    served = board.served.get(item.id)
+    if served is None:
+        return
+    if served.connection:
+        connection = board.connections.get(served.connection)
+        if connection is not None and connection.work_id == served.id:
+            connection.work_id = ""
+    completion.finish_error(
+        board,
+        served,
+        exceptions.ErrorKind.DEADLINE_PASSED,
+        "deadline passed in the queue",
+    )
