Confirm tickets by a majority of the database group

Cause: a write may only be acknowledged while a majority of its group still knows the term of the primary that ran it.

Change: add failover.confirmation, which asks all endpoints of a database in rounds and decides every ticket filed before the round. Move Ticket and its enums to failover.tickets, because the blackboard imports this package. confirmed_from is the start of the oldest round among the answers that make up the majority, so that a late answer of an earlier round cannot make a confirmation look fresher than it is.

Conclusion: serving code can file tickets and read their outcome.

--- a/hyssopshelf/blackboard.py
+++ b/hyssopshelf/blackboard.py
@@ -11,6 +11,7 @@
 
 from hyssopshelf import base, logs, messages
 from hyssopshelf.configuration import resources, views
+from hyssopshelf.failover import confirmation, tickets
 from hyssopshelf.scheduling import queues, work
 
 
@@ -224,53 +225,9 @@
     wrote: bool = False
 
 
-class ConfirmationLevel(enum.Enum):
-    """What must be known before a ticket is confirmed.
-
-    ``TERM``: a majority, asked after the ticket was filed, still knows the
-    ticket's term. ``LOG``: also a majority's log holds the position.
-    """
-
-    TERM = "term"
-    LOG = "log"
-
-
-class ConfirmationOutcome(enum.Enum):
-    """Result of a ticket."""
-
-    CONFIRMED = "confirmed"
-    REPLACED = "replaced"
-
-
-@attrs.define(kw_only=True)
-class Ticket:
-    """A request that waits for a majority of its database.
-
-    Attributes
-    ----------
-    id : str
-        Id of the served request.
-    position : Position
-        Term in which the request ran and the log index it wrote or read.
-    filed_at : float
-        Time at which the endpoint's answer was received.
-    deadline : float
-        Time at which the request is given up.
-    outcome : ConfirmationOutcome or None
-        None while undecided.
-    confirmed_from : float
-        Start of the round that confirmed it; the acknowledgement of a
-        ``TERM`` ticket must leave within the freshness bound of this time.
-    """
-
-    id: str
-    database: str
-    level: ConfirmationLevel
-    position: messages.Position
-    filed_at: float
-    deadline: float
-    outcome: ConfirmationOutcome | None = None
-    confirmed_from: float = float("-inf")
+ConfirmationLevel = tickets.ConfirmationLevel
+ConfirmationOutcome = tickets.ConfirmationOutcome
+Ticket = tickets.Ticket
 
 
 @attrs.define(kw_only=True)
@@ -303,6 +260,9 @@
     requests: dict[str, EntryRequest] = attrs.field(factory=dict)
     served: dict[str, ServedRequest] = attrs.field(factory=dict)
     tickets: dict[str, Ticket] = attrs.field(factory=dict)
+    confirmations: confirmation.ConfirmationState = attrs.field(
+        factory=confirmation.ConfirmationState
+    )
 
     actions: list[base.Action] = attrs.field(factory=list)
     counters: dict[str, float] = attrs.field(factory=dict)
--- /dev/null
+++ b/hyssopshelf/failover/confirmation.py
@@ -0,0 +1,214 @@
+"""Majority confirmation of writes and strong reads.
+
+A round asks every endpoint of a database for its status and serves all
+tickets filed before it started. A majority that confirms a ticket shares an
+endpoint with every majority that can be fenced for a later term, so a change
+of primary either shows in the answers or happens after the round started.
+"""
+
+import attrs
+
+from hyssopshelf import base, messages
+from hyssopshelf.failover import tickets
+
+ROUND_SECONDS = 0.2
+"""A round ends after this time even without a majority of answers."""
+
+RETRY_SECONDS = 0.005
+"""First delay between rounds for tickets that a round left undecided."""
+
+MAXIMUM_RETRY_SECONDS = 0.05
+"""Greatest delay between such rounds."""
+
+ANSWER_SECONDS = 5.0
+"""A late answer is used for this time after its round started."""
+
+
+@attrs.define(kw_only=True)
+class Round:
+    """One question to all endpoints of a database.
+
+    Attributes
+    ----------
+    reported : set of str
+        Endpoints whose probe ended, with or without an answer.
+    answered : int
+        Number of endpoints that answered.
+    """
+
+    database: str
+    started_at: float
+    size: int
+    reported: set[str] = attrs.field(factory=set)
+    answered: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class Report:
+    """The newest status of an endpoint and the time it was asked for."""
+
+    asked_at: float
+    status: messages.EndpointStatus
+
+
+@attrs.define(kw_only=True)
+class DatabaseConfirmation:
+    """State of the rounds of one database.
+
+    Attributes
+    ----------
+    running : Round or None
+        The round that has to end before the next one starts.
+    started_at : float
+        Start of the last round.
+    next_at : float
+        Earliest start of a round for tickets that were already asked about.
+    """
+
+    reports: dict[str, Report] = attrs.field(factory=dict)
+    running: Round | None = None
+    started_at: float = float("-inf")
+    next_at: float = float("-inf")
+    retry_seconds: float = RETRY_SECONDS
+
+
+@attrs.define(kw_only=True)
+class ConfirmationState:
+    """Confirmation state of a node; ``rounds`` is keyed by probe id."""
+
+    databases: dict[str, DatabaseConfirmation] = attrs.field(factory=dict)
+    rounds: dict[str, Round] = attrs.field(factory=dict)
+
+
+def compute_majority(size: int) -> int:
+    """Return the number of endpoints that form a majority of a group."""
+    return size // 2 + 1
+
+
+def settle(board, now: float) -> None:
+    """Start a round for each database whose tickets need one."""
+    if not board.tickets:
+        return
+    waiting: dict[str, float] = {}
+    for ticket in board.tickets.values():
+        if ticket.outcome is None:
+            newest = waiting.get(ticket.database, float("-inf"))
+            waiting[ticket.database] = max(newest, ticket.filed_at)
+    for database, newest in waiting.items():
+        _start_round_if_due(board, database, newest, now)
+
+
+def receive_status(
+    board,
+    endpoint: str,
+    probe_id: str,
+    status: messages.EndpointStatus | None,
+    now: float,
+) -> None:
+    """Use the answer to a probe of a round; other probes are ignored."""
+    current = board.confirmations.rounds.get(probe_id)
+    if current is None or endpoint in current.reported:
+        return
+    current.reported.add(endpoint)
+    if len(current.reported) >= current.size:
+        del board.confirmations.rounds[probe_id]
+    state = board.confirmations.databases[current.database]
+    if status is not None:
+        current.answered += 1
+        known = state.reports.get(endpoint)
+        if known is None or known.asked_at <= current.started_at:
+            state.reports[endpoint] = Report(asked_at=current.started_at, status=status)
+        _decide_tickets(board, current.database, state)
+    _end_round_if_complete(state, current, now)
+
+
+def _start_round_if_due(board, database: str, newest: float, now: float) -> None:
+    record = board.databases.get(database)
+    if record is None or not record.endpoints:
+        return
+    state = board.confirmations.databases.setdefault(database, DatabaseConfirmation())
+    if state.running is not None:
+        if now < state.running.started_at + ROUND_SECONDS:
+            return
+        state.running = None
+    if newest > state.started_at:
+        state.retry_seconds = RETRY_SECONDS
+    elif now < state.next_at:
+        return
+    _start_round(board, database, record.endpoints, state, now)
+
+
+def _start_round(board, database, endpoints, state, now: float) -> None:
+    rounds = board.confirmations.rounds
+    # Rounds are kept in the order of their start, so old ones come first.
+    for probe_id, old in list(rounds.items()):
+        if now < old.started_at + ANSWER_SECONDS:
+            break
+        del rounds[probe_id]
+    current = Round(database=database, started_at=now, size=len(endpoints))
+    probe_id = board.next_id()
+    rounds[probe_id] = current
+    state.running = current
+    state.started_at = now
+    state.next_at = now + state.retry_seconds
+    state.retry_seconds = min(2 * state.retry_seconds, MAXIMUM_RETRY_SECONDS)
+    board.count("confirmation_rounds")
+    for endpoint in endpoints:
+        board.act(base.ProbeStatus(endpoint=endpoint, probe_id=probe_id))
+
+
+def _end_round_if_complete(state, current: Round, now: float) -> None:
+    if state.running is not current:
+        return
+    majority = compute_majority(current.size)
+    if current.answered >= majority or len(current.reported) >= current.size:
+        state.running = None
+
+
+def _decide_tickets(board, database: str, state: DatabaseConfirmation) -> None:
+    record = board.databases.get(database)
+    if record is None:
+        return
+    for ticket in board.tickets.values():
+        if ticket.database == database and ticket.outcome is None:
+            _decide_ticket(board, ticket, record.endpoints, state.reports)
+
+
+def _decide_ticket(board, ticket, endpoints, reports: dict[str, Report]) -> None:
+    term = ticket.position.term
+    usable = [
+        reports[endpoint]
+        for endpoint in endpoints
+        if endpoint in reports and reports[endpoint].asked_at >= ticket.filed_at
+    ]
+    majority = compute_majority(len(endpoints))
+    higher = sum(report.status.term > term for report in usable)
+    if len(endpoints) - higher < majority:
+        ticket.outcome = tickets.ConfirmationOutcome.REPLACED
+        board.count("confirmations_replaced")
+        return
+    current = [report for report in usable if report.status.term == term]
+    holding = current
+    if ticket.level is tickets.ConfirmationLevel.LOG:
+        holding = [r for r in current if _holds_position(r.status, ticket.position)]
+    if len(holding) < majority:
+        return
+    # The endpoint shared with a later fenced majority may be any of those
+    # counted, so the confirmation is only as fresh as the oldest of them. The
+    # newest answers suffice for a majority.
+    asked = sorted((report.asked_at for report in holding), reverse=True)
+    ticket.outcome = tickets.ConfirmationOutcome.CONFIRMED
+    ticket.confirmed_from = asked[majority - 1]
+
+
+def _holds_position(
+    status: messages.EndpointStatus, position: messages.Position
+) -> bool:
+    """Return whether the log of an endpoint contains a position."""
+    if position.index > status.position:
+        return False
+    terms = [start.term for start in status.history]
+    if position.term not in terms:
+        return False
+    following = terms.index(position.term) + 1
+    return following == len(terms) or position.index < status.history[following].first
