--- a/hyssopshelf/statements/answers.py
+++ b/hyssopshelf/statements/answers.py
@@ -45,7 +45,7 @@
     statement = request.statement
     request.answer = message
     ticket_id = f"{TICKET_PREFIX}{message.request_id}"
-    board.confirmations[ticket_id] = request
+    board.entry_confirmations[ticket_id] = request
     board.tickets[ticket_id] = blackboard.Ticket(
         id=ticket_id,
         database=f"{statement.pool}/{statement.database}",
@@ -60,13 +60,13 @@
 
 def settle(board, now: float) -> None:
     """Answer the statements whose repeated confirmation is decided or overdue."""
-    for ticket_id in list(board.confirmations):
+    for ticket_id in list(board.entry_confirmations):
         ticket = board.tickets.get(ticket_id)
-        request = board.confirmations[ticket_id]
+        request = board.entry_confirmations[ticket_id]
         late = now >= request.deadline
         if ticket is not None and ticket.outcome is None and not late:
             continue
-        del board.confirmations[ticket_id]
+        del board.entry_confirmations[ticket_id]
         board.tickets.pop(ticket_id, None)
         confirmed = (
             ticket is not None
