Add stand-ins and adapters of the store and the host list

Cause: configuration, failover and membership need the platform's store and host list, and tests need them with faults.

Change: a pure key-value state machine with revisions, leases, watches and faults, served over the JSON gateway form of the etcd v3 API; an adapter that returns Err whenever the outcome of a call is unknown and never repeats one; a host list that lags. docs/store.md states the protocol and the limits.

Conclusion: the interface of platform.py can be met with calls that the published API offers. Deletions carry no entry in a watch, because platform.Changes has no place for them.

--- /dev/null
+++ b/hyssopshelf/runtime/store.py
@@ -0,0 +1,321 @@
+"""Adapter of the platform's key-value store.
+
+Only this module knows the store's protocol: the JSON gateway form of the etcd
+v3 API. docs/store.md describes the calls and their limits.
+"""
+
+import asyncio
+import base64
+import functools
+import json
+import math
+import urllib.parse
+from collections.abc import Awaitable
+
+import attrs
+import result
+import tornado.http1connection
+import tornado.httpclient
+import tornado.httputil
+import tornado.iostream
+import tornado.tcpclient
+
+from hyssopshelf import platform
+
+CALL_TIMEOUT_SECONDS = 2.0
+"""Time after which a call's outcome is unknown; the store answers in
+milliseconds when it is well."""
+
+MAXIMUM_CALLS = 64
+"""Calls under way at the same time; further ones wait within their deadline."""
+
+OK_STATUS = 200
+"""HTTP status of a watch that was created."""
+
+NOT_FOUND_STATUS = 404
+"""HTTP status for a lease that does not exist."""
+
+_FAILURES = (
+    tornado.httpclient.HTTPError,
+    tornado.iostream.StreamClosedError,
+    OSError,
+    TimeoutError,
+    ValueError,
+    KeyError,
+    TypeError,
+)
+"""Exceptions after which the outcome of a call is unknown."""
+
+
+@attrs.define(kw_only=True)
+class StoreAdapter:
+    """Carries out the operations of ``platform`` at the store.
+
+    Parameters
+    ----------
+    url : str
+        Base of the store's address, such as ``http://10.0.0.5:2379``.
+    timeout_seconds : float
+        Time after which the outcome of a call is unknown.
+    """
+
+    url: str
+    timeout_seconds: float = CALL_TIMEOUT_SECONDS
+    _client: tornado.httpclient.AsyncHTTPClient | None = attrs.field(
+        default=None, init=False
+    )
+    _watches: set[asyncio.Task] = attrs.field(factory=set, init=False)
+
+    async def call(self, operation) -> result.Result:
+        """Carry out an operation.
+
+        Returns
+        -------
+        Ok(object)
+            The result that ``platform`` states for the operation.
+        Err(str)
+            The outcome is unknown: a change may have taken effect.
+        """
+        try:
+            return result.Ok(await _perform(operation, self))
+        except _FAILURES as error:
+            name = type(operation).__name__
+            text = str(error) or type(error).__name__
+            return result.Err(f"{name} at the store failed: {text}")
+
+    async def post(self, path: str, body: dict) -> dict:
+        """Send one call and return its answer."""
+        if self._client is None:
+            self._client = tornado.httpclient.AsyncHTTPClient(
+                force_instance=True, max_clients=MAXIMUM_CALLS
+            )
+        response = await self._client.fetch(
+            f"{self.url}{path}",
+            method="POST",
+            body=json.dumps(body),
+            connect_timeout=self.timeout_seconds,
+            request_timeout=self.timeout_seconds,
+        )
+        return json.loads(response.body)
+
+    async def watch(self, operation: platform.Watch) -> platform.Changes:
+        """Wait for changes on a stream of its own, within the deadline."""
+        task = asyncio.ensure_future(_follow(self.url, operation))
+        self._watches.add(task)
+        try:
+            return await asyncio.wait_for(
+                task, operation.wait_seconds + self.timeout_seconds
+            )
+        except asyncio.CancelledError:
+            if task.cancelled() and not asyncio.current_task().cancelling():
+                raise TimeoutError("adapter is closed") from None
+            raise
+        finally:
+            self._watches.discard(task)
+
+    def close(self) -> None:
+        """End the watches and release the client."""
+        for task in self._watches:
+            task.cancel()
+        if self._client is not None:
+            self._client.close()
+            self._client = None
+
+
+def _encode(data: bytes) -> str:
+    return base64.b64encode(data).decode()
+
+
+def _get_prefix_end(prefix: bytes) -> bytes:
+    """Return the end of the range of a prefix; one zero byte means no end."""
+    stripped = prefix.rstrip(b"\xff")
+    if not stripped:
+        return b"\0"
+    return stripped[:-1] + bytes([stripped[-1] + 1])
+
+
+def _make_range(prefix: str) -> dict:
+    data = prefix.encode()
+    # An empty key is not allowed; a zero byte is the lowest key.
+    return {"key": _encode(data or b"\0"), "range_end": _encode(_get_prefix_end(data))}
+
+
+def _read_entries(body: dict) -> tuple[platform.Entry, ...]:
+    return tuple(_read_entry(item) for item in body.get("kvs", []))
+
+
+def _read_entry(item: dict) -> platform.Entry:
+    return platform.Entry(
+        key=base64.b64decode(item["key"]).decode(),
+        value=base64.b64decode(item.get("value", "")),
+        revision=int(item["mod_revision"]),
+    )
+
+
+def _read_revision(body: dict) -> int:
+    return int(body["header"]["revision"])
+
+
+@functools.singledispatch
+async def _perform(operation, adapter: StoreAdapter):
+    raise NotImplementedError(f"unknown operation {type(operation).__name__}")
+
+
+@_perform.register
+async def _(operation: platform.Get, adapter: StoreAdapter):
+    body = {"key": _encode(operation.key.encode())}
+    entries = _read_entries(await adapter.post("/v3/kv/range", body))
+    return entries[0] if entries else None
+
+
+@_perform.register
+async def _(operation: platform.ListPrefix, adapter: StoreAdapter):
+    return _read_entries(
+        await adapter.post("/v3/kv/range", _make_range(operation.prefix))
+    )
+
+
+@_perform.register
+async def _(operation: platform.CompareAndSwap, adapter: StoreAdapter):
+    key = _encode(operation.key.encode())
+    put = {"key": key, "value": _encode(operation.value)}
+    if operation.lease:
+        put["lease"] = str(operation.lease)
+    compare = {
+        "key": key,
+        "target": "MOD",
+        "result": "EQUAL",
+        "mod_revision": str(operation.revision),
+    }
+    answer = await adapter.post(
+        "/v3/kv/txn",
+        {
+            "compare": [compare],
+            "success": [{"request_put": put}],
+            "failure": [{"request_range": {"key": key}}],
+        },
+    )
+    if answer.get("succeeded", False):
+        current = platform.Entry(
+            key=operation.key, value=operation.value, revision=_read_revision(answer)
+        )
+        return platform.Swapped(succeeded=True, current=current)
+    entries = _read_entries(answer["responses"][0].get("response_range", {}))
+    return platform.Swapped(succeeded=False, current=entries[0] if entries else None)
+
+
+@_perform.register
+async def _(operation: platform.GrantLease, adapter: StoreAdapter):
+    # The protocol carries whole seconds. Rounding up keeps the lease at least
+    # as long as its holder asked for.
+    seconds = max(1, math.ceil(operation.time_to_live_seconds))
+    answer = await adapter.post("/v3/lease/grant", {"TTL": str(seconds)})
+    return int(answer["ID"])
+
+
+@_perform.register
+async def _(operation: platform.RevokeLease, adapter: StoreAdapter):
+    try:
+        await adapter.post("/v3/lease/revoke", {"ID": str(operation.lease)})
+    except tornado.httpclient.HTTPClientError as error:
+        # A lease that does not exist has ended already.
+        if error.code != NOT_FOUND_STATUS:
+            raise
+
+
+@_perform.register
+async def _(operation: platform.Watch, adapter: StoreAdapter):
+    changes = await adapter.watch(operation)
+    if changes is not None:
+        return changes
+    # The store no longer has the history since that revision, so the current
+    # values that are newer take its place.
+    answer = await adapter.post("/v3/kv/range", _make_range(operation.prefix))
+    entries = tuple(
+        entry
+        for entry in _read_entries(answer)
+        if entry.revision > operation.after_revision
+    )
+    return platform.Changes(entries=entries, revision=_read_revision(answer))
+
+
+@attrs.define
+class _WatchStream(tornado.httputil.HTTPMessageDelegate):
+    """Reads the lines of a watch's answer into a queue."""
+
+    lines: asyncio.Queue = attrs.field(factory=asyncio.Queue)
+    _rest: bytes = b""
+
+    def headers_received(self, start_line, headers) -> None:
+        if start_line.code != OK_STATUS:
+            self.lines.put_nowait(None)
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        *whole, self._rest = (self._rest + chunk).split(b"\n")
+        for line in whole:
+            self.lines.put_nowait(line)
+
+    def finish(self) -> None:
+        self.lines.put_nowait(None)
+
+    def on_connection_close(self) -> None:
+        self.lines.put_nowait(None)
+
+
+async def _follow(url: str, operation: platform.Watch) -> platform.Changes | None:
+    """Open a watch and return its first changes; None if history is missing."""
+    parts = urllib.parse.urlsplit(url)
+    client = tornado.tcpclient.TCPClient()
+    stream = await client.connect(parts.hostname, parts.port)
+    try:
+        connection = tornado.http1connection.HTTP1Connection(stream, is_client=True)
+        start = operation.after_revision + 1
+        create = _make_range(operation.prefix) | {"start_revision": str(start)}
+        body = json.dumps({"create_request": create}).encode()
+        headers = tornado.httputil.HTTPHeaders(
+            {"Host": parts.netloc, "Content-Length": str(len(body))}
+        )
+        request = tornado.httputil.RequestStartLine("POST", "/v3/watch", "HTTP/1.1")
+        await connection.write_headers(request, headers, body)
+        delegate = _WatchStream()
+        reader = asyncio.ensure_future(connection.read_response(delegate))
+        try:
+            return await _await_changes(delegate.lines, operation)
+        finally:
+            reader.cancel()
+    finally:
+        stream.close()
+
+
+async def _await_changes(
+    lines: asyncio.Queue, operation: platform.Watch
+) -> platform.Changes | None:
+    revision = operation.after_revision
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + operation.wait_seconds
+    while True:
+        try:
+            line = await asyncio.wait_for(lines.get(), deadline - loop.time())
+        except TimeoutError:
+            return platform.Changes(entries=(), revision=revision)
+        if line is None:
+            raise tornado.iostream.StreamClosedError(
+                real_error=OSError("the store ended the watch")
+            )
+        body = json.loads(line)["result"]
+        if body.get("canceled", False):
+            return None
+        revision = _read_revision(body)
+        # A store that was restored from an older copy has a lower revision; the
+        # caller sees it at once and reads again.
+        if revision < operation.after_revision or "events" in body:
+            return platform.Changes(entries=_read_events(body), revision=revision)
+
+
+def _read_events(body: dict) -> tuple[platform.Entry, ...]:
+    """Return the written entries; deletions only raise the revision."""
+    return tuple(
+        _read_entry(event["kv"])
+        for event in body.get("events", [])
+        if event.get("type", "PUT") == "PUT"
+    )
--- /dev/null
+++ b/hyssopshelf/runtime/tests/test_hostlist.py
@@ -0,0 +1,59 @@
+"""Tests of the host list's adapter against the stand-in, over sockets."""
+
+import asyncio
+
+import pytest
+
+from hyssopshelf import platform
+from hyssopshelf.runtime import hostlist as adapters
+from hyssopshelf.standins import hostlist as standins
+
+HOST = platform.HostEntry(name="h1", address="127.0.0.1:1", place="p1", region="r1")
+
+
+def run(scenario):
+    async def main():
+        hosts = standins.HostList()
+        server = standins.HostListServer(hosts=hosts)
+        port = server.start()
+        adapter = adapters.HostListAdapter(
+            url=f"http://127.0.0.1:{port}", timeout_seconds=0.5
+        )
+        try:
+            await asyncio.wait_for(scenario(hosts, adapter), 20)
+        finally:
+            adapter.close()
+            await server.stop()
+
+    asyncio.run(main())
+
+
+def test_rows_survive_the_wire():
+    """Guards against fields lost between the list and a node."""
+
+    async def scenario(hosts, adapter):
+        hosts.add(HOST, -1.0)
+        hosts.mark_leaving("h1", -0.5)
+        (row,) = (await adapter.read()).unwrap()
+        assert (row.name, row.region, row.leaving) == ("h1", "r1", True)
+
+    run(scenario)
+
+
+def test_list_that_is_down_is_an_error():
+    """Guards against taking an outage of the list for an empty fleet."""
+
+    async def scenario(hosts, adapter):
+        hosts.down = True
+        assert (await adapter.read()).is_err()
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(("now", "names"), [(4.9, []), (5.0, ["h1"]), (12.0, [])])
+def test_list_lags(now, names):
+    """Guards against a stand-in that is fresher than the platform."""
+    hosts = standins.HostList(lag_seconds=5.0)
+    hosts.add(HOST, 0.0)
+    hosts.remove("h1", 7.0)
+    assert [row.name for row in hosts.read(now)] == names
--- /dev/null
+++ b/hyssopshelf/runtime/tests/test_store.py
@@ -0,0 +1,235 @@
+"""Tests of the store's adapter against the stand-in, over sockets."""
+
+import asyncio
+import time
+
+import pytest
+
+from hyssopshelf import platform
+from hyssopshelf.runtime import store as adapters
+from hyssopshelf.standins import store as standins
+
+
+def run(scenario):
+    """Run a scenario with a server and an adapter that gives up after 0.3 s."""
+
+    async def main():
+        server = standins.StoreServer(store=standins.KeyValueStore())
+        port = server.start()
+        adapter = adapters.StoreAdapter(
+            url=f"http://127.0.0.1:{port}", timeout_seconds=0.3
+        )
+        try:
+            await asyncio.wait_for(scenario(server, adapter), 20)
+        finally:
+            adapter.close()
+            await server.stop()
+
+    asyncio.run(main())
+
+
+def swap(key, value, revision=0, lease=0):
+    return platform.CompareAndSwap(key=key, value=value, revision=revision, lease=lease)
+
+
+def watch(after_revision, wait_seconds=5.0, prefix="a/"):
+    return platform.Watch(
+        prefix=prefix, after_revision=after_revision, wait_seconds=wait_seconds
+    )
+
+
+def test_compare_and_swap_reports_the_entry_that_won():
+    """Guards against a lost update and a conflict without the current entry."""
+
+    async def scenario(server, adapter):
+        first = (await adapter.call(swap("a/1", b"\xff\0"))).unwrap()
+        assert first.succeeded
+        lost = (await adapter.call(swap("a/1", b"y"))).unwrap()
+        assert (lost.succeeded, lost.current) == (False, first.current)
+        again = await adapter.call(swap("a/1", b"z", first.current.revision))
+        assert again.unwrap().succeeded
+        entry = (await adapter.call(platform.Get(key="a/1"))).unwrap()
+        assert entry == again.unwrap().current
+        missing = (await adapter.call(swap("none", b"y", 7))).unwrap()
+        assert (missing.succeeded, missing.current) == (False, None)
+        assert (await adapter.call(platform.Get(key="none"))).unwrap() is None
+
+    run(scenario)
+
+
+def test_prefix_lists_its_keys_only():
+    """Guards against a range that ends one key too late or too early."""
+
+    async def scenario(server, adapter):
+        for key in ("a", "a/1", "a/~", "a0", "b"):
+            await adapter.call(swap(key, b"x"))
+        listed = (await adapter.call(platform.ListPrefix(prefix="a/"))).unwrap()
+        assert [entry.key for entry in listed] == ["a/1", "a/~"]
+        everything = (await adapter.call(platform.ListPrefix(prefix=""))).unwrap()
+        assert len(everything) == 5
+
+    run(scenario)
+
+
+def test_watch_wakes_on_a_change_and_counts_once():
+    """Guards against polling, missed changes and changes of other keys."""
+
+    async def scenario(server, adapter):
+        start = (await adapter.call(swap("a/1", b"x"))).unwrap().current.revision
+        waiting = asyncio.ensure_future(adapter.call(watch(start)))
+        await asyncio.sleep(0.1)
+        await adapter.call(swap("b/1", b"x"))
+        await asyncio.sleep(0.1)
+        assert not waiting.done()
+        await adapter.call(swap("a/2", b"y"))
+        changes = (await waiting).unwrap()
+        assert [entry.key for entry in changes.entries] == ["a/2"]
+        missed = (await adapter.call(watch(start))).unwrap()
+        assert missed == changes
+        assert server.store.calls["watch"] == 2
+
+    run(scenario)
+
+
+def test_quiet_watch_ends_without_entries():
+    """Guards against a watch that never returns."""
+
+    async def scenario(server, adapter):
+        changes = (await adapter.call(watch(1, wait_seconds=0.1))).unwrap()
+        assert (changes.entries, changes.revision) == ((), 1)
+
+    run(scenario)
+
+
+def test_watch_from_lost_history_reads_the_current_values(monkeypatch):
+    """Guards against changes skipped when the store dropped its history."""
+    monkeypatch.setattr(standins, "HISTORY_LENGTH", 2)
+
+    async def scenario(server, adapter):
+        for number in range(5):
+            await adapter.call(swap(f"a/{number}", b"x"))
+        changes = (await adapter.call(watch(2))).unwrap()
+        keys = [entry.key for entry in changes.entries]
+        assert keys == ["a/1", "a/2", "a/3", "a/4"]
+
+    run(scenario)
+
+
+def test_watch_reports_a_store_that_went_back():
+    """Guards against waiting forever for a revision that no longer exists."""
+
+    async def scenario(server, adapter):
+        server.store.snapshots["old"] = server.store.take_snapshot()
+        revision = (await adapter.call(swap("a/1", b"x"))).unwrap().current.revision
+        waiting = asyncio.ensure_future(adapter.call(watch(revision)))
+        await asyncio.sleep(0.1)
+        server.restore("old")
+        assert (await waiting).is_err()
+        changes = (await adapter.call(watch(revision))).unwrap()
+        assert (changes.entries, changes.revision) == ((), revision - 1)
+
+    run(scenario)
+
+
+def test_lapsed_lease_deletes_its_keys():
+    """Guards against a lock that outlives its holder."""
+
+    async def scenario(server, adapter):
+        grant = platform.GrantLease(time_to_live_seconds=0.2)
+        lease = (await adapter.call(grant)).unwrap()
+        await adapter.call(swap("a/lock", b"h1", lease=lease))
+        assert (await adapter.call(platform.Get(key="a/lock"))).unwrap() is not None
+        await asyncio.sleep(1.2)
+        assert (await adapter.call(platform.Get(key="a/lock"))).unwrap() is None
+        # The lease is over, so that revoking it succeeds and using it does not.
+        assert (await adapter.call(platform.RevokeLease(lease=lease))).is_ok()
+        assert (await adapter.call(swap("a/lock", b"h1", lease=lease))).is_err()
+
+    run(scenario)
+
+
+def test_revoked_lease_deletes_its_keys():
+    """Guards against a lock that stays after its holder gave it up."""
+
+    async def scenario(server, adapter):
+        grant = platform.GrantLease(time_to_live_seconds=60)
+        lease = (await adapter.call(grant)).unwrap()
+        await adapter.call(swap("a/lock", b"h1", lease=lease))
+        assert (await adapter.call(platform.RevokeLease(lease=lease))).is_ok()
+        assert (await adapter.call(platform.Get(key="a/lock"))).unwrap() is None
+
+    run(scenario)
+
+
+def test_lost_answer_is_an_error_though_the_change_took_effect():
+    """Guards against reporting an applied change as refused or repeating it."""
+
+    async def scenario(server, adapter):
+        server.set_faults(lost_answers=1)
+        assert (await adapter.call(swap("a/1", b"x"))).is_err()
+        entry = (await adapter.call(platform.Get(key="a/1"))).unwrap()
+        assert entry.value == b"x"
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("fault", [{"down": True}, {"delay_seconds": 5.0}])
+def test_call_ends_within_its_deadline(fault):
+    """Guards against a node that hangs on a store that is down or slow."""
+
+    async def scenario(server, adapter):
+        server.set_faults(**fault)
+        operations = [
+            swap("a/1", b"x"),
+            platform.Get(key="a/1"),
+            platform.GrantLease(time_to_live_seconds=1),
+            watch(1, wait_seconds=0.2),
+        ]
+        started = time.monotonic()
+        results = await asyncio.gather(*map(adapter.call, operations))
+        assert all(result.is_err() for result in results[:3])
+        assert time.monotonic() - started < 2.0
+        server.set_faults(down=False, delay_seconds=0.0)
+        assert (await adapter.call(platform.Get(key="none"))).is_ok()
+
+    run(scenario)
+
+
+def test_store_that_goes_down_ends_watches():
+    """Guards against a watch that waits at a store which is gone."""
+
+    async def scenario(server, adapter):
+        waiting = asyncio.ensure_future(adapter.call(watch(1)))
+        await asyncio.sleep(0.1)
+        server.set_faults(down=True)
+        assert (await waiting).is_err()
+
+    run(scenario)
+
+
+def test_close_ends_watches():
+    """Guards against a process that cannot stop while a watch waits."""
+
+    async def scenario(server, adapter):
+        waiting = asyncio.ensure_future(adapter.call(watch(1, wait_seconds=60)))
+        await asyncio.sleep(0.1)
+        adapter.close()
+        assert (await waiting).is_err()
+
+    run(scenario)
+
+
+def test_control_route_sets_faults_over_http():
+    """Guards against a fault switch that tests over processes cannot reach."""
+
+    async def scenario(server, adapter):
+        await adapter.post("/control/faults", {"snapshot": "old"})
+        await adapter.call(swap("a/1", b"x"))
+        state = await adapter.post("/control/faults", {"restore": "old"})
+        assert (state["revision"], state["calls"]) == (1, {"txn": 1})
+        await adapter.post("/control/faults", {"faults": {"down": True}})
+        assert (await adapter.call(platform.Get(key="a/1"))).is_err()
+        state = await adapter.post("/control/faults", {"faults": {"down": False}})
+        assert (await adapter.call(platform.Get(key="a/1"))).unwrap() is None
+
+    run(scenario)
