--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,229 @@
+"""Tests of a statement's path through two nodes and one database group."""
+
+import heapq
+import itertools
+
+import attrs
+import pytest
+
+from hyssopshelf import base, blackboard, exceptions, messages, node
+from hyssopshelf.configuration import application, resources
+from hyssopshelf.standins import database
+
+KEYS = (("k1", b"secret"),)
+PLACES = ("ba-1", "za-1", "ke-1")
+POOL = "labelstore"
+
+
+def make_document() -> resources.Document:
+    """Return a pool with one database of three endpoints and one partner."""
+    endpoints = tuple(
+        resources.EndpointSpec(name=name, address="127.0.0.1:1", place=place)
+        for name, place in zip("abc", PLACES, strict=True)
+    )
+    racks = resources.DatabaseSpec(name="racks", endpoints=endpoints)
+    specs = {
+        (resources.ResourceKind.POOL, POOL): resources.PoolSpec(
+            databases=(racks,), partners=("priehradka",), slots=2, connections=5
+        ),
+        (resources.ResourceKind.PARTNER, "priehradka"): resources.PartnerSpec(
+            kinds=(
+                resources.KindSpec(name="scan", rank="urgent"),
+                resources.KindSpec(
+                    name="dashboard", rank="normal", staleness_seconds=1.0
+                ),
+            )
+        ),
+        (resources.ResourceKind.RANK, "urgent"): resources.RankSpec(
+            order=0, floor=0.5, acknowledge=resources.MAJORITY
+        ),
+        (resources.ResourceKind.RANK, "normal"): resources.RankSpec(order=1, floor=0.2),
+    }
+    return resources.Document(
+        pool=POOL,
+        version=1,
+        resources=tuple(
+            resources.Resource(kind=kind, pool=POOL, name=name, spec=spec)
+            for (kind, name), spec in specs.items()
+        ),
+    )
+
+
+@attrs.define(slots=False)
+class Fleet:
+    """Two nodes and three endpoints on a virtual clock with fixed delays."""
+
+    delay: float = 0.001
+    now: float = 0.0
+
+    def __attrs_post_init__(self):
+        self.order = itertools.count()
+        self.queue = []
+        self.answers = {}
+        self.connections = {}
+        self.instances = {
+            f"{POOL}/racks/{name}": database.Instance(name=f"{POOL}/racks/{name}")
+            for name in "abc"
+        }
+        first = self.instances[f"{POOL}/racks/a"]
+        first.bootstrap(1, 0.0)
+        for instance in self.instances.values():
+            instance.follow(messages.Follow(term=1, primary=first.name), 0.0)
+        self.nodes = {}
+        for place, host in zip(PLACES, ("h1", "h2"), strict=False):
+            identity = blackboard.Identity(host=host, address=host, place=place)
+            self.nodes[host] = node.Node(identity=identity, seed=1, token_keys=KEYS)
+        for member in self.nodes.values():
+            for other in self.nodes.values():
+                identity = other.board.identity
+                member.board.hosts[identity.host] = blackboard.HostRecord(
+                    name=identity.host, address=identity.host, place=identity.place
+                )
+            application.apply_document(member.board, make_document(), 0.0)
+            member.board.configuration_ready = True
+
+    def later(self, call, delay=None):
+        at = self.now + (self.delay if delay is None else delay)
+        heapq.heappush(self.queue, (at, next(self.order), call))
+
+    def handle(self, host, event):
+        for action in self.nodes[host].handle(event, self.now):
+            self.carry_out(host, action)
+
+    def carry_out(self, host, action):
+        match action:
+            case base.Reply():
+                self.answers[action.caller] = action.answer
+            case base.SendPeer():
+                data = messages.Envelope(host=host, address="", message=action.message)
+                wire = messages.encode(data)
+                self.later(
+                    lambda: self.handle(
+                        action.host,
+                        base.PeerReceived(
+                            host=host, message=messages.decode(wire).message
+                        ),
+                    )
+                )
+            case base.OpenConnection():
+                self.connections[action.connection] = self.instances[action.endpoint]
+                opened = self.connections[action.connection].open_connection(
+                    action.connection
+                )
+                event = (
+                    base.ConnectionOpened(connection=action.connection)
+                    if opened
+                    else base.ConnectionFailed(
+                        connection=action.connection, refused=True, reason="full"
+                    )
+                )
+                self.later(lambda: self.handle(host, event))
+            case base.CloseConnection():
+                self.connections[action.connection].close_connection(action.connection)
+            case base.Execute():
+                instance = self.connections[action.connection]
+                answer = instance.execute(action.connection, action.request, self.now)
+                event = base.EndpointAnswered(
+                    connection=action.connection,
+                    request_id=action.request_id,
+                    answer=answer,
+                )
+                self.later(lambda: self.handle(host, event))
+            case base.ProbeStatus():
+                status = self.instances[action.endpoint].report_status(self.now)
+                event = base.StatusReceived(
+                    endpoint=action.endpoint, probe_id=action.probe_id, status=status
+                )
+                self.later(lambda: self.handle(host, event))
+
+    def replicate(self):
+        for instance in self.instances.values():
+            request = instance.request_fetch(self.now)
+            if request is not None and instance.primary in self.instances:
+                primary = self.instances[instance.primary]
+                answer = primary.serve_fetch(request, self.now)
+                instance.receive_fetch(answer, self.now, self.now)
+
+    def run(self, seconds, replicating=True):
+        end = self.now + seconds
+        tick = self.now
+        while tick < end:
+            tick += 0.05
+            while self.queue and self.queue[0][0] <= tick:
+                self.now, _, call = heapq.heappop(self.queue)
+                call()
+            self.now = tick
+            if replicating:
+                self.replicate()
+            for host in self.nodes:
+                self.handle(host, base.Ticked())
+
+    def ask(self, host, replicating=True, seconds=1.0, **fields):
+        """Send a statement to a node and return its answer."""
+        caller = f"c{next(self.order)}"
+        statement = messages.Statement(
+            id=caller,
+            pool=POOL,
+            database="racks",
+            partner="priehradka",
+            **{"kind": "scan", "key": "slot", "remaining_seconds": 0.5, **fields},
+        )
+        self.handle(host, base.StatementReceived(caller=caller, statement=statement))
+        self.run(seconds, replicating)
+        return self.answers[caller]
+
+
+@pytest.fixture
+def fleet():
+    fleet = Fleet()
+    fleet.run(1.0)
+    return fleet
+
+
+def test_session_reads_its_write_on_another_node(fleet):
+    """Guards against a session that loses its write when it changes proxies."""
+    written = fleet.ask("h1", operation=messages.Operation.APPEND, value="x")
+    assert written.error is None
+    read = fleet.ask("h2", operation=messages.Operation.GET, token=written.token)
+    assert (read.error, read.value) == (None, "x")
+
+
+def test_majority_write_waits_for_replication(fleet):
+    """Guards against an acknowledgement before a majority holds the write."""
+    answer = fleet.ask(
+        "h1", operation=messages.Operation.APPEND, value="x", replicating=False
+    )
+    assert answer.error is exceptions.ErrorKind.OUTCOME_UNKNOWN
+
+
+def test_transaction_spans_nodes_and_commits_once(fleet):
+    """Guards against a transaction that breaks when its caller changes proxies."""
+    begun = fleet.ask("h1", operation=messages.Operation.BEGIN)
+    inside = {"transaction": begun.transaction}
+    for value in ("x", "y"):
+        fleet.ask("h2", operation=messages.Operation.APPEND, value=value, **inside)
+    ended = fleet.ask("h1", operation=messages.Operation.COMMIT, **inside)
+    assert ended.error is None
+    read = fleet.ask("h2", operation=messages.Operation.GET, token=ended.token)
+    assert read.value == "x,y"
+
+
+@pytest.mark.parametrize("change", ["cut", "flip", "text"])
+def test_damaged_token_is_an_error(fleet, change):
+    """Guards against a stale read behind a token that cannot be trusted."""
+    token = fleet.ask("h1", operation=messages.Operation.APPEND, value="x").token
+    flipped = ("A" if token[5] != "A" else "B").join((token[:5], token[6:]))
+    damaged = {"cut": token[:-4], "flip": flipped, "text": "no token"}
+    answer = fleet.ask("h2", operation=messages.Operation.GET, token=damaged[change])
+    assert answer.error is exceptions.ErrorKind.BAD_TOKEN
+
+
+def test_bounded_read_is_served_by_a_replica(fleet):
+    """Guards against sending reads that replicas may serve to the primary."""
+    answer = fleet.ask(
+        "h2",
+        kind="dashboard",
+        operation=messages.Operation.GET,
+        consistency=messages.Consistency.BOUNDED,
+    )
+    assert (answer.error, answer.from_replica) == (None, True)
