Route statements whose primary an entry node does not know

Cause: an entry node that serves no endpoint of a database never learned its primary and held every write until its deadline (a load of 8 sessions through the other proxy of the demo ended with deadline_passed). Change: replicas' statuses teach the primary too; with an unknown primary any endpoint's serving node is asked, which answers not run with the primary. Conclusion: an entry node needs no poll of databases that it does not serve.

--- a/hyssopshelf/consistency/routing.py
+++ b/hyssopshelf/consistency/routing.py
@@ -44,9 +44,13 @@
         replica = _choose_replica(board, database, request, required, now)
         if replica is not None:
             return Route(endpoint=replica, reason="replica")
-    if not database.primary or database.primary not in board.endpoints:
+    if database.primary in board.endpoints:
+        return Route(endpoint=database.primary, reason="primary")
+    if not database.endpoints:
         return None
-    return Route(endpoint=database.primary, reason="primary")
+    # Any endpoint's serving node knows the primary and answers "not run".
+    endpoint = board.random.choice(database.endpoints)
+    return Route(endpoint=endpoint, reason="primary is unknown")
 
 
 def _choose_replica(board, database, request, required, now: float) -> str | None:
--- a/hyssopshelf/demo.py
+++ b/hyssopshelf/demo.py
@@ -85,22 +85,23 @@
     return servers
 
 
-def find_free_address() -> str:
-    """Return a loopback address whose port was free a moment ago."""
-    (socket,) = tornado.netutil.bind_sockets(0, "127.0.0.1")
-    port = socket.getsockname()[1]
-    socket.close()
-    return f"127.0.0.1:{port}"
+def find_free_addresses(count: int) -> list[str]:
+    """Return loopback addresses whose ports were free a moment ago."""
+    sockets = [tornado.netutil.bind_sockets(0, "127.0.0.1")[0] for _ in range(count)]
+    addresses = [f"127.0.0.1:{socket.getsockname()[1]}" for socket in sockets]
+    for socket in sockets:
+        socket.close()
+    return addresses
 
 
 def start_proxies(document: resources.Document) -> tuple[dict, dict]:
     """Start two proxies; return their engines and caller addresses by host."""
     keys = (("demo", secrets.token_bytes(32)),)
     identities = [
-        blackboard.Identity(
-            host=f"proxy-{number}", address=find_free_address(), place=place
+        blackboard.Identity(host=f"proxy-{number}", address=address, place=place)
+        for number, (place, address) in enumerate(
+            zip(PLACES, find_free_addresses(2), strict=False), start=1
         )
-        for number, place in enumerate(PLACES[:2], start=1)
     ]
     engines_by_host = {}
     addresses = {}
--- a/hyssopshelf/failover/terms.py
+++ b/hyssopshelf/failover/terms.py
@@ -4,11 +4,14 @@
 
 
 def learn_status(board, status: messages.EndpointStatus) -> None:
-    """Learn the term and primary of a database from an endpoint's status."""
+    """Learn the term and primary of a database from an endpoint's status.
+
+    A replica was told its primary by the promoter of its term.
+    """
     record = board.endpoints.get(status.name)
-    if record is None or status.role is not messages.Role.PRIMARY:
+    if record is None or status.role is messages.Role.FENCED:
         return
-    learn_primary(board, record.database, status.term, status.name)
+    learn_primary(board, record.database, status.term, status.primary)
 
 
 def learn_primary(board, database: str, term: int, primary: str) -> None:
--- a/hyssopshelf/statements/serving.py
+++ b/hyssopshelf/statements/serving.py
@@ -13,7 +13,8 @@
 """New work is refused this long after an endpoint was seen leaving; the stated
 bound is 3 s and leaves 1 s for the news to arrive."""
 
-OPERATIONS_WITH_VALUE = (messages.Operation.PUT, messages.Operation.APPEND)
+KNOWN_ROLE_SECONDS = 0.5
+"""Time for which a replica's last known role decides without asking it."""
 
 
 @base.receive.register
@@ -142,6 +143,14 @@
 
 
 def _admit(board, served, now) -> None:
+    if _is_known_replica(board, served, now):
+        completion.finish_error(
+            board,
+            served,
+            exceptions.ErrorKind.NOT_RUN,
+            "the endpoint is not the primary",
+        )
+        return
     if served.statement.operation is messages.Operation.GET:
         verdict = _check_known_state(board, served, now)
         if verdict is reads.Verdict.BEHIND:
@@ -150,6 +159,19 @@
     _enqueue(board, served, now)
 
 
+def _is_known_replica(board, served, now) -> bool:
+    """Return whether a statement needs the primary and this is not it."""
+    statement = served.statement
+    record = board.endpoints[served.endpoint]
+    if record.status is None or record.status.role is messages.Role.PRIMARY:
+        return False
+    if now - record.status_asked_at > KNOWN_ROLE_SECONDS:
+        return False
+    return statement.operation is not messages.Operation.GET or reads.needs_primary(
+        statement.consistency, served.required
+    )
+
+
 def _check_known_state(board, served, now) -> reads.Verdict:
     """Compare the endpoint's last known state with what a read needs.
 
