Stop a draining node only after its peers stopped forwarding

Cause: a node that drains may receive a forwarded statement while it exits; the sender would have to answer that the outcome is unknown. Change: new forwarded statements are served for 1 s of the drain, then answered with not run; the node stops after 1 s without any. Conclusion: peers learn that the host leaves before it stops serving.

--- a/hyssopshelf/blackboard.py
+++ b/hyssopshelf/blackboard.py
@@ -276,7 +276,8 @@
     ticked_at: float | None = None
     pause_seconds: float = 0.0
     draining: bool = False
-    drain_deadline: float | None = None
+    drained_at: float = float("-inf")
+    forwarded_at: float = float("-inf")
     configuration_ready: bool = False
     _sequence: int = 0
 
--- a/hyssopshelf/node.py
+++ b/hyssopshelf/node.py
@@ -21,6 +21,9 @@
 PAUSE_SECONDS = 0.5
 """A longer gap between two ticks counts as a pause of the process."""
 
+QUIET_SECONDS = 1.0
+"""A draining node stops when no statement came from a peer for this time."""
+
 STEPS = (
     replay.step,
     placement.step,
@@ -161,9 +164,16 @@
     """Stop taking new statements; those in flight go on."""
     if not board.draining:
         board.draining = True
+        board.drained_at = now
         board.log(logs.LogEvent.PROCESS_DRAINING, host=board.identity.host)
 
 
-def is_idle(board) -> bool:
-    """Return whether no statement or transaction is left on the node."""
-    return not (board.requests or board.served or board.transactions)
+def is_idle(board, now: float) -> bool:
+    """Return whether a draining node can stop without cutting a request.
+
+    Peers may forward statements until they have learned that the host leaves,
+    so the node also waits until none has come for a while.
+    """
+    if board.requests or board.served or board.transactions:
+        return False
+    return now - max(board.drained_at, board.forwarded_at) >= QUIET_SECONDS
--- a/hyssopshelf/runtime/daemon.py
+++ b/hyssopshelf/runtime/daemon.py
@@ -93,7 +93,7 @@
     """Let statements and transactions end; return whether all did."""
     engine.emit(base.DrainRequested())
     board = engine.core.board
-    while not node.is_idle(board):
+    while not node.is_idle(board, time.monotonic()):
         if asyncio.get_running_loop().time() >= deadline:
             return False
         await asyncio.sleep(DRAIN_CHECK_SECONDS)
--- a/hyssopshelf/runtime/engine.py
+++ b/hyssopshelf/runtime/engine.py
@@ -1,6 +1,8 @@
 """Runs a node's core on the tornado loop and carries out its actions."""
 
+import asyncio
 import functools
+import itertools
 import time
 
 import tornado.ioloop
@@ -8,6 +10,8 @@
 from hyssopshelf import base, exceptions, logs, node
 from hyssopshelf.runtime import endpoints, peers
 
+_CALLERS = itertools.count()
+
 
 class Engine:
     """Connects a node's core with its adapters.
@@ -60,6 +64,17 @@
         """Pass replies to a caller to the callable ``receive``."""
         self.replies[caller] = receive
 
+    async def submit(self, request) -> object:
+        """Pass an operator's request to the core and return its answer."""
+        caller = f"operator-{next(_CALLERS)}"
+        future = asyncio.get_running_loop().create_future()
+        self.expect_reply(caller, future.set_result)
+        try:
+            self.emit(base.ResourceRequested(caller=caller, request=request))
+            return await future
+        finally:
+            self.replies.pop(caller, None)
+
     def forget_caller(self, caller: str) -> None:
         """Forget a caller and cancel its statements."""
         if self.replies.pop(caller, None) is not None:
--- a/hyssopshelf/statements/serving.py
+++ b/hyssopshelf/statements/serving.py
@@ -13,6 +13,10 @@
 """New work is refused this long after an endpoint was seen leaving; the stated
 bound is 3 s and leaves 1 s for the news to arrive."""
 
+DRAIN_GRACE_SECONDS = 1.0
+"""A draining node serves its endpoints for this time, while its peers learn that
+it leaves; later it answers new statements with "not run"."""
+
 KNOWN_ROLE_SECONDS = 0.5
 """Time for which a replica's last known role decides without asking it."""
 
@@ -28,6 +32,7 @@
             reason="received before or too late",
         )
         return
+    board.forwarded_at = now
     deadline = now + message.remaining_seconds - board.pause_seconds
     served = _make_request(board, message, host, deadline, now)
     if served is None:
@@ -73,7 +78,8 @@
         endpoint.leaving_at is not None
         and now >= endpoint.leaving_at + LEAVING_GRACE_SECONDS
     )
-    if leaving and not statement.transaction:
+    draining = board.draining and now >= board.drained_at + DRAIN_GRACE_SECONDS
+    if (leaving or draining) and not statement.transaction:
         return None
     item = work.Work(
         id=message.request_id,
