Require a log to end in the ticket's term to confirm its position

Cause: a majority whose logs hold a position but end in an older term can elect a log that ends in a term in between and lacks the position. A read or a repeated write in a new term can file such a position.

Change: at level LOG an endpoint counts only if its last entry is of the ticket's term. The empty entry that a new primary writes makes this reachable without new writes.

Conclusion: a confirmed position stays in every later primary's log.

--- a/hyssopshelf/failover/confirmation.py
+++ b/hyssopshelf/failover/confirmation.py
@@ -9,6 +9,7 @@
 import attrs
 
 from hyssopshelf import base, messages
+from hyssopshelf.consistency import positions
 from hyssopshelf.failover import tickets
 
 ROUND_SECONDS = 0.2
@@ -204,11 +205,12 @@
 def _holds_position(
     status: messages.EndpointStatus, position: messages.Position
 ) -> bool:
-    """Return whether the log of an endpoint contains a position."""
-    if position.index > status.position:
-        return False
-    terms = [start.term for start in status.history]
-    if position.term not in terms:
-        return False
-    following = terms.index(position.term) + 1
-    return following == len(terms) or position.index < status.history[following].first
+    """Return whether the log of an endpoint keeps a position for good.
+
+    The last entry must be of the position's term. A log that ends in an older
+    term is replaced by a shorter one whose last entry is newer.
+    """
+    last = positions.locate(status.history, status.position)
+    return last.term == position.term and positions.contains(
+        status.history, status.position, position
+    )
--- a/hyssopshelf/failover/tests/test_confirmation.py
+++ b/hyssopshelf/failover/tests/test_confirmation.py
@@ -65,6 +65,7 @@
         (LOG, [build_status(), build_status(position=6)], None),
         (LOG, [build_status(), build_status(history=((1, 1),))], None),
         (LOG, [build_status(), build_status(history=((2, 1), (3, 7)))], None),
+        (LOG, [build_status(), build_status(history=((1, 1), (2, 8)))], None),
         (LOG, [build_status(), build_status()], CONFIRMED),
         (LOG, [build_status(), None, build_status()], CONFIRMED),
     ],
