Detect lost primaries and promote by fencing a majority

Cause: nothing replaced a primary that was killed, cut off or paused.

A promotion fences a majority for a new term, promotes the most advanced log and makes the others follow. The store holds a lease that keeps promoters from competing and a record of the result; neither is waited for. A planned change holds new writes with DatabaseRecord.held_until. The node runs the new controllers.

--- a/hyssopshelf/blackboard.py
+++ b/hyssopshelf/blackboard.py
@@ -12,7 +12,7 @@
 from hyssopshelf import base, logs, messages
 from hyssopshelf.configuration import resources, views
 from hyssopshelf.connections import records
-from hyssopshelf.failover import confirmation, tickets
+from hyssopshelf.failover import confirmation, state, tickets
 from hyssopshelf.scheduling import queues, work
 
 
@@ -108,6 +108,8 @@
         Endpoint that is primary in that term, empty if unknown.
     fenced_term : int
         Highest term known to be proposed; may exceed ``term`` in a failover.
+    held_until : float
+        New writes wait until this time or a new term, for a planned change.
     """
 
     name: str
@@ -116,6 +118,7 @@
     term: int = 0
     primary: str = ""
     fenced_term: int = 0
+    held_until: float = float("-inf")
 
 
 @attrs.define(kw_only=True)
@@ -269,6 +272,7 @@
     confirmations: confirmation.ConfirmationState = attrs.field(
         factory=confirmation.ConfirmationState
     )
+    failover: state.FailoverState = attrs.field(factory=state.FailoverState)
 
     actions: list[base.Action] = attrs.field(factory=list)
     counters: dict[str, float] = attrs.field(factory=dict)
--- /dev/null
+++ b/hyssopshelf/failover/promotion.py
@@ -0,0 +1,448 @@
+"""Fencing and promotion: the change of a database's primary.
+
+A promotion proposes a term above every known one, has a majority of the group
+fenced for it, promotes the most advanced log among the fenced endpoints and
+tells the others to follow. Each attempt has its own promoter id, so two
+promoters cannot both get a majority for one term, and an attempt that stops at
+any step is replaced by one with a higher term.
+"""
+
+import enum
+
+import attrs
+
+from hyssopshelf import base, logs, messages
+from hyssopshelf.consistency import positions
+from hyssopshelf.failover import confirmation, leases, terms
+
+HOLD_SECONDS = 0.5
+"""Time between the fence of a majority and the promotion.
+
+An acknowledgement leaves within 0.2 s of the start of the round that confirmed
+it. The rest covers clocks that run at different rates.
+"""
+
+RETRY_SECONDS = 0.25
+"""Time between repetitions of an unanswered control call."""
+
+FENCE_SECONDS = 2.0
+"""Time within which a majority must grant the fence."""
+
+PROMOTE_SECONDS = 1.5
+"""Time within which the chosen endpoint must become primary."""
+
+CATCH_UP_SECONDS = 2.0
+"""Time within which the target of a planned change must have the whole log."""
+
+SETTLE_SECONDS = 0.1
+"""Time for the hold of new writes to reach the nodes in a planned change."""
+
+PROBE_SECONDS = 0.05
+"""Time between two comparisons of the logs in a planned change."""
+
+GRACE_SECONDS = 0.3
+"""Time that a planned change waits for its target after a majority is fenced."""
+
+BACKOFF_SECONDS = 0.3
+"""Shortest time between two attempts; up to three times as long at random."""
+
+
+class Reason(enum.Enum):
+    """Why a primary is replaced."""
+
+    UNREACHABLE = "unreachable"
+    CUT_OFF = "cut_off"
+    LEADERLESS = "leaderless"
+    PLANNED = "planned"
+
+
+class Phase(enum.Enum):
+    """Phases of a promotion."""
+
+    CATCHING_UP = "catching_up"
+    FENCING = "fencing"
+    PROMOTING = "promoting"
+
+
+@attrs.define(kw_only=True)
+class Promotion:
+    """A change of primary that this node carries out.
+
+    Attributes
+    ----------
+    id : str
+        Promoter id of the attempt.
+    target : str
+        Endpoint to prefer among equally advanced logs.
+    excluded : str
+        Endpoint that must not become primary and does not count to the
+        majority, because it was lost or is cut off from the group.
+    old_primary : str
+        Primary of the term just below the proposed one, empty if unknown.
+    grants : dict of str to EndpointStatus
+        State of the endpoints that granted the fence, after the grant.
+    fenced_at : float or None
+        Time at which a majority had granted it.
+    ends : dict of str to EndpointStatus
+        Log ends seen while a planned change waits for its target.
+    """
+
+    database: str
+    id: str
+    reason: Reason
+    phase: Phase
+    started_at: float
+    deadline: float
+    term: int = 0
+    target: str = ""
+    excluded: str = ""
+    old_primary: str = ""
+    grants: dict[str, messages.EndpointStatus] = attrs.field(factory=dict)
+    refused: set[str] = attrs.field(factory=set)
+    fenced_at: float | None = None
+    next_call_at: float = float("-inf")
+    chosen: str = ""
+    ends: dict[str, messages.EndpointStatus] = attrs.field(factory=dict)
+
+
+@attrs.define(kw_only=True)
+class PromotionState:
+    """Promotions of a node.
+
+    Attributes
+    ----------
+    running : dict of str to Promotion
+        By database.
+    calls : dict of str to str
+        Database by id of a control call or probe, for the running promotions.
+    proposed : dict of str to int
+        Highest term that this node proposed by database.
+    not_before : dict of str to float
+        Earliest next attempt by database.
+    """
+
+    running: dict[str, Promotion] = attrs.field(factory=dict)
+    calls: dict[str, tuple[str, str]] = attrs.field(factory=dict)
+    proposed: dict[str, int] = attrs.field(factory=dict)
+    not_before: dict[str, float] = attrs.field(factory=dict)
+
+
+def start(board, database: str, reason: Reason, excluded: str, now: float) -> bool:
+    """Start to replace the primary of a database; return whether it started."""
+    state = board.failover.promotions
+    if database in state.running or database not in board.databases:
+        return False
+    if now < state.not_before.get(database, now):
+        return False
+    if leases.is_blocked(board, database, now):
+        return False
+    attempt = Promotion(
+        database=database,
+        id=board.next_id(),
+        reason=reason,
+        phase=Phase.FENCING,
+        started_at=now,
+        deadline=now + FENCE_SECONDS,
+        excluded=excluded,
+    )
+    state.running[database] = attempt
+    _start_fencing(board, attempt, now)
+    return True
+
+
+def request_change(board, database: str, target: str, now: float) -> bool:
+    """Start a planned change of primary; return whether it started.
+
+    New writes are held until the target has the end of the log and is primary,
+    or for at most ``CATCH_UP_SECONDS`` more than the target gets to catch up.
+
+    Parameters
+    ----------
+    board : blackboard.Blackboard
+        State of the node; any node can carry out a change.
+    database : str
+        Full name of the database.
+    target : str
+        Full name of the endpoint to make primary. The current primary is
+        allowed: it gets a new term that all endpoints of the group can follow.
+    now : float
+        Time on the node's monotonic clock, in seconds.
+    """
+    state = board.failover.promotions
+    record = board.databases.get(database)
+    if record is None or target not in record.endpoints or not record.primary:
+        return False
+    if database in state.running or now < state.not_before.get(database, now):
+        return False
+    attempt = Promotion(
+        database=database,
+        id=board.next_id(),
+        reason=Reason.PLANNED,
+        phase=Phase.CATCHING_UP,
+        started_at=now,
+        deadline=now + CATCH_UP_SECONDS,
+        target=target,
+    )
+    state.running[database] = attempt
+    until = now + 2 * CATCH_UP_SECONDS
+    terms.hold_writes(board, database, attempt.id, until, now)
+    board.log(
+        logs.LogEvent.CHANGE_STARTED,
+        database=database,
+        target=target,
+        primary=record.primary,
+    )
+    _step_attempt(board, attempt, now)
+    return True
+
+
+def step(board, now: float) -> None:
+    """Repeat unanswered calls and give up attempts that take too long."""
+    for attempt in list(board.failover.promotions.running.values()):
+        if board.pause_seconds > 0:
+            # Others may have replaced this promoter; look at the group anew.
+            _fail(board, attempt, "this node was paused", now)
+        elif attempt.database not in board.databases:
+            del board.failover.promotions.running[attempt.database]
+        else:
+            _step_attempt(board, attempt, now)
+    leases.step(board, now)
+
+
+def receive_status(board, endpoint: str, probe_id: str, status, now: float) -> None:
+    """Use the answer to a probe of a planned change."""
+    attempt = _find_attempt(board, probe_id)
+    if attempt is None or attempt.phase is not Phase.CATCHING_UP or status is None:
+        return
+    attempt.ends[endpoint] = status
+    primary = board.databases[attempt.database].primary
+    first, second = attempt.ends.get(primary), attempt.ends.get(attempt.target)
+    if first is None or second is None or now < attempt.started_at + SETTLE_SECONDS:
+        return
+    if first.role is messages.Role.PRIMARY and _get_end(second) == _get_end(first):
+        attempt.phase = Phase.FENCING
+        attempt.deadline = now + FENCE_SECONDS
+        _start_fencing(board, attempt, now)
+
+
+@base.handle.register
+def handle_answer(event: base.ControlAnswered, board, now: float) -> None:
+    """Use the answer to a control call."""
+    attempt = _find_attempt(board, event.call_id)
+    answer = event.answer
+    if answer is not None:
+        terms.learn_status(board, answer.status)
+    if attempt is None or answer is None:
+        return
+    if attempt.phase is Phase.FENCING:
+        _note_fence(board, attempt, event.endpoint, answer, now)
+    elif attempt.phase is Phase.PROMOTING and event.endpoint == attempt.chosen:
+        _note_promotion(board, attempt, answer, now)
+
+
+def order_follow(board, record, endpoint: str) -> None:
+    """Tell an endpoint to follow the known primary of its database."""
+    order = messages.Follow(term=record.term, primary=record.primary)
+    board.log(
+        logs.LogEvent.FOLLOW_ORDERED,
+        endpoint=endpoint,
+        term=record.term,
+        primary=record.primary,
+    )
+    board.act(
+        base.CallControl(endpoint=endpoint, call_id=board.next_id(), operation=order)
+    )
+
+
+def choose_log(
+    grants: dict[str, messages.EndpointStatus], target: str, avoided: frozenset[str]
+) -> str:
+    """Return the fenced endpoint with the most advanced log.
+
+    The term of the last entry counts before the index. Among equal logs the
+    target comes first, then endpoints that are not to be avoided.
+    """
+    return max(
+        grants,
+        key=lambda name: (
+            _get_end(grants[name]),
+            name == target,
+            name not in avoided,
+            name,
+        ),
+    )
+
+
+def _get_end(status: messages.EndpointStatus) -> messages.Position:
+    return positions.locate(status.history, status.position)
+
+
+def _find_attempt(board, call_id: str) -> Promotion | None:
+    state = board.failover.promotions
+    database, attempt_id = state.calls.pop(call_id, ("", ""))
+    attempt = state.running.get(database)
+    return attempt if attempt is not None and attempt.id == attempt_id else None
+
+
+def _start_fencing(board, attempt: Promotion, now: float) -> None:
+    state = board.failover.promotions
+    record = board.databases[attempt.database]
+    attempt.term = max(record.fenced_term, state.proposed.get(record.name, 0)) + 1
+    attempt.old_primary = record.primary if record.term == attempt.term - 1 else ""
+    record.fenced_term = state.proposed[record.name] = attempt.term
+    attempt.next_call_at = now
+    board.count("failover_promotions_started")
+    board.log(
+        logs.LogEvent.PROMOTION_STARTED,
+        database=record.name,
+        term=attempt.term,
+        reason=attempt.reason.value,
+        primary=record.primary,
+    )
+    _step_attempt(board, attempt, now)
+
+
+def _step_attempt(board, attempt: Promotion, now: float) -> None:
+    if now >= attempt.deadline:
+        _fail(board, attempt, f"no progress while {attempt.phase.value}", now)
+        return
+    if attempt.phase is Phase.FENCING:
+        _promote_if_ready(board, attempt, now)
+    if now < attempt.next_call_at:
+        return
+    record = board.databases[attempt.database]
+    if attempt.phase is Phase.CATCHING_UP:
+        attempt.next_call_at = now + PROBE_SECONDS
+        for endpoint in {record.primary, attempt.target}:
+            probe_id = _add_call(board, attempt)
+            board.act(base.ProbeStatus(endpoint=endpoint, probe_id=probe_id))
+        return
+    attempt.next_call_at = now + RETRY_SECONDS
+    if attempt.phase is Phase.PROMOTING:
+        order = messages.Promote(term=attempt.term, promoter=attempt.id)
+        _send_call(board, attempt, attempt.chosen, order)
+        return
+    order = messages.Fence(term=attempt.term, promoter=attempt.id)
+    for endpoint in record.endpoints:
+        if endpoint not in attempt.grants and endpoint not in attempt.refused:
+            _send_call(board, attempt, endpoint, order)
+
+
+def _add_call(board, attempt: Promotion) -> str:
+    call_id = board.next_id()
+    board.failover.promotions.calls[call_id] = (attempt.database, attempt.id)
+    return call_id
+
+
+def _send_call(board, attempt: Promotion, endpoint: str, operation) -> None:
+    call_id = _add_call(board, attempt)
+    board.act(base.CallControl(endpoint=endpoint, call_id=call_id, operation=operation))
+
+
+def _note_fence(board, attempt, endpoint: str, answer, now: float) -> None:
+    if answer.granted and answer.status.term == attempt.term:
+        attempt.grants[endpoint] = answer.status
+    elif endpoint not in attempt.grants:
+        attempt.refused.add(endpoint)
+    record = board.databases[attempt.database]
+    majority = confirmation.compute_majority(len(record.endpoints))
+    if len(record.endpoints) - len(attempt.refused) < majority:
+        _fail(board, attempt, "a majority knows another promoter", now)
+        return
+    counted = [name for name in attempt.grants if name != attempt.excluded]
+    if attempt.fenced_at is None and len(counted) >= majority:
+        attempt.fenced_at = now
+        attempt.deadline = now + HOLD_SECONDS + FENCE_SECONDS
+        board.log(
+            logs.LogEvent.PROMOTION_FENCED,
+            database=record.name,
+            term=attempt.term,
+            granted=len(attempt.grants),
+        )
+    _promote_if_ready(board, attempt, now)
+
+
+def _promote_if_ready(board, attempt: Promotion, now: float) -> None:
+    """Promote the most advanced log once nothing more can be acknowledged."""
+    if attempt.fenced_at is None or attempt.phase is not Phase.FENCING:
+        return
+    record = board.databases[attempt.database]
+    # The primary of the term just below the proposed one is the only endpoint
+    # whose writes can still be acknowledged by a confirmation made before the
+    # fence. If the primary of that term is unknown, only the grant of all
+    # endpoints shows that none is left.
+    stopped = attempt.old_primary in attempt.grants or len(attempt.grants) == len(
+        record.endpoints
+    )
+    if not stopped and now < attempt.fenced_at + HOLD_SECONDS:
+        return
+    if (
+        attempt.target
+        and attempt.target not in attempt.grants
+        and attempt.target not in attempt.refused
+        and now < attempt.fenced_at + GRACE_SECONDS
+    ):
+        return
+    candidates = {n: s for n, s in attempt.grants.items() if n != attempt.excluded}
+    avoided = frozenset(
+        name
+        for name in candidates
+        if name in board.endpoints and board.endpoints[name].leaving_at is not None
+    )
+    attempt.chosen = choose_log(candidates, attempt.target, avoided)
+    attempt.phase = Phase.PROMOTING
+    attempt.deadline = now + PROMOTE_SECONDS
+    attempt.next_call_at = now
+    _step_attempt(board, attempt, now)
+
+
+def _note_promotion(board, attempt: Promotion, answer, now: float) -> None:
+    if not answer.granted:
+        _fail(board, attempt, "the chosen endpoint refused", now)
+        return
+    state = board.failover.promotions
+    state.running.pop(attempt.database, None)
+    record = board.databases[attempt.database]
+    # The status in the answer has already told the term to this node.
+    terms.learn_primary(board, attempt.database, attempt.term, attempt.chosen)
+    board.count("failover_promotions_completed")
+    board.log(
+        logs.LogEvent.PRIMARY_PROMOTED,
+        database=attempt.database,
+        term=attempt.term,
+        primary=attempt.chosen,
+        reason=attempt.reason.value,
+        seconds=round(now - attempt.started_at, 3),
+    )
+    if record.term == attempt.term:
+        terms.announce(board, attempt.database, now)
+        for endpoint in record.endpoints:
+            if endpoint != record.primary:
+                order_follow(board, record, endpoint)
+    leases.record_primary(board, attempt.database, attempt.term, attempt.chosen, now)
+    _finish(board, attempt, now)
+
+
+def _fail(board, attempt: Promotion, why: str, now: float) -> None:
+    state = board.failover.promotions
+    state.running.pop(attempt.database, None)
+    state.not_before[attempt.database] = now + BACKOFF_SECONDS * (
+        1 + 2 * board.random.random()
+    )
+    board.count("failover_promotions_failed")
+    event = logs.LogEvent.PROMOTION_FAILED
+    if attempt.reason is Reason.PLANNED:
+        event = logs.LogEvent.CHANGE_ABANDONED
+    board.log(event, database=attempt.database, term=attempt.term, reason=why)
+    _finish(board, attempt, now)
+
+
+def _finish(board, attempt: Promotion, now: float) -> None:
+    """Give back the lease and end the hold of new writes."""
+    state = board.failover.promotions
+    for call_id, (_, attempt_id) in list(state.calls.items()):
+        if attempt_id == attempt.id:
+            del state.calls[call_id]
+    leases.release(board, attempt.database)
+    if attempt.reason is Reason.PLANNED:
+        terms.hold_writes(board, attempt.database, attempt.id, now, now)
--- a/hyssopshelf/node.py
+++ b/hyssopshelf/node.py
@@ -4,7 +4,7 @@
 
 from hyssopshelf import base, blackboard, logs
 from hyssopshelf.connections import pool
-from hyssopshelf.failover import confirmation, terms
+from hyssopshelf.failover import confirmation, detection, leases, promotion
 from hyssopshelf.membership import placement
 from hyssopshelf.statements import (
     completion,
@@ -25,6 +25,8 @@
     replay.step,
     placement.step,
     polling.step,
+    detection.step,
+    promotion.step,
     transactions.step,
     serving.step,
     entry.step,
@@ -151,11 +153,17 @@
     confirmation.receive_status(
         board, event.endpoint, event.probe_id, event.status, now
     )
+    detection.receive_status(board, event.endpoint, event.probe_id, event.status, now)
     if event.status is not None:
-        terms.learn_status(board, event.status)
         serving.receive_status(board, event.endpoint, now)
 
 
+@base.handle.register
+def handle_store(event: base.StoreAnswered, board, now) -> None:
+    """Pass the end of a store call to the controller that made it."""
+    leases.receive_store(board, event.call_id, event.result, now)
+
+
 @base.handle.register
 def handle_drain(event: base.DrainRequested, board, now) -> None:
     """Stop taking new statements; those in flight go on."""
