Add SWIM membership

Cause: the platform's host list lags, so nodes have to find out themselves which hosts are live.

Change: probes, indirect probes, suspicion, refutation, gossip of changes, digests of the table for repair, isolation, flap holds, tombstones.

--- /dev/null
+++ b/benchmarks/fleet.py
@@ -0,0 +1,196 @@
+"""Nodes in one process that run membership under a virtual clock.
+
+Messages are encoded and decoded as between processes. Loss, pauses and
+partitions are set by the caller; the network has a fixed random delay.
+"""
+
+import heapq
+import random
+import time
+from collections.abc import Callable
+
+import attrs
+
+from hyssopshelf import base, blackboard, messages, node, platform
+from hyssopshelf.membership import hosts
+
+DELAY_SECONDS = (0.0005, 0.012)
+"""Range of one-way delays: within a region and between regions."""
+
+
+@attrs.define(kw_only=True)
+class Member:
+    """A node of the fleet."""
+
+    board: blackboard.Blackboard
+    up: bool = True
+    paused_until: float = 0.0
+    bytes_sent: int = 0
+    messages_sent: int = 0
+    busy_seconds: float = 0.0
+    logged: list[tuple] = attrs.field(factory=list)
+
+    @property
+    def name(self) -> str:
+        """Return the host's name."""
+        return self.board.identity.host
+
+
+@attrs.define(kw_only=True)
+class Fleet:
+    """Members, the network between them and the virtual clock.
+
+    Attributes
+    ----------
+    loss : float
+        Probability that a message is lost.
+    connected : callable
+        Whether messages between two hosts pass, for partitions.
+    steps : callables
+        Periodic work of each node.
+    """
+
+    random: random.Random
+    loss: float = 0.0
+    connected: Callable[[str, str], bool] = lambda sender, receiver: True
+    steps: tuple = (hosts.step,)
+    members: dict[str, Member] = attrs.field(factory=dict)
+    now: float = 0.0
+    _heap: list = attrs.field(factory=list)
+    _count: int = 0
+
+    def start(
+        self,
+        name: str,
+        *,
+        place: str = "p0",
+        region: str = "r0",
+        incarnation: int = 1,
+        seeds: tuple[str, ...] = (),
+    ) -> Member:
+        """Start a node; its address is its name with a port."""
+        identity = blackboard.Identity(
+            host=name,
+            address=f"{name}:7100",
+            place=place,
+            region=region,
+            incarnation=incarnation,
+        )
+        board = blackboard.Blackboard(
+            identity=identity, random=random.Random(self.random.random())
+        )
+        board.membership.seeds = seeds
+        member = Member(board=board)
+        self.members[name] = member
+        offset = self.random.random() * node.TICK_SECONDS
+        self._push(self.now + offset, self._tick, member)
+        return member
+
+    def introduce(self, entries: tuple[platform.HostEntry, ...]) -> None:
+        """Give all members the table of hosts, as after a completed join."""
+        for member in self.members.values():
+            for entry in entries:
+                record = blackboard.HostRecord(
+                    name=entry.name,
+                    address=entry.address,
+                    place=entry.place,
+                    region=entry.region,
+                    incarnation=1,
+                )
+                member.board.hosts[entry.name] = record
+
+    def stop(self, name: str) -> None:
+        """Crash a node."""
+        self.members[name].up = False
+
+    def pause(self, name: str, seconds: float) -> None:
+        """Pause a node; its messages wait."""
+        self.members[name].paused_until = self.now + seconds
+
+    def handle(self, member: Member, event: base.Event) -> None:
+        """Pass an event to a node and carry out its actions."""
+        started = time.perf_counter()
+        board = member.board
+        node._measure_pause(board, self.now)
+        if isinstance(event, base.Ticked):
+            for step in self.steps:
+                step(board, self.now)
+            board.ticked_at = self.now
+            board.pause_seconds = 0.0
+        else:
+            base.handle(event, board, self.now)
+        actions, board.actions = board.actions, []
+        for action in actions:
+            if isinstance(action, base.SendPeer):
+                self._send(member, action)
+            elif isinstance(action, base.Log):
+                member.logged.append((self.now, action.event, action.fields))
+        member.busy_seconds += time.perf_counter() - started
+
+    def run(self, seconds: float) -> None:
+        """Advance the clock."""
+        until = self.now + seconds
+        while self._heap and self._heap[0][0] <= until:
+            self.now, _, function, member, *rest = heapq.heappop(self._heap)
+            if not member.up:
+                continue
+            if self.now < member.paused_until:
+                self._push(member.paused_until, function, member, *rest)
+                continue
+            function(member, *rest)
+        self.now = until
+
+    def _push(self, at: float, function, member: Member, *rest) -> None:
+        self._count += 1
+        heapq.heappush(self._heap, (at, self._count, function, member, *rest))
+
+    def _tick(self, member: Member) -> None:
+        self.handle(member, base.Ticked())
+        self._push(self.now + node.TICK_SECONDS, self._tick, member)
+
+    def _send(self, member: Member, action: base.SendPeer) -> None:
+        identity = member.board.identity
+        envelope = messages.Envelope(
+            host=identity.host, address=identity.address, message=action.message
+        )
+        data = messages.encode(envelope)
+        member.bytes_sent += len(data)
+        member.messages_sent += 1
+        name = action.host.partition(":")[0]
+        receiver = self.members.get(name)
+        if receiver is None or not self.connected(identity.host, name):
+            return
+        if self.random.random() < self.loss:
+            return
+        at = self.now + self.random.uniform(*DELAY_SECONDS)
+        self._push(at, self._deliver, receiver, data)
+
+    def _deliver(self, member: Member, data: bytes) -> None:
+        started = time.perf_counter()
+        envelope = messages.decode(data)
+        member.busy_seconds += time.perf_counter() - started
+        event = base.PeerReceived(host=envelope.host, message=envelope.message)
+        self.handle(member, event)
+
+
+def make_entries(count: int, places: int) -> tuple[platform.HostEntry, ...]:
+    """Return host list rows of a fleet that is spread over places."""
+    return tuple(
+        platform.HostEntry(
+            name=f"h{number:04}",
+            address=f"h{number:04}:7100",
+            place=f"p{number % places}",
+            region=f"r{number % places // 3}",
+        )
+        for number in range(count)
+    )
+
+
+def make_fleet(count: int, *, seed: int, places: int = 1, loss: float = 0.0) -> Fleet:
+    """Return a fleet whose members know each other."""
+    fleet = Fleet(random=random.Random(seed), loss=loss)
+    entries = make_entries(count, places)
+    for entry in entries:
+        fleet.start(entry.name, place=entry.place, region=entry.region)
+    fleet.introduce(entries)
+    return fleet
--- a/hyssopshelf/blackboard.py
+++ b/hyssopshelf/blackboard.py
@@ -13,16 +13,12 @@
 from hyssopshelf.configuration import resources, views
 from hyssopshelf.connections import records
 from hyssopshelf.failover import confirmation, tickets
+from hyssopshelf.membership import protocol as membership_protocol
+from hyssopshelf.membership import records as host_records
 from hyssopshelf.scheduling import queues, work
 
-
-class HostState(enum.Enum):
-    """What this node believes of a host."""
-
-    ALIVE = "alive"
-    SUSPECT = "suspect"
-    DEAD = "dead"
-    LEAVING = "leaving"
+HostState = host_records.HostState
+HostRecord = host_records.HostRecord
 
 
 @attrs.frozen(kw_only=True)
@@ -48,18 +44,6 @@
     incarnation: int = 0
 
 
-@attrs.define(kw_only=True)
-class HostRecord:
-    """A host as this node sees it."""
-
-    name: str
-    address: str
-    place: str
-    region: str = ""
-    state: HostState = HostState.ALIVE
-    incarnation: int = 0
-
-
 @attrs.define(kw_only=True)
 class EndpointRecord:
     """An endpoint as this node sees it.
@@ -242,6 +226,9 @@
     token_keys: tuple[tuple[str, bytes], ...] = ()
 
     hosts: dict[str, HostRecord] = attrs.field(factory=dict)
+    membership: membership_protocol.Membership = attrs.field(
+        factory=membership_protocol.Membership
+    )
     endpoints: dict[str, EndpointRecord] = attrs.field(factory=dict)
     databases: dict[str, DatabaseRecord] = attrs.field(factory=dict)
     documents: dict[str, resources.Document] = attrs.field(factory=dict)
--- /dev/null
+++ b/hyssopshelf/membership/exchange.py
@@ -0,0 +1,81 @@
+"""What all messages of membership have in common."""
+
+from hyssopshelf import base, logs
+from hyssopshelf.membership import gossip, protocol, records, transitions
+
+
+def send(board, host: str, message) -> None:
+    """Send a message to a host, or to an address whose host is not known."""
+    board.act(base.SendPeer(host=host, message=message))
+
+
+def make_own_row(board) -> gossip.Row:
+    """Return the row with which this host announces itself."""
+    return gossip.make_row(board.hosts[board.identity.host])
+
+
+def is_peer(board, name: str) -> bool:
+    """Return whether a name is another host that is not dead."""
+    record = board.hosts.get(name)
+    return (
+        record is not None
+        and record.state is not records.HostState.DEAD
+        and name != board.identity.host
+    )
+
+
+def collect_rows(board, receiver: str) -> tuple[gossip.Row, ...]:
+    """Return the rows for a message.
+
+    A receiver that this node suspects or takes for dead always gets the row
+    about itself, so that it can refute.
+    """
+    rows = board.membership.outbox.take(board.hosts, board.identity.host)
+    record = board.hosts.get(receiver)
+    if record is not None and gossip.get_code(record) >= gossip.SUSPECT:
+        rows = [gossip.make_row(record), *rows]
+    return tuple(rows)
+
+
+def send_probe(board, host: str, sequence: int) -> None:
+    """Send a probe; sequence 0 expects no answer."""
+    message = protocol.ProbeHost(
+        sequence=sequence,
+        sender=make_own_row(board),
+        rows=collect_rows(board, host),
+        digests=board.membership.digests.pack(),
+    )
+    board.count("membership_probes")
+    send(board, host, message)
+
+
+def forgive(board, now: float) -> None:
+    """Restart all waiting after a time in which this node heard nothing.
+
+    Silence that the node caused itself says nothing about other hosts.
+    """
+    state = board.membership
+    state.probe = None
+    state.heard_at = now
+    for name in state.suspects:
+        state.suspects[name] = now + transitions.SUSPICION_SECONDS
+
+
+def note_heard(board, now: float) -> None:
+    """Note that another host was heard; this ends an isolation."""
+    state = board.membership
+    state.heard_at = now
+    if state.isolated_at is not None:
+        seconds = round(now - state.isolated_at, 3)
+        state.isolated_at = None
+        forgive(board, now)
+        board.log(logs.LogEvent.NODE_REACHED, isolated_seconds=seconds)
+
+
+def apply_message(board, message, host: str, now: float) -> None:
+    """Apply what every message carries: its sender and the rows."""
+    transitions.start(board, now)
+    note_heard(board, now)
+    transitions.apply_row(board, message.sender, now)
+    for row in getattr(message, "rows", ()):
+        transitions.apply_row(board, row, now)
--- /dev/null
+++ b/hyssopshelf/membership/hosts.py
@@ -0,0 +1,265 @@
+"""Which hosts are live: failure detection by probes and gossip.
+
+Each node probes one random host a second, asks three others to probe it when
+it is silent, suspects it, and declares it dead when the suspicion is not
+refuted in time. Changes travel on the probe messages. docs/membership.md gives
+the reasons, the limits and the measured figures.
+
+References
+----------
+.. [1] Das, Gupta, Motivala, "SWIM: Scalable Weakly-consistent Infection-style
+   Process Group Membership Protocol", DSN 2002.
+.. [2] Dadgar, Phillips, Currey, "Lifeguard: Local Health Awareness for More
+   Accurate Failure Detection", DSN-W 2018.
+"""
+
+from hyssopshelf import base, logs
+from hyssopshelf.membership import (
+    exchange,
+    protocol,
+    records,
+    rendezvous,
+    tables,
+    transitions,
+)
+
+PROBE_PERIOD_SECONDS = 1.0
+"""Time between two probes of a node, in seconds."""
+
+DIRECT_TIMEOUT_SECONDS = 0.3
+"""Silence after which other hosts are asked to probe the target.
+
+A round trip between regions takes 24 ms and each side may add a tick of 50 ms.
+"""
+
+HELPERS = 3
+"""Hosts that are asked to probe a silent target."""
+
+ISOLATION_SECONDS = 2.5
+"""Silence of all hosts after which a node takes itself to be cut off.
+
+It must be shorter than PROBE_PERIOD_SECONDS plus the suspicion time, so that a
+node that is cut off notices this before it declares the first host dead.
+"""
+
+JOIN_PERIOD_SECONDS = 1.0
+"""Time between two attempts of a node without peers to join."""
+
+READERS = 3
+"""Hosts that read the host list or watch a key of the store."""
+
+
+def step(board, now: float) -> None:
+    """Probe, end suspicions and holds, and join if there are no peers."""
+    state = board.membership
+    transitions.start(board, now)
+    own = board.hosts[board.identity.host]
+    if state.probe_at is None:
+        state.probe_at = now + board.random.random() * PROBE_PERIOD_SECONDS
+    if board.pause_seconds > 0:
+        exchange.forgive(board, now)
+    if own.leaving != (board.draining or state.list_leaving):
+        transitions.announce(board, leaving=not own.leaving, now=now)
+    _check_isolation(board, now)
+    _advance_probe(board, now)
+    transitions.end_suspicions(board, now)
+    transitions.end_holds(board, now)
+    transitions.forget_dead(board, now)
+    if state.peers == 0 and now >= state.join_at:
+        state.join_at = now + JOIN_PERIOD_SECONDS
+        tables.join(board)
+
+
+def _next_sequence(state: protocol.Membership) -> int:
+    state.sequence += 1
+    return state.sequence
+
+
+def _check_isolation(board, now: float) -> None:
+    """Notice that no host has been heard from.
+
+    With a single peer its failure and the node's own isolation look the same;
+    the peer is then judged by probes alone.
+    """
+    state = board.membership
+    silent = now - state.heard_at > ISOLATION_SECONDS
+    if state.isolated_at is None and silent and state.peers > 1:
+        state.isolated_at = now
+        board.log(logs.LogEvent.NODE_ISOLATED, hosts=state.peers)
+
+
+def _advance_probe(board, now: float) -> None:
+    state = board.membership
+    probe = state.probe
+    if probe is not None and not probe.asked and now >= probe.ask_at:
+        probe.asked = True
+        _ask_helpers(board, probe.target, probe.sequence)
+    if now < state.probe_at:
+        return
+    # A fixed period keeps the rate exact; after a pause no probe is made up for.
+    state.probe_at = max(state.probe_at + PROBE_PERIOD_SECONDS, now)
+    for relay in [key for key, value in state.relays.items() if value.expires_at < now]:
+        del state.relays[relay]
+    if probe is not None:
+        state.probe = None
+        _handle_silence(board, probe.target, now)
+    tables.contact(board, now)
+    target = _choose_target(board)
+    if target is None:
+        return
+    sequence = _next_sequence(state)
+    state.probe = protocol.Probe(
+        target=target, sequence=sequence, ask_at=now + DIRECT_TIMEOUT_SECONDS
+    )
+    exchange.send_probe(board, target, sequence)
+
+
+def _handle_silence(board, target: str, now: float) -> None:
+    """Suspect a silent host and give it two ways to hear of it at once."""
+    if transitions.suspect(board, target, now):
+        exchange.send_probe(board, target, 0)
+        _ask_helpers(board, target, 0)
+
+
+def _choose_target(board) -> str | None:
+    """Return the next host in a random order of all hosts.
+
+    The order is used up before a new one is made, so that each host is probed
+    by each node within a bounded time.
+    """
+    state = board.membership
+    while state.doubted:
+        name = state.doubted.pop()
+        if exchange.is_peer(board, name):
+            return name
+    for _ in range(2):
+        while state.order_index < len(state.order):
+            name = state.order[state.order_index]
+            state.order_index += 1
+            if exchange.is_peer(board, name):
+                return name
+        state.order = [name for name in board.hosts if exchange.is_peer(board, name)]
+        board.random.shuffle(state.order)
+        state.order_index = 0
+    return None
+
+
+def _ask_helpers(board, target: str, sequence: int) -> None:
+    order = board.membership.order
+    chosen: set[str] = set()
+    # A few more draws than helpers; draws of dead hosts and repeats are lost.
+    for _ in range(3 * HELPERS if order else 0):
+        name = board.random.choice(order)
+        if name != target and len(chosen) < HELPERS and exchange.is_peer(board, name):
+            chosen.add(name)
+    for name in sorted(chosen):
+        message = protocol.RelayProbe(
+            sequence=sequence,
+            target=target,
+            sender=exchange.make_own_row(board),
+            rows=exchange.collect_rows(board, name),
+        )
+        exchange.send(board, name, message)
+
+
+@base.receive.register
+def receive_probe(message: protocol.ProbeHost, board, host: str, now: float) -> None:
+    """Acknowledge a probe."""
+    exchange.apply_message(board, message, host, now)
+    _acknowledge(board, host, message.sequence)
+    tables.compare_digests(board, host, message.digests, now)
+
+
+def _acknowledge(board, host: str, sequence: int) -> None:
+    message = protocol.Acknowledge(
+        sequence=sequence,
+        sender=exchange.make_own_row(board),
+        rows=exchange.collect_rows(board, host),
+        digests=board.membership.digests.pack(),
+    )
+    exchange.send(board, host, message)
+
+
+@base.receive.register
+def receive_acknowledge(
+    message: protocol.Acknowledge, board, host: str, now: float
+) -> None:
+    """End the probe that the message answers, or pass the answer on."""
+    exchange.apply_message(board, message, host, now)
+    state = board.membership
+    if state.probe is not None and state.probe.sequence == message.sequence:
+        state.probe = None
+    relay = state.relays.pop(message.sequence, None)
+    if relay is not None:
+        _acknowledge(board, relay.origin, relay.sequence)
+    else:
+        tables.compare_digests(board, host, message.digests, now)
+
+
+@base.receive.register
+def receive_relay(message: protocol.RelayProbe, board, host: str, now: float) -> None:
+    """Probe a host on behalf of another one."""
+    exchange.apply_message(board, message, host, now)
+    if message.target not in board.hosts:
+        return
+    state = board.membership
+    sequence = _next_sequence(state) if message.sequence else 0
+    if sequence:
+        state.relays[sequence] = protocol.Relay(
+            origin=host,
+            sequence=message.sequence,
+            expires_at=now + PROBE_PERIOD_SECONDS,
+        )
+    exchange.send_probe(board, message.target, sequence)
+
+
+def is_reader(board, key: str) -> bool:
+    """Return whether this node reads a key of the platform for all nodes.
+
+    True for the live hosts that are lowest in a rendezvous order of the key,
+    and for a node that is cut off from all others.
+
+    Parameters
+    ----------
+    board : blackboard.Blackboard
+        State of the node.
+    key : str
+        Name of what is read, such as ``hosts`` or ``configuration``.
+    """
+    if board.membership.isolated_at is not None:
+        return True
+    if board.membership.peers == 0:
+        return True
+    return board.identity.host in _find_readers(board, key)
+
+
+def _find_readers(board, key: str) -> frozenset[str]:
+    state = board.membership
+    version, readers = state.readers.get(key, (-1, frozenset()))
+    if version != state.version:
+        readers = frozenset(rank_hosts(board, key, READERS))
+        state.readers[key] = (state.version, readers)
+    return readers
+
+
+def rank_hosts(board, key: str, count: int) -> list[str]:
+    """Return the live hosts that are lowest in the rendezvous order of a key.
+
+    The cost is linear in the number of hosts, about 1 ms at the target size.
+
+    Parameters
+    ----------
+    board : blackboard.Blackboard
+        State of the node.
+    key : str
+        The key.
+    count : int
+        Number of hosts.
+    """
+    live = (records.HostState.ALIVE, records.HostState.SUSPECT)
+    seeds = [
+        (rendezvous.make_seed(record.name), record.name)
+        for record in board.hosts.values()
+        if record.state in live and not record.leaving
+    ]
+    return rendezvous.rank(rendezvous.make_seed(key), seeds, count)
--- /dev/null
+++ b/hyssopshelf/membership/rendezvous.py
@@ -0,0 +1,56 @@
+"""Rendezvous hashing: scores of hosts for a key that all nodes agree on.
+
+References
+----------
+.. [1] Thaler, Ravishankar, "Using Name-Based Mappings to Increase Hit Rates",
+   IEEE/ACM Transactions on Networking 6(1), 1998.
+.. [2] Steele, Lea, Flood, "Fast Splittable Pseudorandom Number Generators",
+   OOPSLA '14 (constants of the mixing function).
+"""
+
+import functools
+import hashlib
+import heapq
+from collections.abc import Iterable
+
+MASK = (1 << 64) - 1
+_FIRST = 0xBF58476D1CE4E5B9
+_SECOND = 0x94D049BB133111EB
+
+SEEDS_KEPT = 65_536
+"""Seeds in the cache; the target size has 26,400 endpoints and 5,100 hosts."""
+
+
+@functools.lru_cache(maxsize=SEEDS_KEPT)
+def make_seed(text: str) -> int:
+    """Return a 64-bit number that depends on a text only.
+
+    Python's own hash of a text differs between processes.
+    """
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
+
+
+def mix(first: int, second: int) -> int:
+    """Return a 64-bit score of two seeds."""
+    value = ((first ^ second) * _FIRST) & MASK
+    return ((value ^ (value >> 29)) * _SECOND) & MASK
+
+
+def rank(key: int, seeds: Iterable[tuple[int, str]], count: int) -> list[str]:
+    """Return the names with the lowest scores for a key, lowest first.
+
+    Parameters
+    ----------
+    key : int
+        Seed of the key.
+    seeds : iterable of (int, str)
+        Seeds and names of the candidates.
+    count : int
+        Number of names to return.
+    """
+    scores = []
+    for seed, name in seeds:
+        # The function mix is written out: this loop is the cost of placement.
+        value = ((key ^ seed) * _FIRST) & MASK
+        scores.append((((value ^ (value >> 29)) * _SECOND) & MASK, name))
+    return [name for _, name in heapq.nsmallest(count, scores)]
--- /dev/null
+++ b/hyssopshelf/membership/tables.py
@@ -0,0 +1,162 @@
+"""Exchange of whole tables of hosts: joining, repair and the platform's list."""
+
+from hyssopshelf import base, logs
+from hyssopshelf.membership import exchange, gossip, protocol, records, transitions
+
+CONTACT_PERIOD_SECONDS = 5.0
+"""Time between two attempts to reach a dead host, so that the two sides of a
+partition find each other after it heals."""
+
+CONTACTS = 3
+"""Untracked probes that a node sends at most in one probe period."""
+
+PULL_PERIOD_SECONDS = 5.0
+"""Least time between two pulls of buckets."""
+
+MISMATCHES_BEFORE_PULL = 10
+"""Digests in a row that differ in a bucket before it is pulled; changes that
+are still spreading cause shorter runs."""
+
+PULLED_ROWS = 400
+"""Rows that a pull asks for at most, with one bucket as the least amount; 28 KB
+every 5 s at the target size."""
+
+
+def contact(board, now: float) -> None:
+    """Probe dead hosts that may be back, without waiting for an answer."""
+    state = board.membership
+    names = list(state.conflicting)[:CONTACTS]
+    for name in names:
+        del state.conflicting[name]
+    if state.dead and now >= state.contact_at:
+        state.contact_at = now + CONTACT_PERIOD_SECONDS
+        names.append(board.random.choice(list(state.dead)))
+    for name in names:
+        if name in state.dead:
+            exchange.send_probe(board, name, 0)
+
+
+def join(board) -> None:
+    """Ask one random host of the list or the settings for the hosts."""
+    state = board.membership
+    own = board.identity.address
+    addresses = {*state.seeds, *state.candidates.values()}
+    addresses |= {board.hosts[name].address for name in state.dead}
+    choices = sorted(addresses - {own, ""})
+    if choices:
+        exchange.send(
+            board,
+            board.random.choice(choices),
+            protocol.Join(sender=exchange.make_own_row(board)),
+        )
+
+
+@base.receive.register
+def receive_join(message: protocol.Join, board, host: str, now: float) -> None:
+    """Answer a host that joins with all hosts."""
+    exchange.apply_message(board, message, host, now)
+    _send_table(board, host, tuple(range(gossip.BUCKETS)))
+
+
+@base.receive.register
+def receive_pull(message: protocol.PullBuckets, board, host: str, now: float) -> None:
+    """Answer with the hosts in the buckets that the sender asks for."""
+    exchange.apply_message(board, message, host, now)
+    _send_table(board, host, message.buckets)
+
+
+def _send_table(board, host: str, buckets: tuple[int, ...]) -> None:
+    rows = tuple(
+        gossip.make_row(record)
+        for record in board.hosts.values()
+        if record.state is not records.HostState.DEAD
+        and gossip.get_bucket(record.name) in buckets
+    )
+    message = protocol.Table(
+        sender=exchange.make_own_row(board), buckets=buckets, rows=rows
+    )
+    exchange.send(board, host, message)
+
+
+@base.receive.register
+def receive_table(message: protocol.Table, board, host: str, now: float) -> None:
+    """Apply a table and check the hosts on which it differs.
+
+    A host that is dead here and live there is contacted, so that it refutes its
+    death itself. A host that is missing there is probed next.
+    """
+    exchange.apply_message(board, message, host, now)
+    state = board.membership
+    listed = {row[0] for row in message.rows}
+    state.conflicting |= dict.fromkeys(listed & state.dead.keys())
+    state.doubted = [
+        name
+        for name in board.hosts
+        if gossip.get_bucket(name) in message.buckets
+        and name not in listed
+        and exchange.is_peer(board, name)
+    ]
+
+
+@base.receive.register
+def receive_notice(
+    message: protocol.LeavingNotice, board, host: str, now: float
+) -> None:
+    """Announce what the host list says about this host."""
+    exchange.apply_message(board, message, host, now)
+    board.membership.list_leaving = message.leaving
+
+
+def compare_digests(board, host: str, packed: bytes, now: float) -> None:
+    """Pull the buckets that have differed for long from the other node."""
+    state = board.membership
+    different = set(state.digests.list_differences(packed))
+    for bucket in range(gossip.BUCKETS):
+        count = state.mismatches[bucket] + 1 if bucket in different else 0
+        state.mismatches[bucket] = count
+    if now < state.pull_at:
+        return
+    lasting = [b for b in different if state.mismatches[b] >= MISMATCHES_BEFORE_PULL]
+    if not lasting:
+        return
+    limit = max(1, PULLED_ROWS * gossip.BUCKETS // len(board.hosts))
+    buckets = tuple(sorted(board.random.sample(sorted(lasting), len(lasting))[:limit]))
+    for bucket in buckets:
+        state.mismatches[bucket] = 0
+    state.pull_at = now + PULL_PERIOD_SECONDS
+    board.log(logs.LogEvent.HOSTS_PULLED, host=host, buckets=len(buckets))
+    exchange.send(
+        board,
+        host,
+        protocol.PullBuckets(sender=exchange.make_own_row(board), buckets=buckets),
+    )
+
+
+@base.handle.register
+def handle_host_list(event: base.HostListReceived, board, now: float) -> None:
+    """Compare the platform's list with the hosts that this node knows.
+
+    The list lags, so that it never makes a host dead or live by itself: an
+    unknown host is probed, and a host that is marked as leaving is told so and
+    announces it.
+    """
+    state = board.membership
+    transitions.start(board, now)
+    state.listed = frozenset(entry.name for entry in event.hosts)
+    state.listed_at = now
+    state.candidates = {}
+    for entry in event.hosts:
+        record = board.hosts.get(entry.name)
+        if entry.name == board.identity.host:
+            state.list_leaving = entry.leaving
+        elif record is None:
+            state.candidates[entry.name] = entry.address
+        elif record.leaving != entry.leaving and exchange.is_peer(board, entry.name):
+            notice = protocol.LeavingNotice(
+                sender=exchange.make_own_row(board), leaving=entry.leaving
+            )
+            exchange.send(board, entry.name, notice)
+    if state.peers:
+        names = sorted(state.candidates)
+        for name in board.random.sample(names, min(CONTACTS, len(names))):
+            exchange.send_probe(board, state.candidates[name], 0)
--- /dev/null
+++ b/hyssopshelf/membership/transitions.py
@@ -0,0 +1,282 @@
+"""Changes of what this node believes of a host.
+
+All changes of the table of hosts go through this module, which keeps the
+digests, the rows to send and the counters in step with it.
+"""
+
+from hyssopshelf import logs
+from hyssopshelf.membership import gossip, records
+
+SUSPICION_SECONDS = 2.0
+"""Time in which a suspected host can refute, in seconds."""
+
+FORGET_SECONDS = 600.0
+"""Time for which the record of a dead host is kept.
+
+It exceeds the lag of the host list and the time of spreading, so that old news
+cannot bring the host back. With 4,100 restarts a day 28 records are kept.
+"""
+
+STABLE_SECONDS = 5.0
+"""Time for which a host that flapped once must be stable before it is used."""
+
+MAXIMUM_STABLE_SECONDS = 60.0
+"""Upper bound of that time, which doubles with each flap."""
+
+FLAP_WINDOW_SECONDS = 300.0
+"""A failure within this time of the one before is a flap."""
+
+
+def find_own(board, now: float) -> records.HostRecord:
+    """Return the record of this host and create it at the first call."""
+    identity = board.identity
+    record = board.hosts.get(identity.host)
+    if record is None:
+        record = records.HostRecord(
+            name=identity.host,
+            address=identity.address,
+            place=identity.place,
+            region=identity.region,
+            incarnation=identity.incarnation,
+        )
+        _add(board, record)
+        _log_alive(board, record)
+    return record
+
+
+def start(board, now: float) -> None:
+    """Derive digests and counters from existing records, at the first call only."""
+    state = board.membership
+    if state.heard_at is not None:
+        return
+    state.heard_at = now
+    find_own(board, now)
+    state.digests = gossip.Digests()
+    for record in board.hosts.values():
+        state.digests.toggle(record)
+    dead = sum(r.state is records.HostState.DEAD for r in board.hosts.values())
+    state.peers = len(board.hosts) - dead - 1
+
+
+def _add(board, record: records.HostRecord) -> None:
+    state = board.membership
+    board.hosts[record.name] = record
+    state.digests.toggle(record)
+    state.outbox.add(record.name)
+    state.version += 1
+    if record.name != board.identity.host:
+        state.peers += 1
+
+
+def _change(board, record: records.HostRecord, **values) -> None:
+    """Set fields of a record and keep all that is derived from it in step."""
+    state = board.membership
+    was_dead = record.state is records.HostState.DEAD
+    state.digests.toggle(record)
+    for name, value in values.items():
+        setattr(record, name, value)
+    state.digests.toggle(record)
+    state.outbox.add(record.name)
+    is_dead = record.state is records.HostState.DEAD
+    if record.name != board.identity.host:
+        state.peers += was_dead - is_dead
+
+
+def announce(board, *, leaving: bool, now: float, refutation: int = 0) -> None:
+    """Spread a new state of this host that overrides older news about it."""
+    record = find_own(board, now)
+    state = records.HostState.LEAVING if leaving else records.HostState.ALIVE
+    if leaving != record.leaving:
+        board.membership.version += 1
+        board.log(logs.LogEvent.HOST_LEAVING, host=record.name, leaving=leaving)
+    refutation = max(refutation, record.refutation) + 1
+    _change(board, record, state=state, leaving=leaving, refutation=refutation)
+
+
+def apply_row(board, row: gossip.Row, now: float) -> None:
+    """Apply news about a host if it is newer than what the node knows."""
+    name, incarnation, refutation, code = row[:4]
+    if name == board.identity.host:
+        _check_own_news(board, row, now)
+        return
+    record = board.hosts.get(name)
+    if record is None:
+        _apply_unknown(board, row)
+    elif not gossip.is_newer(row, record):
+        return
+    elif code == gossip.DEAD:
+        _mark_dead(board, record, now, incarnation, refutation)
+    elif code == gossip.SUSPECT:
+        _mark_suspect(board, record, now, incarnation, refutation)
+    else:
+        _mark_live(board, record, row, now)
+
+
+def _check_own_news(board, row: gossip.Row, now: float) -> None:
+    """Refute suspicion or death of this host in its present incarnation."""
+    own = find_own(board, now)
+    _, incarnation, refutation, code = row[:4]
+    current = incarnation == own.incarnation and refutation >= own.refutation
+    if current and code >= gossip.SUSPECT:
+        board.count("membership_refutations")
+        board.log(logs.LogEvent.SUSPICION_REFUTED, host=own.name)
+        announce(board, leaving=own.leaving, now=now, refutation=refutation)
+
+
+def _apply_unknown(board, row: gossip.Row) -> None:
+    name, incarnation, refutation, code, address, place, region = row
+    if code >= gossip.SUSPECT or not address:
+        return
+    leaving = code == gossip.LEAVING
+    record = records.HostRecord(
+        name=name,
+        address=address,
+        place=place,
+        region=region,
+        state=records.HostState.LEAVING if leaving else records.HostState.ALIVE,
+        incarnation=incarnation,
+        refutation=refutation,
+        leaving=leaving,
+    )
+    _add(board, record)
+    board.membership.candidates.pop(name, None)
+    _log_alive(board, record)
+
+
+def _log_alive(board, record: records.HostRecord) -> None:
+    board.log(
+        logs.LogEvent.HOST_ALIVE,
+        host=record.name,
+        place=record.place,
+        incarnation=record.incarnation,
+    )
+
+
+def suspect(board, name: str, now: float) -> bool:
+    """Suspect a host that did not answer; return whether that is new."""
+    record = board.hosts.get(name)
+    if record is None or gossip.get_code(record) >= gossip.SUSPECT:
+        return False
+    board.count("membership_suspicions")
+    _mark_suspect(board, record, now, record.incarnation, record.refutation)
+    return True
+
+
+def _mark_suspect(board, record, now, incarnation, refutation) -> None:
+    board.membership.suspects[record.name] = now + SUSPICION_SECONDS
+    if record.state is records.HostState.DEAD:
+        _note_return(board, record, now)
+    _change(
+        board,
+        record,
+        state=records.HostState.SUSPECT,
+        incarnation=incarnation,
+        refutation=refutation,
+    )
+    board.log(logs.LogEvent.HOST_SUSPECTED, host=record.name)
+
+
+def _mark_dead(board, record, now, incarnation, refutation) -> None:
+    state = board.membership
+    state.suspects.pop(record.name, None)
+    if record.state is not records.HostState.DEAD:
+        _note_failure(record, now)
+        state.version += 1
+        state.dead[record.name] = now + FORGET_SECONDS
+        board.count("membership_deaths")
+        board.log(logs.LogEvent.HOST_DEAD, host=record.name, flaps=record.flaps)
+    _change(
+        board,
+        record,
+        state=records.HostState.DEAD,
+        incarnation=incarnation,
+        refutation=refutation,
+    )
+
+
+def _mark_live(board, record, row: gossip.Row, now: float) -> None:
+    """Apply the news of a host about itself."""
+    _, incarnation, refutation, code, address, place, region = row
+    state = board.membership
+    state.suspects.pop(record.name, None)
+    leaving = code == gossip.LEAVING
+    was_dead = record.state is records.HostState.DEAD
+    restarted = incarnation != record.incarnation
+    if restarted and not was_dead and not record.leaving:
+        _note_failure(record, now)
+    if restarted or was_dead:
+        _note_return(board, record, now)
+    if leaving != record.leaving or place != record.place:
+        state.version += 1
+    if leaving and not record.leaving:
+        board.log(logs.LogEvent.HOST_LEAVING, host=record.name, leaving=True)
+    _change(
+        board,
+        record,
+        state=records.HostState.LEAVING if leaving else records.HostState.ALIVE,
+        incarnation=incarnation,
+        refutation=refutation,
+        leaving=leaving,
+        address=address,
+        place=place,
+        region=region,
+    )
+    if restarted or was_dead:
+        _log_alive(board, record)
+
+
+def _note_failure(record: records.HostRecord, now: float) -> None:
+    recent = now - record.failed_at < FLAP_WINDOW_SECONDS
+    record.flaps = record.flaps + 1 if recent else 0
+    record.failed_at = now
+
+
+def _note_return(board, record: records.HostRecord, now: float) -> None:
+    """Hold a host that flapped back until it has been stable."""
+    state = board.membership
+    state.dead.pop(record.name, None)
+    state.version += 1
+    if record.flaps == 0:
+        return
+    seconds = min(STABLE_SECONDS * 2 ** (record.flaps - 1), MAXIMUM_STABLE_SECONDS)
+    record.usable_from = now + seconds
+    state.held[record.name] = record.usable_from
+    board.log(logs.LogEvent.HOST_HELD, host=record.name, seconds=seconds)
+
+
+def end_suspicions(board, now: float) -> None:
+    """Declare suspects dead whose time to refute has passed.
+
+    A node that is cut off from all others declares only those dead that a host
+    list read since then no longer names.
+    """
+    state = board.membership
+    ended = [name for name, end in state.suspects.items() if end <= now]
+    for name in ended:
+        if state.isolated_at is not None and (
+            state.listed_at < state.isolated_at or name in state.listed
+        ):
+            continue
+        record = board.hosts[name]
+        _mark_dead(board, record, now, record.incarnation, record.refutation)
+
+
+def end_holds(board, now: float) -> None:
+    """Use hosts again that have been stable for long enough."""
+    state = board.membership
+    for name in [name for name, end in state.held.items() if end <= now]:
+        del state.held[name]
+        state.version += 1
+
+
+def forget_dead(board, now: float) -> None:
+    """Drop the records of hosts that have been dead for long."""
+    state = board.membership
+    while state.dead:
+        name, forget_at = next(iter(state.dead.items()))
+        if forget_at > now:
+            return
+        del state.dead[name]
+        state.held.pop(name, None)
+        del board.hosts[name]
+        board.log(logs.LogEvent.HOST_FORGOTTEN, host=name)
