Serve ranks and partners by floors and shares at an endpoint

Cause: strict rank order starves every rank and partner behind an urgent flood, and its shed work was returned as an empty tuple at all times.

Change: start-time fair queueing over partners with a window of 0.25 s in which the most urgent rank goes first; a clock per rank holds its floor. Service is charged by estimate at the start, by elapsed time while running and by real slot time at the end. Lent service never becomes a debt; service owed to a floor counts in full, so long statements cannot exceed it. Queues are bounded per rank, with partner parts that are lent; work that cannot finish in time is refused with a retry-after; late work and work of the partner furthest above its part is shed first.

--- /dev/null
+++ b/hyssopshelf/scheduling/estimates.py
@@ -0,0 +1,79 @@
+"""Estimates of slot time and of the wait in a queue, from recent work."""
+
+import attrs
+
+SMOOTHING = 0.1
+"""Weight of a new sample in the moving averages."""
+
+QUICK_SMOOTHING = 0.02
+"""Weight of a sample above the estimate of quick work; that estimate follows
+shorter samples at once, so it stays near the low end of the slot times."""
+
+HALF_LIFE_SECONDS = 10.0
+"""Time without a sample after which the estimate of quick work halves. Without
+it one slow period could refuse all later work and no sample would correct it."""
+
+STALE_SECONDS = 1.0
+"""Idle time of a queue after which its measured interval no longer counts."""
+
+
+@attrs.define(kw_only=True)
+class ServiceEstimate:
+    """What recent work of one partner and rank tells about the next.
+
+    Attributes
+    ----------
+    mean_seconds : float
+        Moving average of the slot time.
+    quick_seconds : float
+        Slot time that nearly all work needs at least.
+    interval_seconds : float
+        Moving average of the time between two starts while work waited.
+    """
+
+    mean_seconds: float = 0.0
+    quick_seconds: float = 0.0
+    interval_seconds: float = 0.0
+    _finished_at: float = attrs.field(default=float("-inf"), init=False)
+    _started_at: float = attrs.field(default=float("-inf"), init=False)
+
+    def record_finish(self, seconds: float, now: float) -> None:
+        """Add the slot time of finished work."""
+        if self._finished_at == float("-inf"):
+            self.mean_seconds = self.quick_seconds = seconds
+        else:
+            self.mean_seconds += SMOOTHING * (seconds - self.mean_seconds)
+            quick = self.quick(now)
+            excess = max(0.0, seconds - quick)
+            self.quick_seconds = min(seconds, quick) + QUICK_SMOOTHING * excess
+        self._finished_at = now
+
+    def record_start(self, now: float) -> None:
+        """Add the start of work that was waiting."""
+        interval = now - self._started_at
+        self.interval_seconds += SMOOTHING * (interval - self.interval_seconds)
+        self._started_at = now
+
+    def resume(self, now: float, slots: int) -> None:
+        """Note that work waits again after the queue was empty."""
+        if now - self._started_at > STALE_SECONDS:
+            self.interval_seconds = self.mean_seconds / slots
+        self._started_at = now
+
+    def quick(self, now: float) -> float:
+        """Return the slot time that work needs at least, in seconds."""
+        if self.quick_seconds == 0.0:
+            return 0.0
+        age = max(0.0, now - self._finished_at)
+        return self.quick_seconds * 0.5 ** (age / HALF_LIFE_SECONDS)
+
+    def wait(self, ahead: int, guaranteed_slots: float, now: float) -> float:
+        """Return the expected wait behind ``ahead`` work items, in seconds.
+
+        ``guaranteed_slots`` is the service that the queue gets in any flood;
+        it bounds the interval from above.
+        """
+        interval = max(self.interval_seconds, now - self._started_at)
+        if guaranteed_slots > 0.0:
+            interval = min(interval, self.mean_seconds / guaranteed_slots)
+        return ahead * interval
--- a/hyssopshelf/scheduling/queues.py
+++ b/hyssopshelf/scheduling/queues.py
@@ -1,15 +1,61 @@
 """The queue of one endpoint at its serving node."""
 
+import collections
+
 import attrs
 import result
 
+from hyssopshelf import exceptions
 from hyssopshelf.configuration import views
-from hyssopshelf.scheduling import work
+from hyssopshelf.scheduling import estimates, service, work
+
+SHORTEST_RETRY_SECONDS = 0.05
+LONGEST_RETRY_SECONDS = 30.0
+
+QUEUE_FULL = "queue of the rank is full"
+DEADLINE_TOO_CLOSE = "cannot finish by its deadline"
+UNDECLARED = "partner or rank is not declared"
+NO_CONNECTION_LEFT = "more transaction statements than connections"
+
+
+@attrs.define(kw_only=True)
+class Leaf:
+    """Waiting work of one partner and rank, oldest first."""
+
+    started: collections.OrderedDict[str, work.Work] = attrs.field(
+        factory=collections.OrderedDict
+    )
+    fresh: collections.OrderedDict[str, work.Work] = attrs.field(
+        factory=collections.OrderedDict
+    )
+    estimate: estimates.ServiceEstimate = attrs.field(factory=estimates.ServiceEstimate)
+
+    def __len__(self) -> int:
+        """Return the number of waiting work items."""
+        return len(self.started) + len(self.fresh)
+
+    def line_of(self, item: work.Work) -> collections.OrderedDict[str, work.Work]:
+        """Return the line of open transactions or that of new work."""
+        return self.started if item.in_transaction else self.fresh
+
+
+@attrs.define(kw_only=True)
+class Running:
+    """Work that holds a slot, with the service charged for it."""
+
+    item: work.Work
+    charge: service.Charge
 
 
 @attrs.define(kw_only=True)
 class EndpointQueue:
-    """Order of service at one endpoint: strict rank order.
+    """Order of service at one endpoint.
+
+    Statements of open transactions go first. Then the most urgent rank goes
+    first, within the partner shares and the rank floors that
+    :class:`service.ServiceClocks` keeps. Work is charged its estimated slot
+    time at the start, its elapsed time while it runs longer, and its real slot
+    time at the end.
 
     Attributes
     ----------
@@ -17,12 +63,22 @@
         Full name of the endpoint.
     pool : str
         Pool of the endpoint.
+    corrections : dict of str to float
+        Factor on the share of a partner that evens out its service elsewhere
+        in the fleet; 1 if absent.
     """
 
     endpoint: str
     pool: str
+    corrections: dict[str, float] = attrs.field(factory=dict)
+    _leaves: dict[tuple[str, str], Leaf] = attrs.field(factory=dict, init=False)
     _waiting: dict[str, work.Work] = attrs.field(factory=dict, init=False)
-    _running: dict[str, work.Work] = attrs.field(factory=dict, init=False)
+    _running: dict[str, Running] = attrs.field(factory=dict, init=False)
+    _clocks: service.ServiceClocks = attrs.field(
+        factory=service.ServiceClocks, init=False
+    )
+    _view: views.PoolView | None = attrs.field(default=None, init=False)
+    _partners: frozenset[str] = attrs.field(default=frozenset(), init=False)
 
     def admit(
         self, item: work.Work, view: views.PoolView, now: float
@@ -35,54 +91,95 @@
             The work was added; the tuple holds work that was shed for it.
         Err(Refusal)
             The work was not added.
+
+        Raises
+        ------
+        InvariantError
+            If work with the same id waits or runs. A refusal would tell the
+            caller that the statement did not run.
         """
-        rank = view.ranks[item.rank]
-        waiting = sum(1 for other in self._waiting.values() if other.rank == item.rank)
-        if waiting >= rank.queue_limit:
-            return result.Err(
-                work.Refusal(reason="queue is full", retry_after_seconds=1.0)
-            )
-        self._waiting[item.id] = item
-        return result.Ok(())
+        if item.id in self._waiting or item.id in self._running:
+            raise exceptions.InvariantError(f"work {item.id} is queued twice")
+        self._use_view(view)
+        if item.rank not in view.ranks or item.partner not in self._partners:
+            return _refuse(UNDECLARED, LONGEST_RETRY_SECONDS)
+        leaf = self._leaves.setdefault((item.partner, item.rank), Leaf())
+        if item.in_transaction:
+            return self._admit_in_transaction(item, leaf, view, now)
+        wait = self._expected_wait(item, leaf, view, now)
+        spare = item.deadline - now - leaf.estimate.quick(now)
+        if spare <= 0.0 or wait > spare:
+            return _refuse(DEADLINE_TOO_CLOSE, wait - spare)
+        shed: tuple[work.Work, ...] = ()
+        if self._rank_waiting(item.rank) >= view.ranks[item.rank].queue_limit:
+            shed = self._shed_for(item, view, now)
+            if not shed:
+                return _refuse(QUEUE_FULL, wait)
+        self._add(item, now)
+        return result.Ok(shed)
 
     def take(self, view: views.PoolView, now: float) -> work.Work | None:
         """Start the next work if a slot is free; return None otherwise."""
+        self._use_view(view)
         if len(self._running) >= view.slots or not self._waiting:
             return None
-        item = min(
-            self._waiting.values(),
-            key=lambda other: (
-                not other.in_transaction,
-                view.ranks[other.rank].order,
-                other.enqueued_at,
-            ),
-        )
-        del self._waiting[item.id]
+        for running in self._running.values():
+            elapsed = now - running.item.started_at
+            if elapsed > running.charge.seconds:
+                self._settle(running.charge, elapsed)
+        leaves = [key for key, leaf in self._leaves.items() if leaf.started]
+        leaves = leaves or [key for key, leaf in self._leaves.items() if leaf.fresh]
+        partner, rank = self._clocks.choose(leaves, view)
+        leaf = self._leaves[partner, rank]
+        item = next(iter((leaf.started or leaf.fresh).values()))
+        self._remove(item)
+        leaf.estimate.record_start(now)
         item.started_at = now
-        self._running[item.id] = item
+        charge = self._clocks.start(partner, rank, view)
+        self._settle(charge, item.estimated_seconds or leaf.estimate.mean_seconds)
+        self._running[item.id] = Running(item=item, charge=charge)
         return item
 
     def put_back(self, item: work.Work) -> None:
         """Return work that was taken but could not start to the queue."""
-        self._running.pop(item.id, None)
+        running = self._running.pop(item.id, None)
+        if running is not None:
+            self._settle(running.charge, 0.0)
+        if item.id in self._waiting:
+            return
+        now = item.started_at if item.started_at is not None else item.enqueued_at
         item.started_at = None
-        self._waiting[item.id] = item
+        self._add(item, now)
+        line = self._leaves[item.partner, item.rank].line_of(item)
+        line.move_to_end(item.id, last=False)
 
     def finish(self, work_id: str, now: float) -> float:
         """Release the slot of a work item and return its slot time in seconds."""
-        item = self._running.pop(work_id, None)
-        return now - item.started_at if item is not None else 0.0
+        running = self._running.pop(work_id, None)
+        if running is None:
+            return 0.0
+        item = running.item
+        seconds = max(0.0, now - item.started_at)
+        self._settle(running.charge, seconds)
+        leaf = self._leaves.get((item.partner, item.rank))
+        if leaf is not None:
+            leaf.estimate.record_finish(seconds, now)
+        return seconds
 
     def expire(self, now: float) -> list[work.Work]:
         """Remove and return waiting work that can no longer meet its deadline."""
-        late = [item for item in self._waiting.values() if item.deadline <= now]
+        late = [item for item in self._waiting.values() if self._is_late(item, now)]
         for item in late:
-            del self._waiting[item.id]
+            self._remove(item)
         return late
 
     def discard(self, work_id: str) -> bool:
         """Remove waiting work; return whether it was waiting."""
-        return self._waiting.pop(work_id, None) is not None
+        item = self._waiting.get(work_id)
+        if item is None:
+            return False
+        self._remove(item)
+        return True
 
     @property
     def waiting(self) -> int:
@@ -93,3 +190,127 @@
     def running(self) -> int:
         """Return the number of slots in use."""
         return len(self._running)
+
+    @property
+    def waiting_partners(self) -> set[str]:
+        """Return the partners that have waiting work."""
+        return {partner for (partner, _), leaf in self._leaves.items() if len(leaf)}
+
+    def _admit_in_transaction(
+        self, item: work.Work, leaf: Leaf, view: views.PoolView, now: float
+    ) -> result.Result[tuple[work.Work, ...], work.Refusal]:
+        # An open transaction holds a connection and runs one statement at a
+        # time, so the connections bound these statements, not the queue limit.
+        if item.deadline <= now + leaf.estimate.quick(now):
+            return _refuse(DEADLINE_TOO_CLOSE, SHORTEST_RETRY_SECONDS)
+        if sum(len(other.started) for other in self._leaves.values()) >= (
+            view.connections
+        ):
+            return _refuse(NO_CONNECTION_LEFT, LONGEST_RETRY_SECONDS)
+        self._add(item, now)
+        return result.Ok(())
+
+    def _shed_for(
+        self, item: work.Work, view: views.PoolView, now: float
+    ) -> tuple[work.Work, ...]:
+        """Remove the waiting work of the rank that is worth least, if any.
+
+        Work that cannot meet its deadline is worth nothing. Otherwise the
+        newest work of the partner furthest above its part of the queue goes,
+        if the partner of ``item`` is within its own part.
+        """
+        lines = {
+            partner: leaf.fresh
+            for (partner, rank), leaf in self._leaves.items()
+            if rank == item.rank
+        }
+        late = tuple(
+            other
+            for line in lines.values()
+            for other in line.values()
+            if self._is_late(other, now)
+        )
+        if late:
+            for other in late:
+                self._remove(other)
+            return late
+        limit = view.ranks[item.rank].queue_limit
+
+        def excess(partner: str) -> float:
+            part = max(1.0, limit * view.capacity.get(partner, 0.0))
+            return len(lines[partner]) / part
+
+        worst = max(sorted(lines), key=excess)
+        if excess(worst) <= 1.0 or excess(item.partner) >= 1.0:
+            return ()
+        newest = next(reversed(lines[worst].values()))
+        self._remove(newest)
+        return (newest,)
+
+    def _expected_wait(
+        self, item: work.Work, leaf: Leaf, view: views.PoolView, now: float
+    ) -> float:
+        # Work behind fewer items than there are slots is always tried, so that
+        # the estimates keep getting samples.
+        if len(leaf) < view.slots:
+            return 0.0
+        floor = view.ranks[item.rank].floor
+        guaranteed = floor * view.capacity.get(item.partner, 0.0) * view.slots
+        return leaf.estimate.wait(len(leaf), guaranteed, now)
+
+    def _is_late(self, item: work.Work, now: float) -> bool:
+        leaf = self._leaves[item.partner, item.rank]
+        return item.deadline <= now + leaf.estimate.quick(now)
+
+    def _rank_waiting(self, rank: str) -> int:
+        return sum(
+            len(leaf.fresh)
+            for (_, other), leaf in self._leaves.items()
+            if other == rank
+        )
+
+    def _add(self, item: work.Work, now: float) -> None:
+        key = (item.partner, item.rank)
+        leaf = self._leaves.setdefault(key, Leaf())
+        if not any(len(self._leaves[other]) for other in self._keys(rank=item.rank)):
+            self._clocks.resume_rank(item.rank)
+        if item.partner not in self.waiting_partners:
+            self._clocks.resume_partner(item.partner)
+        if not len(leaf):
+            slots = self._view.slots if self._view is not None else 1
+            leaf.estimate.resume(now, max(1, slots))
+        leaf.line_of(item)[item.id] = item
+        self._waiting[item.id] = item
+
+    def _keys(self, *, rank: str) -> list[tuple[str, str]]:
+        return [key for key in self._leaves if key[1] == rank]
+
+    def _remove(self, item: work.Work) -> None:
+        del self._waiting[item.id]
+        del self._leaves[item.partner, item.rank].line_of(item)[item.id]
+
+    def _settle(self, charge: service.Charge, seconds: float) -> None:
+        share = self._view.capacity.get(charge.partner, 0.0)
+        share *= self.corrections.get(charge.partner, 1.0)
+        self._clocks.settle(charge, seconds, share, self._view)
+
+    def _use_view(self, view: views.PoolView) -> None:
+        """Take over a view; a new one drops state of removed partners and ranks."""
+        if view is self._view:
+            return
+        self._view = view
+        self._partners = frozenset(view.capacity) | {key[0] for key in view.kinds}
+        for key in [key for key, leaf in self._leaves.items() if not len(leaf)]:
+            if key[0] not in self._partners or key[1] not in view.ranks:
+                del self._leaves[key]
+        self._clocks.forget(
+            self._partners | {partner for partner, _ in self._leaves},
+            set(view.ranks) | {rank for _, rank in self._leaves},
+        )
+
+
+def _refuse(reason: str, retry_after_seconds: float) -> result.Err[work.Refusal]:
+    seconds = min(
+        max(retry_after_seconds, SHORTEST_RETRY_SECONDS), LONGEST_RETRY_SECONDS
+    )
+    return result.Err(work.Refusal(reason=reason, retry_after_seconds=seconds))
--- /dev/null
+++ b/hyssopshelf/scheduling/service.py
@@ -0,0 +1,167 @@
+"""Virtual clocks that decide which partner and rank an endpoint serves next."""
+
+import attrs
+
+from hyssopshelf.configuration import resources, views
+
+WINDOW_SECONDS = 0.25
+"""Service that a partner or rank may take ahead of its share, in seconds of
+the whole endpoint. Within it the most urgent rank goes first, so it bounds
+both the urgent burst that is not slowed down and the wait of other work."""
+
+LARGEST_LAG_SECONDS = 1.0
+"""Largest service that a rank may be owed. A floor that only a partner beyond
+its share could use would otherwise build up a claim without bound."""
+
+SMALLEST_SHARE = 0.001
+"""Share of a partner that the split does not name; a share divides, so it
+must not be 0."""
+
+UNDECLARED_RANK = resources.RankSpec(order=1_000_000, floor=0.0)
+"""Stands for a rank that was removed while its work was waiting."""
+
+
+def rank_spec(view: views.PoolView, rank: str) -> resources.RankSpec:
+    """Return the declaration of a rank, the least urgent one if removed."""
+    return view.ranks.get(rank, UNDECLARED_RANK)
+
+
+@attrs.define(kw_only=True)
+class Charge:
+    """Service charged for one running work item.
+
+    Attributes
+    ----------
+    partner, rank : str
+        Whose work it is.
+    owed : bool
+        Whether it runs because its rank was behind its floor. Only such
+        service counts in full; lent service must not turn into a debt.
+    seconds : float
+        Slot time charged so far.
+    rank_seconds : float
+        Part of it that was charged to the clock of the rank.
+    """
+
+    partner: str
+    rank: str
+    owed: bool
+    seconds: float = 0.0
+    rank_seconds: float = 0.0
+
+
+@attrs.define(kw_only=True)
+class ServiceClocks:
+    """Start-time fair queueing over partners, with rank floors.
+
+    A partner's clock advances by slot time divided by its share and the slots,
+    so all clocks advance like the wall clock when every partner gets its share.
+    A rank's clock does the same with the floor, against the total service.
+
+    Attributes
+    ----------
+    partner_clocks, rank_clocks : dict of str to float
+        Clock of each partner and rank, in seconds.
+    start_clock : float
+        Largest partner clock at which work was started; partners whose
+        queue was empty resume here, so that idle time gives no claim.
+    total_clock : float
+        Service of the endpoint, in seconds of all its slots.
+    """
+
+    partner_clocks: dict[str, float] = attrs.field(factory=dict)
+    rank_clocks: dict[str, float] = attrs.field(factory=dict)
+    start_clock: float = 0.0
+    total_clock: float = 0.0
+
+    def resume_partner(self, partner: str) -> None:
+        """Bring the clock of a partner up to date whose queue was empty."""
+        clock = self.partner_clocks.get(partner, self.start_clock)
+        self.partner_clocks[partner] = max(clock, self.start_clock)
+
+    def resume_rank(self, rank: str) -> None:
+        """Bring the clock of a rank up to date whose queue was empty."""
+        clock = self.rank_clocks.get(rank, self.total_clock)
+        self.rank_clocks[rank] = max(clock, self.total_clock)
+
+    def choose(
+        self, leaves: list[tuple[str, str]], view: views.PoolView
+    ) -> tuple[str, str]:
+        """Return the (partner, rank) to serve among those with waiting work.
+
+        A rank behind its floor goes first, then the most urgent rank; within
+        a rank the partner with the lowest clock. If that partner is more than
+        the window ahead of another one, the other one is served.
+        """
+        chosen = self._choose_rank(leaves, view)
+        partner = self._choose_partner(leaf for leaf in leaves if leaf[1] == chosen)
+        behind = self._choose_partner(leaves)
+        lead = self.partner_clocks[partner] - self.partner_clocks[behind]
+        if lead <= WINDOW_SECONDS:
+            return partner, chosen
+        own = [leaf for leaf in leaves if leaf[0] == behind]
+        return behind, self._choose_rank(own, view)
+
+    def start(self, partner: str, rank: str, view: views.PoolView) -> Charge:
+        """Return the charge of work that is about to start."""
+        self.start_clock = max(self.start_clock, self.partner_clocks[partner])
+        return Charge(partner=partner, rank=rank, owed=self._is_owed(rank, view))
+
+    def settle(
+        self, charge: Charge, seconds: float, share: float, view: views.PoolView
+    ) -> None:
+        """Change the slot time charged for a work item to ``seconds``."""
+        change = seconds - charge.seconds
+        charge.seconds = seconds
+        if change == 0.0:
+            return
+        slots = max(view.slots, 1)
+        share = max(share, SMALLEST_SHARE)
+        self.partner_clocks[charge.partner] = (
+            self.partner_clocks.get(charge.partner, self.start_clock)
+            + change / share / slots
+        )
+        self.total_clock += change / slots
+        floor = rank_spec(view, charge.rank).floor
+        if floor > 0.0:
+            self._settle_rank(charge, change, floor * slots)
+
+    def forget(self, partners: set[str], ranks: set[str]) -> None:
+        """Drop the clocks of all partners and ranks but the given ones."""
+        for name in self.partner_clocks.keys() - partners:
+            del self.partner_clocks[name]
+        for name in self.rank_clocks.keys() - ranks:
+            del self.rank_clocks[name]
+
+    def _settle_rank(self, charge: Charge, change: float, rate: float) -> None:
+        clock = self.rank_clocks.get(charge.rank, self.total_clock)
+        if not charge.owed:
+            if change > 0.0:
+                room = self.total_clock + WINDOW_SECONDS - clock
+                change = min(change, max(0.0, room * rate))
+            else:
+                change = max(change, -charge.rank_seconds)
+        charge.rank_seconds += change
+        clock += change / rate
+        self.rank_clocks[charge.rank] = max(
+            clock, self.total_clock - LARGEST_LAG_SECONDS
+        )
+
+    def _is_owed(self, rank: str, view: views.PoolView) -> bool:
+        return (
+            rank_spec(view, rank).floor > 0.0
+            and self.rank_clocks[rank] <= self.total_clock
+        )
+
+    def _choose_rank(self, leaves: list[tuple[str, str]], view: views.PoolView) -> str:
+        ranks = {rank for _, rank in leaves}
+        owed = [rank for rank in ranks if self._is_owed(rank, view)]
+        if owed:
+            return min(owed, key=lambda rank: (self.rank_clocks[rank], rank))
+        return min(ranks, key=lambda rank: (rank_spec(view, rank).order, rank))
+
+    def _choose_partner(self, leaves) -> str:
+        return min(
+            {partner for partner, _ in leaves},
+            key=lambda partner: (self.partner_clocks[partner], partner),
+        )
