Leave the start interval alone when work is put back

Cause: a statement that is taken while its connection is still opening is put back; each such pair counted as a start and shortened the measured interval, from which the expected wait of new work follows.

Change: put_back restores the start state of the estimate.

Conclusion: only work that really started moves the estimate.

--- a/hyssopshelf/scheduling/estimates.py
+++ b/hyssopshelf/scheduling/estimates.py
@@ -48,11 +48,17 @@
             self.quick_seconds = min(seconds, quick) + QUICK_SMOOTHING * excess
         self._finished_at = now
 
-    def record_start(self, now: float) -> None:
-        """Add the start of work that was waiting."""
+    def record_start(self, now: float) -> tuple[float, float]:
+        """Add the start of work that was waiting; return the state before."""
+        previous = (self.interval_seconds, self._started_at)
         interval = now - self._started_at
         self.interval_seconds += SMOOTHING * (interval - self.interval_seconds)
         self._started_at = now
+        return previous
+
+    def undo_start(self, previous: tuple[float, float]) -> None:
+        """Restore the state before a start that did not happen."""
+        self.interval_seconds, self._started_at = previous
 
     def resume(self, now: float, slots: int) -> None:
         """Note that work waits again after the queue was empty."""
--- a/hyssopshelf/scheduling/queues.py
+++ b/hyssopshelf/scheduling/queues.py
@@ -41,10 +41,19 @@
 
 @attrs.define(kw_only=True)
 class Running:
-    """Work that holds a slot, with the service charged for it."""
+    """Work that holds a slot.
+
+    Attributes
+    ----------
+    charge : Charge
+        Service charged for it.
+    previous_start : (float, float)
+        Start state of the estimate before it, for work that is put back.
+    """
 
     item: work.Work
     charge: service.Charge
+    previous_start: tuple[float, float]
 
 
 @attrs.define(kw_only=True)
@@ -133,11 +142,13 @@
         leaf = self._leaves[partner, rank]
         item = next(iter((leaf.started or leaf.fresh).values()))
         self._remove(item)
-        leaf.estimate.record_start(now)
+        previous_start = leaf.estimate.record_start(now)
         item.started_at = now
         charge = self._clocks.start(partner, rank, view)
         self._settle(charge, item.estimated_seconds or leaf.estimate.mean_seconds)
-        self._running[item.id] = Running(item=item, charge=charge)
+        self._running[item.id] = Running(
+            item=item, charge=charge, previous_start=previous_start
+        )
         return item
 
     def put_back(self, item: work.Work) -> None:
@@ -150,8 +161,10 @@
         now = item.started_at if item.started_at is not None else item.enqueued_at
         item.started_at = None
         self._add(item, now)
-        line = self._leaves[item.partner, item.rank].line_of(item)
-        line.move_to_end(item.id, last=False)
+        leaf = self._leaves[item.partner, item.rank]
+        leaf.line_of(item).move_to_end(item.id, last=False)
+        if running is not None:
+            leaf.estimate.undo_start(running.previous_start)
 
     def finish(self, work_id: str, now: float) -> float:
         """Release the slot of a work item and return its slot time in seconds."""
