Limit outstanding statements per partner and rank at the entry node

Cause: a flood that is refused only at the serving node costs the hop and the serving node's time, which other callers pay for.

Change: an additive-increase, multiplicative-decrease limit for each pool, partner and rank. A refusal cuts the limit of the same rank; a time in the queue above the rank's target cuts the partner's least urgent rank first. A limit is cut once in a round, never below 4, and dropped after 60 s idle.

--- /dev/null
+++ b/hyssopshelf/scheduling/limits.py
@@ -0,0 +1,165 @@
+"""Adaptive limits on outstanding statements at the entry node."""
+
+import attrs
+import result
+
+from hyssopshelf.scheduling import work
+
+FIRST_LIMIT = 64.0
+LARGEST_LIMIT = 1024.0
+
+SMALLEST_LIMIT = 4.0
+"""Statements that are always let through, so that a limited rank keeps work
+waiting at the serving nodes for its floor and the limit can recover."""
+
+CUT = 0.7
+"""Factor on a limit after a signal of overload."""
+
+SHORTEST_ROUND_SECONDS = 0.1
+"""Least time between two cuts. Answers that were under way when a limit was cut
+still report the old overload; counting them again would collapse the limit."""
+
+IDLE_SECONDS = 60.0
+"""Time without traffic after which the state of a limit is dropped."""
+
+UNDECLARED = "pool, partner or rank is not declared"
+LIMITED = "limit of outstanding statements reached"
+
+
+@attrs.define(kw_only=True)
+class Limit:
+    """Outstanding statements of one partner and rank in a pool.
+
+    Attributes
+    ----------
+    largest : float
+        Statements that may be outstanding.
+    outstanding : int
+        Statements admitted and not yet released.
+    cut_at, used_at : float
+        Time of the last cut and of the last statement or answer.
+    queueing_seconds : float
+        Moving average of the time in the queue that answers report.
+    """
+
+    largest: float = FIRST_LIMIT
+    outstanding: int = 0
+    cut_at: float = float("-inf")
+    used_at: float = float("-inf")
+    queueing_seconds: float = 0.0
+
+
+Key = tuple[str, str, str]
+
+
+@attrs.define(kw_only=True)
+class LimitState:
+    """All limits of an entry node, by pool, partner and rank."""
+
+    limits: dict[Key, Limit] = attrs.field(factory=dict)
+    pruned_at: float = float("-inf")
+
+
+def admit(
+    board, pool: str, partner: str, rank: str, now: float
+) -> result.Result[None, work.Refusal]:
+    """Count a statement as outstanding or refuse it.
+
+    ``Ok`` must be followed by one :func:`release` when the statement ends.
+    """
+    view = board.pools.get(pool)
+    if view is None or rank not in view.ranks or not _uses(view, partner):
+        return result.Err(
+            work.Refusal(reason=UNDECLARED, retry_after_seconds=IDLE_SECONDS)
+        )
+    limit = board.admission.limits.setdefault((pool, partner, rank), Limit())
+    limit.used_at = now
+    if limit.outstanding >= limit.largest:
+        board.count("limits_refused")
+        seconds = max(limit.queueing_seconds, SHORTEST_ROUND_SECONDS)
+        return result.Err(work.Refusal(reason=LIMITED, retry_after_seconds=seconds))
+    limit.outstanding += 1
+    return result.Ok(None)
+
+
+def release(board, pool: str, partner: str, rank: str, now: float) -> None:
+    """Count an admitted statement as ended."""
+    limit = board.admission.limits.get((pool, partner, rank))
+    if limit is not None:
+        limit.outstanding = max(0, limit.outstanding - 1)
+        limit.used_at = now
+
+
+def record_answer(
+    board,
+    pool: str,
+    partner: str,
+    rank: str,
+    refused: bool,
+    queueing_seconds: float,
+    now: float,
+) -> None:
+    """Adapt a limit to the answer of a serving node.
+
+    A refusal or a time in the queue above the target of the rank is a signal
+    of overload: the limit shrinks by a factor. Any other answer lets it grow by
+    about one statement for each full round of outstanding statements.
+    """
+    view = board.pools.get(pool)
+    limit = board.admission.limits.get((pool, partner, rank))
+    if view is None or limit is None or rank not in view.ranks:
+        return
+    limit.used_at = now
+    limit.queueing_seconds += 0.1 * (queueing_seconds - limit.queueing_seconds)
+    target = view.ranks[rank].target_seconds
+    if not refused and queueing_seconds <= target:
+        if limit.outstanding * 2 >= limit.largest:
+            limit.largest = min(LARGEST_LIMIT, limit.largest + 1.0 / limit.largest)
+        return
+    round_seconds = max(target, SHORTEST_ROUND_SECONDS)
+    if now - limit.cut_at < round_seconds:
+        return
+    limit.cut_at = now
+    # A full queue is caused by the rank itself. A slow queue may be caused by
+    # less urgent work that holds the slots, so that work is limited first.
+    victim = limit if refused else _least_urgent(board, view, (pool, partner, rank))
+    # Starting from the outstanding statements makes the first cut effective
+    # when the limit is far above the traffic.
+    victim.largest = max(
+        SMALLEST_LIMIT, min(victim.largest, max(victim.outstanding, 1)) * CUT
+    )
+    board.count("limits_cut")
+
+
+def step(board, now: float) -> None:
+    """Drop the state of limits that are not in use."""
+    state = board.admission
+    if now - state.pruned_at < 1.0:
+        return
+    state.pruned_at = now
+    for key in [
+        key
+        for key, limit in state.limits.items()
+        if limit.outstanding == 0 and now - limit.used_at > IDLE_SECONDS
+    ]:
+        del state.limits[key]
+
+
+def _uses(view, partner: str) -> bool:
+    return partner in view.capacity or any(other == partner for other, _ in view.kinds)
+
+
+def _least_urgent(board, view, key: Key) -> Limit:
+    """Return the limit of the partner's least urgent rank that can shrink.
+
+    Ranks that are more urgent than that of ``key`` are left out.
+    """
+    pool, partner, rank = key
+    order = view.ranks[rank].order
+    for other, _ in sorted(view.ranks.items(), key=lambda pair: -pair[1].order):
+        limit = board.admission.limits.get((pool, partner, other))
+        if view.ranks[other].order <= order:
+            break
+        if limit and limit.outstanding and limit.largest > SMALLEST_LIMIT:
+            return limit
+    return board.admission.limits[key]
