Hold partner shares across the serving nodes of a pool

Cause: an endpoint's queue keeps the split among the partners that wait there. With different demand at the endpoints the pool as a whole misses the split.

Change: once a second a serving node reports its average slots in use by partner and rank, and which partners wait, to peers of the pool within 500 B/s. Each node moves a bounded factor (1/4 to 4) on its own weights until the waiting partners get their shares of the whole.

--- a/hyssopshelf/blackboard.py
+++ b/hyssopshelf/blackboard.py
@@ -13,7 +13,7 @@
 from hyssopshelf.configuration import resources, views
 from hyssopshelf.connections import records
 from hyssopshelf.failover import confirmation, tickets
-from hyssopshelf.scheduling import limits, queues, work
+from hyssopshelf.scheduling import limits, queues, shares, work
 
 
 class HostState(enum.Enum):
@@ -269,6 +269,7 @@
     confirmations: confirmation.ConfirmationState = attrs.field(
         factory=confirmation.ConfirmationState
     )
+    usage: shares.UsageState = attrs.field(factory=shares.UsageState)
     admission: limits.LimitState = attrs.field(factory=limits.LimitState)
 
     actions: list[base.Action] = attrs.field(factory=list)
--- /dev/null
+++ b/hyssopshelf/scheduling/shares.py
@@ -0,0 +1,316 @@
+"""Partner shares across the serving nodes of a pool.
+
+Serving nodes tell each other the slot time that each partner and rank recently
+used and which partners had to wait. Each node changes the weights of its own
+queues until the partners that wait get their shares of the pool's whole
+service. See docs/scheduling.md.
+"""
+
+import math
+
+import attrs
+
+from hyssopshelf import base, messages
+from hyssopshelf.scheduling import budgets
+
+PERIOD_SECONDS = 1.0
+ROUNDING_SECONDS = 1e-6
+"""Slack for sums of ticks that fall short of a period by rounding."""
+
+SMOOTHING_SECONDS = 5.0
+"""Time constant of the usage averages; shares hold over seconds to minutes."""
+
+BYTES_PER_SECOND = 500.0
+"""Half of the 1 KB/s that scheduling may send; billing has the other half."""
+
+STALE_SECONDS = 30.0
+"""Age at which the report of a peer is dropped. In a pool with more peers than
+fit into the byte budget, the reports of this time are a random sample."""
+
+PEERS_REFRESH_SECONDS = 5.0
+
+WAITING_FRACTION = 0.3
+"""Part of the time with waiting work above which a partner wants more service."""
+
+SMALLEST_WAITING = 1e-4
+"""Average below which the entry of a partner is dropped."""
+
+GAIN_PER_SECOND = 0.15
+"""Speed of the correction. With the averages' delay of 5 s it settles in about
+20 s without overshooting by more than the share tolerance."""
+
+LARGEST_CORRECTION = 4.0
+"""Bound of a factor and its inverse. It keeps a part of each endpoint for a
+partner that gets its share elsewhere, as its work here may be urgent."""
+
+
+@messages.register("scheduling.usage")
+@attrs.frozen(kw_only=True)
+class UsageReport:
+    """Recent usage of a pool at one serving node.
+
+    Attributes
+    ----------
+    pool : str
+        Name of the pool.
+    partners, ranks : tuple of str
+        Rows and columns of ``milli_slots``.
+    milli_slots : tuple of int
+        Thousandths of a slot in use, row by row.
+    waiting : tuple of int
+        Percent of the time in which each partner had waiting work.
+    """
+
+    pool: str
+    partners: tuple[str, ...]
+    ranks: tuple[str, ...]
+    milli_slots: tuple[int, ...]
+    waiting: tuple[int, ...]
+
+
+@attrs.define(kw_only=True)
+class PeerUsage:
+    """The last report of a peer and the time at which it arrived."""
+
+    report: UsageReport
+    received_at: float
+
+
+@attrs.define(kw_only=True)
+class PoolUsage:
+    """Usage of one pool.
+
+    Attributes
+    ----------
+    slots_used : dict of (str, str) to float
+        Own average slots in use by partner and rank.
+    waiting : dict of str to float
+        Own average part of the time with waiting work, by partner.
+    peers : dict of str to PeerUsage
+        Last report by host.
+    factors : dict of str to float
+        Correction of the share of each partner at this node.
+    unsent : list of str
+        Peers that did not yet get a report in this turn.
+    """
+
+    slots_used: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    waiting: dict[str, float] = attrs.field(factory=dict)
+    peers: dict[str, PeerUsage] = attrs.field(factory=dict)
+    factors: dict[str, float] = attrs.field(factory=dict)
+    unsent: list[str] = attrs.field(factory=list)
+    hosts: tuple[str, ...] = ()
+    hosts_read_at: float = float("-inf")
+
+
+@attrs.define(kw_only=True)
+class UsageState:
+    """Usage of all pools that the node serves or heard of.
+
+    ``counted`` holds slot seconds by pool, partner and rank since the start.
+    """
+
+    pools: dict[str, PoolUsage] = attrs.field(factory=dict)
+    counted: dict[tuple[str, str, str], float] = attrs.field(factory=dict)
+    averaged: dict[tuple[str, str, str], float] = attrs.field(factory=dict)
+    averaged_at: float | None = None
+    sampled_at: float | None = None
+    budget: budgets.ByteBudget = attrs.field(
+        factory=lambda: budgets.ByteBudget(bytes_per_second=BYTES_PER_SECOND)
+    )
+
+
+def record_usage(
+    board, pool: str, partner: str, rank: str, slot_seconds: float
+) -> None:
+    """Count slot time that a statement used at this node."""
+    key = (pool, partner, rank)
+    counted = board.usage.counted
+    counted[key] = counted.get(key, 0.0) + slot_seconds
+
+
+def fleet_usage(board, pool: str, now: float) -> dict[tuple[str, str], float]:
+    """Return the slots in use in a pool by partner and rank, as known here."""
+    state = board.usage.pools.get(pool)
+    if state is None:
+        return {}
+    total = dict(state.slots_used)
+    for peer in _fresh_peers(state, now):
+        report = peer.report
+        pairs = [(p, r) for p in report.partners for r in report.ranks]
+        for key, milli_slots in zip(pairs, report.milli_slots, strict=False):
+            total[key] = total.get(key, 0.0) + milli_slots / 1000.0
+    return total
+
+
+def step(board, now: float) -> None:
+    """Sample waiting work; once a second average, correct and report."""
+    state = board.usage
+    _sample_waiting(board, now)
+    if state.averaged_at is None:
+        state.averaged_at = now
+        return
+    elapsed = now - state.averaged_at
+    if elapsed < PERIOD_SECONDS - ROUNDING_SECONDS:
+        return
+    state.averaged_at = now
+    served = {queue.pool for queue in board.endpoint_queues.values()}
+    for name in list(state.pools):
+        if name not in served or name not in board.pools:
+            del state.pools[name]
+    _average_usage(board, elapsed)
+    for name in sorted(state.pools):
+        _correct(board, name, elapsed, now)
+    for name in board.random.sample(sorted(state.pools), len(state.pools)):
+        _send_reports(board, name, now)
+
+
+@base.receive.register
+def receive_usage(message: UsageReport, board, host: str, now: float) -> None:
+    """Keep the usage report of a peer for a pool that this node serves."""
+    state = board.usage.pools.get(message.pool)
+    if state is not None:
+        state.peers[host] = PeerUsage(report=message, received_at=now)
+
+
+def _sample_waiting(board, now: float) -> None:
+    state = board.usage
+    elapsed = 0.0 if state.sampled_at is None else max(0.0, now - state.sampled_at)
+    state.sampled_at = now
+    weight = 1.0 - math.exp(-elapsed / SMOOTHING_SECONDS)
+    wanting: dict[str, set[str]] = {}
+    for queue in board.endpoint_queues.values():
+        wanting.setdefault(queue.pool, set()).update(queue.waiting_partners)
+    for pool, partners in wanting.items():
+        usage = state.pools.setdefault(pool, PoolUsage())
+        for partner in partners | usage.waiting.keys():
+            average = usage.waiting.get(partner, 0.0)
+            sample = 1.0 if partner in partners else 0.0
+            usage.waiting[partner] = average + weight * (sample - average)
+            if usage.waiting[partner] < SMALLEST_WAITING:
+                del usage.waiting[partner]
+
+
+def _average_usage(board, elapsed: float) -> None:
+    state = board.usage
+    weight = 1.0 - math.exp(-elapsed / SMOOTHING_SECONDS)
+    for key in list(state.counted):
+        pool, partner, rank = key
+        view = board.pools.get(pool)
+        usage = state.pools.get(pool)
+        if usage is None or view is None or rank not in view.ranks:
+            del state.counted[key]
+            state.averaged.pop(key, None)
+            if usage is not None:
+                usage.slots_used.pop((partner, rank), None)
+            continue
+        sample = (state.counted[key] - state.averaged.get(key, 0.0)) / elapsed
+        state.averaged[key] = state.counted[key]
+        average = usage.slots_used.get((partner, rank), 0.0)
+        usage.slots_used[partner, rank] = average + weight * (sample - average)
+
+
+def _fresh_peers(state: PoolUsage, now: float) -> list[PeerUsage]:
+    for host in [
+        host
+        for host, peer in state.peers.items()
+        if now - peer.received_at > STALE_SECONDS
+    ]:
+        del state.peers[host]
+    return list(state.peers.values())
+
+
+def _correct(board, pool: str, elapsed: float, now: float) -> None:
+    """Move the factors towards the shares of the partners that wait."""
+    state = board.usage.pools[pool]
+    view = board.pools[pool]
+    used: dict[str, float] = dict.fromkeys(view.capacity, 0.0)
+    for (partner, _), slots in fleet_usage(board, pool, now).items():
+        used[partner] = used.get(partner, 0.0) + slots
+    waiting = dict(state.waiting)
+    for peer in _fresh_peers(state, now):
+        report = peer.report
+        for partner, percent in zip(report.partners, report.waiting, strict=False):
+            waiting[partner] = max(waiting.get(partner, 0.0), percent / 100.0)
+    wanting = {
+        partner
+        for partner, share in view.capacity.items()
+        if share > 0.0 and waiting.get(partner, 0.0) >= WAITING_FRACTION
+    }
+    total = sum(used[partner] for partner in wanting)
+    shares = sum(view.capacity[partner] for partner in wanting)
+    change = min(1.0, GAIN_PER_SECOND * elapsed)
+    logs = {partner: math.log(state.factors.get(partner, 1.0)) for partner in used}
+    for partner in used:
+        if partner in wanting and len(wanting) > 1 and total > 0.0:
+            target = view.capacity[partner] / shares
+            error = (target - used[partner] / total) / target
+            logs[partner] += change * max(-1.0, min(1.0, error))
+        else:
+            logs[partner] *= 1.0 - change
+    bound = math.log(LARGEST_CORRECTION)
+    state.factors = {
+        partner: math.exp(max(-bound, min(bound, value)))
+        for partner, value in logs.items()
+    }
+    for queue in board.endpoint_queues.values():
+        if queue.pool == pool:
+            queue.corrections = state.factors
+
+
+def _report(board, pool: str) -> UsageReport:
+    state = board.usage.pools[pool]
+    partners = tuple(sorted(set(state.waiting) | {p for p, _ in state.slots_used}))
+    ranks = tuple(sorted({rank for _, rank in state.slots_used}))
+    return UsageReport(
+        pool=pool,
+        partners=partners,
+        ranks=ranks,
+        milli_slots=tuple(
+            round(1000.0 * state.slots_used.get((partner, rank), 0.0))
+            for partner in partners
+            for rank in ranks
+        ),
+        waiting=tuple(round(100.0 * state.waiting.get(p, 0.0)) for p in partners),
+    )
+
+
+def _send_reports(board, pool: str, now: float) -> None:
+    """Send the report to as many peers as the byte budget allows."""
+    state = board.usage.pools[pool]
+    if now - state.hosts_read_at >= PEERS_REFRESH_SECONDS:
+        state.hosts_read_at = now
+        state.hosts = serving_hosts(board, pool)
+        for host in state.peers.keys() - set(state.hosts):
+            del state.peers[host]
+    peers = [host for host in state.hosts if host != board.identity.host]
+    if not peers:
+        return
+    report = _report(board, pool)
+    size = encoded_bytes(board, report)
+    for _ in peers:
+        if not state.unsent:
+            state.unsent = board.random.sample(peers, len(peers))
+        if not board.usage.budget.spend(size, now):
+            return
+        board.count("usage_bytes_sent", size)
+        board.act(base.SendPeer(host=state.unsent.pop(), message=report))
+
+
+def serving_hosts(board, pool: str) -> tuple[str, ...]:
+    """Return the hosts that serve endpoints of a pool, sorted by name."""
+    hosts = {
+        board.placement.get(f"{pool}/{database.name}/{endpoint.name}")
+        for database in board.pools[pool].databases.values()
+        for endpoint in database.endpoints
+    }
+    return tuple(sorted(host for host in hosts if host))
+
+
+def encoded_bytes(board, message: object) -> int:
+    """Return the size of a message on the wire, in bytes."""
+    identity = board.identity
+    envelope = messages.Envelope(
+        host=identity.host, address=identity.address, message=message
+    )
+    return len(messages.encode(envelope))
