--- a/hyssopshelf/blackboard.py
+++ b/hyssopshelf/blackboard.py
@@ -15,7 +15,7 @@
 from hyssopshelf.failover import confirmation, state, tickets
 from hyssopshelf.membership import protocol as membership_protocol
 from hyssopshelf.membership import records as host_records
-from hyssopshelf.scheduling import queues, work
+from hyssopshelf.scheduling import limits, queues, shares, work
 
 HostState = host_records.HostState
 HostRecord = host_records.HostRecord
@@ -260,6 +260,8 @@
         factory=confirmation.ConfirmationState
     )
     failover: state.FailoverState = attrs.field(factory=state.FailoverState)
+    usage: shares.UsageState = attrs.field(factory=shares.UsageState)
+    admission: limits.LimitState = attrs.field(factory=limits.LimitState)
 
     actions: list[base.Action] = attrs.field(factory=list)
     counters: dict[str, float] = attrs.field(factory=dict)
