Apply limits, retry budget, usage accounts and membership in the node

Change: admission and its release at the entry node, a retry budget for parked statements without news, usage accounts, membership and share steps, reads of the host list by few nodes.

--- a/hyssopshelf/blackboard.py
+++ b/hyssopshelf/blackboard.py
@@ -15,7 +15,7 @@
 from hyssopshelf.failover import confirmation, state, tickets
 from hyssopshelf.membership import protocol as membership_protocol
 from hyssopshelf.membership import records as host_records
-from hyssopshelf.scheduling import limits, queues, shares, work
+from hyssopshelf.scheduling import budgets, limits, queues, shares, work
 
 HostState = host_records.HostState
 HostRecord = host_records.HostRecord
@@ -135,6 +135,7 @@
     retry_at: float = 0.0
     sent_at: float = 0.0
     primary_only: bool = False
+    admitted: bool = False
     answer: messages.ServedAnswer | None = None
 
 
@@ -262,6 +263,7 @@
     failover: state.FailoverState = attrs.field(factory=state.FailoverState)
     usage: shares.UsageState = attrs.field(factory=shares.UsageState)
     admission: limits.LimitState = attrs.field(factory=limits.LimitState)
+    retry_budget: budgets.RetryBudget = attrs.field(factory=budgets.RetryBudget)
 
     actions: list[base.Action] = attrs.field(factory=list)
     counters: dict[str, float] = attrs.field(factory=dict)
--- a/hyssopshelf/node.py
+++ b/hyssopshelf/node.py
@@ -5,7 +5,8 @@
 from hyssopshelf import base, blackboard, logs
 from hyssopshelf.connections import pool
 from hyssopshelf.failover import confirmation, detection, leases, promotion
-from hyssopshelf.membership import placement
+from hyssopshelf.membership import hosts, placement
+from hyssopshelf.scheduling import limits, shares
 from hyssopshelf.statements import (
     completion,
     entry,
@@ -26,6 +27,7 @@
 
 STEPS = (
     replay.step,
+    hosts.step,
     placement.step,
     polling.step,
     detection.step,
@@ -33,6 +35,8 @@
     transactions.step,
     serving.step,
     entry.step,
+    limits.step,
+    shares.step,
 )
 """Periodic work of the controllers, in the order in which it runs."""
 
--- a/hyssopshelf/runtime/engine.py
+++ b/hyssopshelf/runtime/engine.py
@@ -8,8 +8,15 @@
 import tornado.ioloop
 
 from hyssopshelf import base, exceptions, logs, node
+from hyssopshelf.membership import hosts
 from hyssopshelf.runtime import endpoints, peers
 
+HOST_LIST_SECONDS = 1.0
+"""Time between two reads of the host list by a reader, in seconds."""
+
+HOST_LIST_KEY = "hosts"
+"""Key whose rendezvous order chooses the readers of the host list."""
+
 _CALLERS = itertools.count()
 
 
@@ -41,12 +48,18 @@
         self._timer = tornado.ioloop.PeriodicCallback(
             self._tick, node.TICK_SECONDS * 1000
         )
+        self._list_timer = tornado.ioloop.PeriodicCallback(
+            self._read_hosts, HOST_LIST_SECONDS * 1000
+        )
         self._stopped = False
 
     def start(self) -> None:
         """Listen for peers and start the timer."""
         self.peers.listen()
         self._timer.start()
+        if self.host_list is not None:
+            self._list_timer.start()
+            tornado.ioloop.IOLoop.current().add_callback(self._read_hosts)
         identity = self.core.board.identity
         logs.write(
             logs.LogEvent.PROCESS_STARTED,
@@ -83,6 +96,7 @@
     def stop(self) -> None:
         """Stop the timer and close all adapters."""
         self._timer.stop()
+        self._list_timer.stop()
         self._stopped = True
         self.endpoints.close()
         self.peers.close()
@@ -95,6 +109,18 @@
     def _tick(self) -> None:
         self.emit(base.Ticked())
 
+    async def _read_hosts(self) -> None:
+        """Read the host list if this node is one of its few readers.
+
+        A node that knows no other host reads it too, so that it can join.
+        """
+        board = self.core.board
+        if len(board.hosts) > 1 and not hosts.is_reader(board, HOST_LIST_KEY):
+            return
+        outcome = await self.host_list.read()
+        if outcome.is_ok() and not self._stopped:
+            self.emit(base.HostListReceived(hosts=outcome.unwrap()))
+
     def _find_address(self, endpoint: str) -> str | None:
         record = self.core.board.endpoints.get(endpoint)
         return record.address if record is not None else None
--- a/hyssopshelf/statements/answers.py
+++ b/hyssopshelf/statements/answers.py
@@ -3,6 +3,7 @@
 from hyssopshelf import base, blackboard, exceptions, logs, messages
 from hyssopshelf.consistency import reads, tokens
 from hyssopshelf.failover import terms
+from hyssopshelf.scheduling import limits
 from hyssopshelf.statements import completion, polling
 
 TICKET_PREFIX = "entry:"
@@ -13,6 +14,16 @@
     statement = request.statement
     database = f"{statement.pool}/{statement.database}"
     terms.learn_primary(board, database, message.term, message.primary)
+    if request.admitted:
+        limits.record_answer(
+            board,
+            statement.pool,
+            statement.partner,
+            request.rank,
+            message.error is exceptions.ErrorKind.REFUSED,
+            message.queueing_seconds,
+            board.now,
+        )
     if message.status is not None:
         polling.store_status(board, message.endpoint, message.status, request.sent_at)
 
@@ -113,12 +124,19 @@
     reply_failure(board, request, exceptions.ErrorKind.OUTCOME_UNKNOWN, message)
 
 
-def reply_failure(board, request, kind: exceptions.ErrorKind, message: str) -> None:
+def reply_failure(
+    board,
+    request,
+    kind: exceptions.ErrorKind,
+    message: str,
+    retry_after_seconds: float = 0.0,
+) -> None:
     """Answer a statement with an error of the entry node."""
     answer = messages.Answer(
         id=request.statement.id,
         error=kind,
         message=message,
+        retry_after_seconds=retry_after_seconds,
         token=request.statement.token,
         transaction=request.statement.transaction,
     )
@@ -134,7 +152,16 @@
     board.act(base.Reply(caller=caller, answer=answer))
 
 
+def release(board, request, now: float) -> None:
+    """Release the statement's place within the limits."""
+    if request.admitted:
+        request.admitted = False
+        statement = request.statement
+        limits.release(board, statement.pool, statement.partner, request.rank, now)
+
+
 def _send(board, request, answer: messages.Answer) -> None:
+    release(board, request, board.now)
     _count(board, request, answer)
     board.log(
         logs.LogEvent.STATEMENT_ANSWERED,
--- a/hyssopshelf/statements/completion.py
+++ b/hyssopshelf/statements/completion.py
@@ -5,7 +5,7 @@
 from hyssopshelf.connections import pool
 from hyssopshelf.consistency import positions, reads
 from hyssopshelf.failover import terms
-from hyssopshelf.scheduling import work
+from hyssopshelf.scheduling import shares, work
 from hyssopshelf.statements import polling, transactions
 
 FRESHNESS_SECONDS = 0.2
@@ -159,7 +159,9 @@
 def _free_slot(board, served, now: float) -> None:
     queue = board.endpoint_queues.get(served.endpoint)
     if queue is not None:
-        queue.finish(served.id, now)
+        seconds = queue.finish(served.id, now)
+        item = served.work
+        shares.record_usage(board, queue.pool, item.partner, item.rank, seconds)
     board.ready_endpoints.add(served.endpoint)
 
 
--- a/hyssopshelf/statements/entry.py
+++ b/hyssopshelf/statements/entry.py
@@ -3,6 +3,7 @@
 from hyssopshelf import base, blackboard, exceptions, logs, messages
 from hyssopshelf.consistency import routing, tokens
 from hyssopshelf.membership import placement
+from hyssopshelf.scheduling import limits
 from hyssopshelf.statements import answers, checks, serving, transactions
 
 GRACE_SECONDS = 0.05
@@ -40,7 +41,9 @@
         staleness_seconds=kind.staleness_seconds,
     )
     board.count(f"statements_{statement.operation.value}")
-    dispatch(board, request, now)
+    board.retry_budget.earn(now)
+    if _admit(board, request, now):
+        dispatch(board, request, now)
 
 
 @base.handle.register
@@ -50,6 +53,7 @@
         if request.caller != event.caller:
             continue
         del board.requests[request.id]
+        answers.release(board, request, now)
         if request.host and request.host != board.identity.host:
             cancel = messages.CancelStatement(request_id=request.id)
             board.act(base.SendPeer(host=request.host, message=cancel))
@@ -155,6 +159,33 @@
             _finish_dead_host(board, request, now)
 
 
+def _admit(board, request, now: float) -> bool:
+    """Apply the limits; statements of an open transaction hold a connection."""
+    statement = request.statement
+    if statement.transaction:
+        return True
+    outcome = limits.admit(board, statement.pool, statement.partner, request.rank, now)
+    if outcome.is_ok():
+        request.admitted = True
+        return True
+    refusal = outcome.unwrap_err()
+    board.log(
+        logs.LogEvent.STATEMENT_REFUSED,
+        request=statement.id,
+        partner=statement.partner,
+        rank=request.rank,
+        reason=refusal.reason,
+    )
+    answers.reply_failure(
+        board,
+        request,
+        exceptions.ErrorKind.REFUSED,
+        refusal.reason,
+        refusal.retry_after_seconds,
+    )
+    return False
+
+
 def _choose_target(board, request, now):
     """Return the route of a statement and its serving host, None if unknown."""
     location = transactions.parse_id(request.statement.transaction)
@@ -216,7 +247,10 @@
     if database is None:
         return
     news = request.parked_term and database.term > request.parked_term
-    if news or now >= request.retry_at:
+    due = now >= request.retry_at
+    if due and not news:
+        request.retry_at = now + RETRY_SECONDS
+    if news or (due and board.retry_budget.spend(now)):
         del board.requests[request.id]
         dispatch(board, request, now)
 
