--- a/hyssopshelf/node.py
+++ b/hyssopshelf/node.py
@@ -124,6 +124,12 @@
     base.receive(event.message, board, event.host, now)
 
 
+@base.handle.register
+def handle_refused(event: base.MessageRefused, board, now) -> None:
+    """Log a message that could not be decoded."""
+    board.log(logs.LogEvent.MESSAGE_DROPPED, reason=event.reason)
+
+
 @base.handle.register
 def handle_opened(event: base.ConnectionOpened, board, now) -> None:
     """Use a connection that is ready."""
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,301 @@
+"""Real processes behind fault-injecting proxies, for integration tests.
+
+A fleet is a store, a host list, one database of three endpoints and a few nodes,
+each a process of its own on 127.0.0.1. Nodes reach endpoints, and replicas their
+primary, through fault proxies that run in the test's event loop.
+"""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+import tornado.httpclient
+import tornado.netutil
+import yaml
+
+from hyssopshelf import client
+from hyssopshelf.standins import faultproxy
+
+ROOT = pathlib.Path(__file__).parent.parent
+PLACES = ("ba-1", "za-1", "ke-1")
+POOL = "labelstore"
+DATABASE = "racks"
+PARTNER = "priehradka"
+TOKEN_KEYS = "test:" + "ab" * 32
+START_SECONDS = 20.0
+
+
+class Process:
+    """A process that the test started."""
+
+    def __init__(self, module: str, *arguments: str, log: pathlib.Path) -> None:
+        self.log = log
+        environment = {k: v for k, v in os.environ.items() if "HYSSOPSHELF" not in k}
+        with log.open("wb") as output:
+            self.popen = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                cwd=ROOT,
+                env=environment,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+
+    def send_signal(self, number: signal.Signals) -> None:
+        self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        if self.popen.poll() is None:
+            self.popen.kill()
+        self.popen.wait()
+
+    async def wait(self, seconds: float) -> int:
+        """Wait for the end of the process and return its exit status."""
+        deadline = time.monotonic() + seconds
+        while self.popen.poll() is None:
+            if time.monotonic() > deadline:
+                raise TimeoutError(f"process did not end: {self.read_log()[-2000:]}")
+            await asyncio.sleep(0.02)
+        return self.popen.returncode
+
+    def read_log(self) -> str:
+        return self.log.read_text(encoding="utf-8", errors="replace")
+
+
+def find_ports(count: int) -> list[int]:
+    """Return ports that were free a moment ago."""
+    sockets = [tornado.netutil.bind_sockets(0, "127.0.0.1")[0] for _ in range(count)]
+    ports = [socket.getsockname()[1] for socket in sockets]
+    for socket in sockets:
+        socket.close()
+    return ports
+
+
+class Fleet:
+    """All processes of a test."""
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        *,
+        nodes: int = 2,
+        apply_delay_seconds: float = 0.0,
+        service_seconds: float = 0.002,
+    ) -> None:
+        self.folder = folder
+        self.node_count = nodes
+        self.apply_delay_seconds = apply_delay_seconds
+        self.service_seconds = service_seconds
+        self.fronts: dict[str, faultproxy.FaultProxy] = {}
+        self.backs: dict[str, faultproxy.FaultProxy] = {}
+        self.endpoints: dict[str, Process] = {}
+        self.nodes: dict[str, Process] = {}
+        self.addresses: dict[str, str] = {}
+        self.platform: list[Process] = []
+        self.endpoint_ports: dict[str, int] = {}
+
+    async def __aenter__(self) -> "Fleet":
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__(None, None, None)
+            raise
+        return self
+
+    async def __aexit__(self, *exception) -> None:
+        everything = (*self.nodes.values(), *self.endpoints.values(), *self.platform)
+        for process in everything:
+            process.kill()
+        for proxy in (*self.fronts.values(), *self.backs.values()):
+            proxy.close()
+        await asyncio.sleep(0)
+
+    async def _start(self) -> None:
+        ports = find_ports(5 + 2 * self.node_count)
+        self.store_port, hosts_port = ports[0], ports[1]
+        self.platform = [
+            self._run("hyssopshelf.standins.daemon", "store", self.store_port),
+            self._run("hyssopshelf.standins.daemon", "hosts", hosts_port),
+        ]
+        self._start_endpoints(ports[2:5])
+        for number in range(self.node_count):
+            self._start_node(number, ports[5 + 2 * number : 7 + 2 * number], hosts_port)
+        await self._fill_host_list(hosts_port, ports[5:])
+        await asyncio.gather(*(self._wait_for_health(host) for host in self.nodes))
+        await self.apply(self.make_resources())
+        await asyncio.gather(*(self.wait_until_ready(host) for host in self.nodes))
+        await self._wait_for_primary()
+
+    def _run(self, module: str, kind: str, port: int) -> Process:
+        log = self.folder / f"{kind}-{port}.log"
+        return Process(module, kind, "--port", str(port), log=log)
+
+    def _start_endpoints(self, ports: list[int]) -> None:
+        for name, port in zip("abc", ports, strict=True):
+            target = f"127.0.0.1:{port}"
+            self.endpoint_ports[name] = port
+            for proxies in (self.fronts, self.backs):
+                proxies[name] = faultproxy.FaultProxy(target=target)
+                proxies[name].start_listening()
+        for name in self.endpoint_ports:
+            self.start_endpoint(name)
+
+    def start_endpoint(self, name: str) -> None:
+        """Start an endpoint; a restarted one has an empty log."""
+        peers = ",".join(
+            f"{POOL}/{DATABASE}/{other}={proxy.address}"
+            for other, proxy in self.backs.items()
+            if other != name
+        )
+        self.endpoints[name] = Process(
+            "hyssopshelf.standins.daemon",
+            "endpoint",
+            f"--name={POOL}/{DATABASE}/{name}",
+            f"--port={self.endpoint_ports[name]}",
+            f"--peers={peers}",
+            "--slots=2",
+            "--connections=30",
+            f"--apply-delay-seconds={self.apply_delay_seconds}",
+            f"--service-seconds={self.service_seconds}",
+            log=self.folder / f"endpoint-{name}.log",
+        )
+
+    def _start_node(self, number: int, ports: list[int], hosts_port: int) -> None:
+        host = f"h{number + 1}"
+        self.addresses[host] = f"127.0.0.1:{ports[0]}"
+        self.nodes[host] = Process(
+            "hyssopshelf.runtime.daemon",
+            f"--host={host}",
+            f"--place={PLACES[number % 3]}",
+            f"--region=r{number % 3}",
+            f"--listen=127.0.0.1:{ports[0]}",
+            f"--peer-listen=127.0.0.1:{ports[1]}",
+            f"--store-url=http://127.0.0.1:{self.store_port}",
+            f"--host-list-url=http://127.0.0.1:{hosts_port}",
+            f"--token-keys={TOKEN_KEYS}",
+            "--drain-seconds=10",
+            log=self.folder / f"{host}.log",
+        )
+
+    async def _fill_host_list(self, port: int, ports: list[int]) -> None:
+        for number, host in enumerate(self.nodes):
+            row = {
+                "name": host,
+                "address": f"127.0.0.1:{ports[2 * number + 1]}",
+                "place": PLACES[number % 3],
+                "region": f"r{number % 3}",
+            }
+            await post(f"127.0.0.1:{port}/v1/hosts", {"add": [row]})
+
+    async def _wait_for_health(self, host: str) -> None:
+        await self._wait_for(host, "healthz")
+
+    async def wait_until_ready(self, host: str) -> None:
+        """Wait until a node takes statements."""
+        await self._wait_for(host, "readyz")
+
+    async def _wait_for(self, host: str, path: str) -> None:
+        deadline = time.monotonic() + START_SECONDS
+        while True:
+            try:
+                await get(f"{self.addresses[host]}/{path}")
+                return
+            except (OSError, tornado.httpclient.HTTPError):
+                if time.monotonic() > deadline:
+                    log = self.nodes[host].read_log()[-3000:]
+                    raise TimeoutError(f"{host} not ready on {path}: {log}") from None
+                await asyncio.sleep(0.05)
+
+    async def _wait_for_primary(self) -> None:
+        """Wait until the group has its first primary and takes writes."""
+        session = self.make_session()
+        await session.append("start", "x", kind="scan", timeout_seconds=START_SECONDS)
+        await session.close()
+
+    def make_session(self, *hosts: str, seed: int = 1, **options) -> client.Session:
+        """Return a session that uses the given nodes, all by default."""
+        chosen = hosts or tuple(self.addresses)
+        return client.Session(
+            proxies=tuple(self.addresses[host] for host in chosen),
+            pool=POOL,
+            database=DATABASE,
+            partner=PARTNER,
+            seed=seed,
+            **options,
+        )
+
+    def make_resources(self, leaving: str = "") -> list[dict]:
+        """Return the declared resources of the fleet."""
+        endpoints = [
+            {
+                "name": name,
+                "address": self.fronts[name].address,
+                "place": place,
+                "leaving": name == leaving,
+            }
+            for name, place in zip("abc", PLACES, strict=True)
+        ]
+        pool = {
+            "databases": [{"name": DATABASE, "endpoints": endpoints}],
+            "partners": [PARTNER],
+            "slots": 2,
+            "connections": 30,
+        }
+        kinds = [
+            {"name": "scan", "rank": "urgent"},
+            {"name": "dashboard", "rank": "normal", "stalenessSeconds": 5.0},
+            {"name": "relabel", "rank": "background", "stalenessSeconds": 60.0},
+        ]
+        ranks = {
+            "urgent": {"order": 0, "floor": 0.5, "acknowledge": "majority"},
+            "normal": {"order": 1, "floor": 0.2},
+            "background": {"order": 2, "floor": 0.1},
+        }
+        share = {PARTNER: 1.0}
+        rows = [
+            ("Pool", POOL, pool),
+            ("Partner", PARTNER, {"kinds": kinds}),
+            *(("Rank", name, spec) for name, spec in ranks.items()),
+            ("Split", "agreed", {"capacity": share, "bill": share}),
+        ]
+        return [
+            {"kind": kind, "metadata": {"name": name, "pool": POOL}, "spec": spec}
+            for kind, name, spec in rows
+        ]
+
+    async def apply(self, rows: list[dict], host: str = "h1") -> str:
+        """Apply resources with the operators' command; return its output."""
+        path = self.folder / "resources.yaml"
+        path.write_text(yaml.safe_dump_all(rows), encoding="utf-8")
+        return await self.command("apply", "-f", str(path), host=host)
+
+    async def command(self, *arguments: str, host: str = "h1") -> str:
+        """Run the operators' command against a node."""
+        process = Process(
+            "hyssopshelf.command.main",
+            f"--server=http://{self.addresses[host]}",
+            *arguments,
+            log=self.folder / "command.log",
+        )
+        status = await process.wait(20.0)
+        if status != 0:
+            raise RuntimeError(f"{arguments} ended with {status}: {process.read_log()}")
+        return process.read_log()
+
+
+async def get(address: str) -> bytes:
+    """Return the body of a GET request."""
+    fetched = await tornado.httpclient.AsyncHTTPClient().fetch(f"http://{address}")
+    return fetched.body
+
+
+async def post(address: str, body: dict) -> bytes:
+    """Return the body of a POST request with a JSON body."""
+    fetched = await tornado.httpclient.AsyncHTTPClient().fetch(
+        f"http://{address}", method="POST", body=json.dumps(body)
+    )
+    return fetched.body
