--- a/hyssopshelf/blackboard.py
+++ b/hyssopshelf/blackboard.py
@@ -10,7 +10,7 @@
 import attrs
 
 from hyssopshelf import base, logs, messages
-from hyssopshelf.configuration import resources, views
+from hyssopshelf.configuration import resources, state, views
 from hyssopshelf.scheduling import queues, work
 
 
@@ -296,6 +296,9 @@
     databases: dict[str, DatabaseRecord] = attrs.field(factory=dict)
     documents: dict[str, resources.Document] = attrs.field(factory=dict)
     pools: dict[str, views.PoolView] = attrs.field(factory=dict)
+    configuration: state.ConfigurationState = attrs.field(
+        factory=state.ConfigurationState
+    )
     placement: dict[str, str] = attrs.field(factory=dict)
     endpoint_queues: dict[str, queues.EndpointQueue] = attrs.field(factory=dict)
     connections: dict[str, ConnectionRecord] = attrs.field(factory=dict)
--- /dev/null
+++ b/hyssopshelf/configuration/dissemination.py
@@ -0,0 +1,429 @@
+"""Dissemination of documents between nodes.
+
+A node that applies a new version offers it to random peers; a peer that lacks
+it pulls the document and offers it in turn. A digest comparison with one
+random peer a second finds what the offers missed.
+"""
+
+import zlib
+
+import attrs
+
+from hyssopshelf import base, exceptions, logs, messages
+from hyssopshelf.configuration import (
+    declarations,
+    derivation,
+    documents,
+    peers,
+    resources,
+    state,
+    validation,
+    versions,
+)
+
+OFFERS_PER_ROUND = 3
+
+OFFER_ROUNDS = 3
+"""Rounds of offers after a change.
+
+With f offers a node, about exp(-f) of the nodes get none: 5% after one round
+of 3, 0.01% after three, which is less than one node of 5,100.
+"""
+
+ROUND_SECONDS = 0.1
+
+DIGEST_SECONDS = 1.0
+
+LISTED_BUCKETS = 8
+"""Buckets listed in one exchange, about 13 KB at 2,900 pools."""
+
+REPEATED_DIGEST_SECONDS = 0.2
+"""Time to the next digest when more buckets differ than were listed."""
+
+PULL_TIMEOUT_SECONDS = 0.4
+"""Time for one part. The longest round trip is about 25 ms."""
+
+OLD_AFTER_SECONDS = 5.0
+"""Time without contact after which the configuration may be old."""
+
+PART_BYTES = 192 * 1024
+"""Largest part of a compressed document; a message stays below 256 KB."""
+
+_ENCODED_DOCUMENTS = 4
+"""Compressed documents kept; a change is sent three times in a short time."""
+
+
+@messages.register("configuration.offer")
+@attrs.frozen(kw_only=True)
+class Offer:
+    """The sender holds these documents; ``fresh`` if they were just changed."""
+
+    summaries: tuple[versions.Summary, ...]
+    fresh: bool = False
+
+
+@messages.register("configuration.pull")
+@attrs.frozen(kw_only=True)
+class PullRequest:
+    """Ask for a document, compressed, from a byte offset on."""
+
+    pool: str
+    offset: int = 0
+
+
+@messages.register("configuration.part")
+@attrs.frozen(kw_only=True)
+class Part:
+    """Bytes of a compressed document; ``total`` is its whole length."""
+
+    summary: versions.Summary
+    offset: int
+    total: int
+    data: bytes
+
+
+@messages.register("configuration.digest")
+@attrs.frozen(kw_only=True)
+class Digest:
+    """The digest of all documents that the sender holds."""
+
+    root: int
+
+
+@messages.register("configuration.buckets")
+@attrs.frozen(kw_only=True)
+class Buckets:
+    """Answer to a digest: no buckets if it is equal, else one for each part."""
+
+    buckets: tuple[int, ...]
+
+
+@messages.register("configuration.listing")
+@attrs.frozen(kw_only=True)
+class Listing:
+    """The sender's documents in the buckets that differ."""
+
+    buckets: tuple[int, ...]
+    summaries: tuple[versions.Summary, ...]
+
+
+def send(board, host: str, message: object) -> None:
+    """Send a message to a peer."""
+    board.act(base.SendPeer(host=host, message=message))
+
+
+def note_peer(board, now: float) -> None:
+    """Record that a peer was reached."""
+    board.configuration.peer_heard_at = now
+    board.configuration.heard_at = now
+
+
+def adopt(
+    board, document: resources.Document, now: float, source: str, fresh: bool = True
+) -> bool:
+    """Put a document in force if it is newer than the one held.
+
+    Parameters
+    ----------
+    board : blackboard.Blackboard
+        State of the node.
+    document : Document
+        An accepted document.
+    now : float
+        Time on the node's clock, in seconds.
+    source : str
+        Where it came from, for the log.
+    fresh : bool
+        Offer it in full; otherwise one round, since most peers have it.
+
+    Returns
+    -------
+    bool
+        Whether the document was applied.
+    """
+    held = board.documents.get(document.pool)
+    if held is not None and held.version == document.version and held != document:
+        _report_divergence(board, held, document, source)
+    if not documents.supersedes(document, held):
+        return False
+    derivation.apply_document(board, document, now)
+    board.configuration.table.update(summarize(document))
+    board.count("configuration_applied_total")
+    board.log(
+        logs.LogEvent.CONFIGURATION_APPLIED,
+        pool=document.pool,
+        version=document.version,
+        source=source,
+    )
+    if board.configuration_ready:
+        board.configuration.pushes[document.pool] = state.Push(
+            rounds=OFFER_ROUNDS if fresh else 1,
+            next_at=now,
+            informed={source},
+        )
+    return True
+
+
+def _report_divergence(board, held, document, source: str) -> None:
+    board.count("configuration_diverged_total")
+    board.log(
+        logs.LogEvent.CONFIGURATION_DIVERGED,
+        pool=document.pool,
+        version=document.version,
+        source=source,
+        kept="received" if documents.supersedes(document, held) else "held",
+        dropped_changes=sorted(set(held.change_ids) ^ set(document.change_ids)),
+    )
+
+
+def summarize(document: resources.Document) -> versions.Summary:
+    """Return the summary of a document."""
+    return versions.Summary(
+        version=document.version,
+        checksum=documents.checksum(document),
+        pool=document.pool,
+    )
+
+
+def compress(board, pool: str) -> bytes:
+    """Return the compressed form of a document in force."""
+    encoded = board.configuration.encoded
+    summary = board.configuration.table.summaries[pool]
+    kept = encoded.get(pool)
+    if kept is not None and kept[0] == summary:
+        return kept[1]
+    data = zlib.compress(declarations.encode_document(board.documents[pool]))
+    encoded.pop(pool, None)
+    while len(encoded) >= _ENCODED_DOCUMENTS:
+        del encoded[next(iter(encoded))]
+    encoded[pool] = (summary, data)
+    return data
+
+
+def decompress(data: bytes, summary: versions.Summary) -> resources.Document:
+    """Return the document of compressed data.
+
+    Raises
+    ------
+    CodecError
+        If the data is damaged or is not the document that was announced.
+    """
+    try:
+        decompressor = zlib.decompressobj()
+        text = decompressor.decompress(data, 2 * validation.MAXIMUM_DOCUMENT_BYTES)
+    except zlib.error as error:
+        raise exceptions.CodecError(f"damaged document: {error}") from error
+    document = declarations.decode_document(text)
+    if summarize(document) != summary:
+        raise exceptions.CodecError("document differs from its checksum")
+    return document
+
+
+def consider(
+    board, summary: versions.Summary, host: str, fresh: bool, now: float
+) -> None:
+    """Pull an offered document if it is newer than the one held."""
+    push = board.configuration.pushes.get(summary.pool)
+    if push is not None:
+        push.informed.add(host)
+    if not board.configuration.table.is_newer(summary):
+        return
+    pull = board.configuration.pulls.get(summary.pool)
+    if pull is not None and pull.summary >= summary:
+        if pull.summary == summary and host != pull.host and host not in pull.others:
+            pull.others.append(host)
+        return
+    board.configuration.pulls[summary.pool] = state.Pull(
+        summary=summary, host=host, deadline=now + PULL_TIMEOUT_SECONDS, fresh=fresh
+    )
+    send(board, host, PullRequest(pool=summary.pool))
+
+
+@base.receive.register
+def receive_offer(message: Offer, board, host, now):
+    """Consider what a peer offers."""
+    note_peer(board, now)
+    for summary in message.summaries:
+        consider(board, summary, host, message.fresh, now)
+    board.configuration.snapshot.confirming.discard(host)
+
+
+@base.receive.register
+def receive_pull(message: PullRequest, board, host, now):
+    """Send the part of a document that a peer asks for."""
+    note_peer(board, now)
+    summary = board.configuration.table.summaries.get(message.pool)
+    if summary is None:
+        return
+    data = compress(board, message.pool)
+    part = data[message.offset : message.offset + PART_BYTES]
+    send(
+        board,
+        host,
+        Part(summary=summary, offset=message.offset, total=len(data), data=part),
+    )
+
+
+@base.receive.register
+def receive_part(message: Part, board, host, now):
+    """Collect a part of a document and apply the document when it is whole."""
+    note_peer(board, now)
+    pool = message.summary.pool
+    pull = board.configuration.pulls.get(pool)
+    if pull is None or pull.host != host or message.summary < pull.summary:
+        return
+    if message.summary > pull.summary:
+        # The peer has a newer version by now; its parts replace all others.
+        pull.summary = message.summary
+        pull.parts.clear()
+        if message.offset != 0:
+            _ask_next(board, pull, pool, now)
+            return
+    if message.offset != len(pull.parts):
+        return
+    pull.parts += message.data
+    if len(pull.parts) < message.total:
+        if message.data:
+            _ask_next(board, pull, pool, now)
+        return
+    del board.configuration.pulls[pool]
+    try:
+        document = decompress(bytes(pull.parts), pull.summary)
+    except exceptions.CodecError as error:
+        report_damage(board, pool, host, error)
+        return
+    adopt(board, document, now, source=host, fresh=pull.fresh)
+
+
+def report_damage(board, pool: str, source: str, error: Exception) -> None:
+    """Log a document that cannot be read."""
+    board.count("configuration_damaged_total")
+    board.log(
+        logs.LogEvent.CONFIGURATION_DAMAGED, pool=pool, source=source, reason=str(error)
+    )
+
+
+def _ask_next(board, pull: state.Pull, pool: str, now: float) -> None:
+    """Ask for the next part of a document."""
+    pull.deadline = now + PULL_TIMEOUT_SECONDS
+    send(board, pull.host, PullRequest(pool=pool, offset=len(pull.parts)))
+
+
+@base.receive.register
+def receive_digest(message: Digest, board, host, now):
+    """Answer a peer's digest with the own buckets if it differs."""
+    note_peer(board, now)
+    table = board.configuration.table
+    if not board.configuration_ready:
+        return
+    differs = message.root != table.root
+    send(board, host, Buckets(buckets=tuple(table.buckets) if differs else ()))
+
+
+@base.receive.register
+def receive_buckets(message: Buckets, board, host, now):
+    """List the own documents in the buckets that differ from a peer's."""
+    note_peer(board, now)
+    table = board.configuration.table
+    differing = {
+        index
+        for index, value in enumerate(message.buckets[: versions.BUCKETS])
+        if value != table.buckets[index]
+    }
+    if not differing:
+        board.configuration.snapshot.confirming.discard(host)
+        return
+    listed = set(sorted(differing)[:LISTED_BUCKETS])
+    if listed != differing:
+        board.configuration.digest_at = now + REPEATED_DIGEST_SECONDS
+    send(
+        board,
+        host,
+        Listing(buckets=tuple(listed), summaries=table.list_buckets(listed)),
+    )
+
+
+@base.receive.register
+def receive_listing(message: Listing, board, host, now):
+    """Pull what a peer has newer and offer what it has older or lacks."""
+    note_peer(board, now)
+    theirs = {summary.pool: summary for summary in message.summaries}
+    for summary in message.summaries:
+        consider(board, summary, host, False, now)
+    newer = tuple(
+        summary
+        for summary in board.configuration.table.list_buckets(set(message.buckets))
+        if summary.pool not in theirs or summary > theirs[summary.pool]
+    )
+    if newer:
+        send(board, host, Offer(summaries=newer))
+
+
+def step(board, now: float) -> None:
+    """Send due offers and the digest, and replace peers that do not answer."""
+    _send_offers(board, now)
+    _expire_pulls(board, now)
+    if board.configuration_ready and now >= board.configuration.digest_at:
+        _compare_digest(board, now)
+    _check_age(board, now)
+
+
+def _send_offers(board, now: float) -> None:
+    """Offer changed documents to random peers, one message for all due ones."""
+    pushes = board.configuration.pushes
+    due = {pool: push for pool, push in pushes.items() if push.next_at <= now}
+    if not due:
+        return
+    summaries = board.configuration.table.summaries
+    known = set.intersection(*(push.informed for push in due.values()))
+    chosen = peers.choose_peers(board, OFFERS_PER_ROUND, known)
+    message = Offer(summaries=tuple(summaries[pool] for pool in due), fresh=True)
+    for host in chosen:
+        send(board, host, message)
+    for pool, push in due.items():
+        push.informed.update(chosen)
+        push.rounds -= 1
+        push.next_at = now + ROUND_SECONDS
+        if push.rounds <= 0 or not chosen:
+            del pushes[pool]
+
+
+def _expire_pulls(board, now: float) -> None:
+    """Ask the next peer that offered a document if one does not send it."""
+    pulls = board.configuration.pulls
+    for pool in [pool for pool, pull in pulls.items() if pull.deadline <= now]:
+        pull = pulls[pool]
+        if not pull.others:
+            del pulls[pool]
+            continue
+        pull.host = pull.others.pop(0)
+        pull.parts.clear()
+        _ask_next(board, pull, pool, now)
+
+
+def _compare_digest(board, now: float) -> None:
+    """Send the digest to one random peer."""
+    # The random part keeps nodes that started together from acting in step.
+    board.configuration.digest_at = now + DIGEST_SECONDS * board.random.uniform(0.8, 1)
+    for host in peers.choose_any(board):
+        send(board, host, Digest(root=board.configuration.table.root))
+
+
+def _check_age(board, now: float) -> None:
+    """Log when the configuration may be old and when it no longer may."""
+    own = board.configuration
+    if own.heard_at is None:
+        own.heard_at = now
+    old = now - own.heard_at >= OLD_AFTER_SECONDS
+    board.counters["configuration_may_be_old"] = float(old)
+    if old == own.reported_old:
+        return
+    own.reported_old = old
+    if old:
+        board.log(
+            logs.LogEvent.CONFIGURATION_MAY_BE_OLD,
+            seconds=round(now - own.heard_at, 1),
+            reason="neither the store nor a peer was reached",
+        )
+    else:
+        board.log(logs.LogEvent.CONFIGURATION_CONTACT_REGAINED)
--- /dev/null
+++ b/hyssopshelf/configuration/peers.py
@@ -0,0 +1,78 @@
+"""Choice of the hosts that a node exchanges configuration with."""
+
+import functools
+import hashlib
+import heapq
+from collections.abc import Collection
+
+RECEIVING = frozenset({"alive", "suspect", "leaving"})
+"""States of hosts that still run statements and need the configuration."""
+
+WATCHERS = 3
+"""Hosts that watch the store. One may be dead and one cut off at a time."""
+
+_WATCH_KEY = "configuration"
+
+_TRIES_PER_PEER = 4
+
+
+@functools.lru_cache(maxsize=16_384)
+def weigh(key: str, host: str) -> int:
+    """Return the rendezvous weight of a host for a key; the lowest comes first."""
+    digest = hashlib.blake2b(f"{key}/{host}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def _is_usable(board, name: str, excluded: Collection[str]) -> bool:
+    return (
+        name != board.identity.host
+        and name not in excluded
+        and board.hosts[name].state.value in RECEIVING
+    )
+
+
+def list_peers(board, excluded: Collection[str] = ()) -> list[str]:
+    """Return the names of all other hosts that receive configuration."""
+    return [name for name in board.hosts if _is_usable(board, name, excluded)]
+
+
+def choose_peers(board, count: int, excluded: Collection[str] = ()) -> list[str]:
+    """Return up to ``count`` random peers.
+
+    A few names are drawn and checked first: filtering thousands of hosts for
+    each message would cost more than the message.
+    """
+    names = list(board.hosts)
+    draws = min(len(names), count * _TRIES_PER_PEER)
+    drawn = board.random.sample(names, draws)
+    chosen = [name for name in drawn if _is_usable(board, name, excluded)][:count]
+    if len(chosen) == count:
+        return chosen
+    usable = list_peers(board, excluded)
+    return board.random.sample(usable, min(count, len(usable)))
+
+
+def choose_any(board) -> list[str]:
+    """Return one random peer, of the hosts held for dead if no other is left.
+
+    A node that was cut off holds all others for dead and still has to find
+    out that it reaches them again.
+    """
+    chosen = choose_peers(board, 1)
+    if chosen:
+        return chosen
+    others = [name for name in board.hosts if name != board.identity.host]
+    return board.random.sample(others, min(1, len(others)))
+
+
+def watcher_index(board) -> int | None:
+    """Return this node's position among the watchers, None if it is not one."""
+    names = {name for name, item in board.hosts.items() if item.state.value == "alive"}
+    names.discard(board.identity.host)
+    if not board.draining:
+        names.add(board.identity.host)
+    lowest = heapq.nsmallest(
+        WATCHERS, names, key=lambda name: (weigh(_WATCH_KEY, name), name)
+    )
+    host = board.identity.host
+    return lowest.index(host) if host in lowest else None
--- /dev/null
+++ b/hyssopshelf/configuration/snapshots.py
@@ -0,0 +1,274 @@
+"""The snapshot of all documents that a starting node takes.
+
+It comes from a peer, or from the store if no peer answers. Before the node is
+ready it compares its digest with further peers, so that a peer that lags
+behind does not take it back to an older version.
+"""
+
+import attrs
+
+from hyssopshelf import base, exceptions, logs, messages, platform
+from hyssopshelf.configuration import (
+    declarations,
+    dissemination,
+    documents,
+    peers,
+    versions,
+)
+
+ANSWER_TIMEOUT_SECONDS = 0.5
+
+MAXIMUM_SILENT = 3
+"""Peers that may stay silent before the store is read."""
+
+MAXIMUM_OLD = 3
+"""Peers passed over because their configuration may be old."""
+
+HOST_LIST_SECONDS = 2.0
+"""Time that a node without any peer waits for the host list."""
+
+UNREADY_RETRY_SECONDS = 0.25
+
+UNREADY_LIMIT = 20
+"""Answers of starting nodes after which any node may read the store.
+
+When the whole fleet starts, the watchers read the store within a second and
+the others take the snapshot from them; this limit covers watchers that fail.
+"""
+
+STORE_TIMEOUT_SECONDS = 5.0
+
+STORE_RETRY_SECONDS = 1.0
+
+CONFIRMING_PEERS = 2
+
+PART_DOCUMENTS = 32
+"""Documents in one part; encoding them takes a few milliseconds of the peer."""
+
+
+@messages.register("configuration.snapshot_request")
+@attrs.frozen(kw_only=True)
+class SnapshotRequest:
+    """Ask for the documents whose pool names come after a name."""
+
+    after: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class SnapshotEntry:
+    """A document; without data it is too large and has to be pulled."""
+
+    summary: versions.Summary
+    data: bytes = b""
+
+
+@messages.register("configuration.snapshot_part")
+@attrs.frozen(kw_only=True)
+class SnapshotPart:
+    """Documents in the order of their pool names.
+
+    Attributes
+    ----------
+    after : str
+        Name from the request.
+    ready : bool
+        False if the sender has no snapshot itself.
+    old : bool
+        The sender has reached neither the store nor a peer for a while.
+    last : bool
+        No documents follow.
+    """
+
+    after: str
+    ready: bool
+    old: bool = False
+    entries: tuple[SnapshotEntry, ...] = ()
+    last: bool = False
+
+
+@base.receive.register
+def receive_request(message: SnapshotRequest, board, host, now):
+    """Send a part of the snapshot to a starting node."""
+    if not board.configuration_ready:
+        part = SnapshotPart(after=message.after, ready=False)
+        dissemination.send(board, host, part)
+        return
+    # Taken before the request counts as contact: the question is whether the
+    # documents were kept up to date until now.
+    old = board.configuration.reported_old
+    dissemination.note_peer(board, now)
+    dissemination.send(board, host, _build_part(board, message.after, old))
+
+
+def _build_part(board, after: str, old: bool) -> SnapshotPart:
+    """Return the part of the snapshot that follows a pool name."""
+    names = sorted(name for name in board.documents if name > after)
+    entries = []
+    size = 0
+    for name in names[:PART_DOCUMENTS]:
+        data = dissemination.compress(board, name)
+        if len(data) > dissemination.PART_BYTES // 2:
+            data = b""
+        if size + len(data) > dissemination.PART_BYTES:
+            break
+        size += len(data)
+        summary = board.configuration.table.summaries[name]
+        entries.append(SnapshotEntry(summary=summary, data=data))
+    return SnapshotPart(
+        after=after,
+        ready=True,
+        old=old,
+        entries=tuple(entries),
+        last=len(entries) == len(names),
+    )
+
+
+@base.receive.register
+def receive_part(message: SnapshotPart, board, host, now):
+    """Apply a part of the snapshot and ask for the next one."""
+    snapshot = board.configuration.snapshot
+    awaited = snapshot.host == host and snapshot.after == message.after
+    if board.configuration_ready or not awaited:
+        return
+    if not message.ready:
+        snapshot.unready += 1
+        snapshot.host = ""
+        snapshot.deadline = now + UNREADY_RETRY_SECONDS
+        return
+    if message.old and snapshot.old < MAXIMUM_OLD:
+        snapshot.old += 1
+        snapshot.host = ""
+        snapshot.deadline = now
+        return
+    dissemination.note_peer(board, now)
+    for entry in message.entries:
+        _take_entry(board, entry, host, now)
+    if message.last:
+        _start_confirming(board, host, now)
+        return
+    if message.entries:
+        snapshot.after = message.entries[-1].summary.pool
+    _ask_peer(board, host, now)
+
+
+def _take_entry(board, entry: SnapshotEntry, host: str, now: float) -> None:
+    """Apply a document of a snapshot, or pull it if it was left out."""
+    if not board.configuration.table.is_newer(entry.summary):
+        return
+    if not entry.data:
+        dissemination.consider(board, entry.summary, host, False, now)
+        return
+    try:
+        document = dissemination.decompress(entry.data, entry.summary)
+    except exceptions.CodecError as error:
+        dissemination.report_damage(board, entry.summary.pool, host, error)
+        return
+    dissemination.adopt(board, document, now, source=host, fresh=False)
+
+
+def _ask_peer(board, host: str, now: float) -> None:
+    snapshot = board.configuration.snapshot
+    snapshot.host = host
+    snapshot.deadline = now + ANSWER_TIMEOUT_SECONDS
+    dissemination.send(board, host, SnapshotRequest(after=snapshot.after))
+
+
+def _start_confirming(board, host: str, now: float) -> None:
+    """Compare the snapshot with other peers before the node is ready."""
+    snapshot = board.configuration.snapshot
+    snapshot.loaded = True
+    snapshot.host = ""
+    snapshot.deadline = now + ANSWER_TIMEOUT_SECONDS
+    chosen = peers.choose_peers(board, CONFIRMING_PEERS, {host})
+    snapshot.confirming = set(chosen)
+    for peer in chosen:
+        digest = dissemination.Digest(root=board.configuration.table.root)
+        dissemination.send(board, peer, digest)
+
+
+def step(board, now: float) -> None:
+    """Go on with the snapshot of a node that is not ready."""
+    if board.configuration_ready:
+        return
+    snapshot = board.configuration.snapshot
+    if snapshot.started_at is None:
+        snapshot.started_at = now
+    if snapshot.loaded:
+        _finish_confirming(board, now)
+        return
+    if snapshot.call_id:
+        if now >= snapshot.deadline:
+            snapshot.call_id = ""
+            snapshot.silent = 0
+        return
+    if now < snapshot.deadline:
+        return
+    if snapshot.host:
+        snapshot.host = ""
+        snapshot.silent += 1
+    if _must_read_store(board, now):
+        _read_store(board, now)
+        return
+    for host in peers.choose_peers(board, 1):
+        _ask_peer(board, host, now)
+
+
+def _finish_confirming(board, now: float) -> None:
+    """Become ready when the awaited peers answered and nothing is being pulled."""
+    snapshot = board.configuration.snapshot
+    waiting = snapshot.confirming and now < snapshot.deadline
+    if not waiting and not board.configuration.pulls:
+        _become_ready(board, now, "peer")
+
+
+def _must_read_store(board, now: float) -> bool:
+    """Return whether the snapshot has to come from the store."""
+    snapshot = board.configuration.snapshot
+    if now < snapshot.store_at:
+        return False
+    if not peers.list_peers(board):
+        return now - snapshot.started_at >= HOST_LIST_SECONDS
+    if snapshot.silent >= MAXIMUM_SILENT or snapshot.unready >= UNREADY_LIMIT:
+        return True
+    return snapshot.unready > 0 and peers.watcher_index(board) is not None
+
+
+def _read_store(board, now: float) -> None:
+    snapshot = board.configuration.snapshot
+    snapshot.call_id = board.next_id()
+    snapshot.deadline = now + STORE_TIMEOUT_SECONDS
+    snapshot.store_at = now + STORE_RETRY_SECONDS * board.random.uniform(1, 2)
+    operation = platform.ListPrefix(prefix=documents.KEY_PREFIX)
+    board.act(base.CallStore(call_id=snapshot.call_id, operation=operation))
+
+
+def take_store_answer(event: base.StoreAnswered, board, now: float) -> bool:
+    """Apply the documents of the store; return whether the answer belongs here."""
+    snapshot = board.configuration.snapshot
+    if not event.call_id or event.call_id != snapshot.call_id:
+        return False
+    snapshot.call_id = ""
+    snapshot.silent = snapshot.unready = 0
+    snapshot.deadline = now
+    if event.result.is_err() or board.configuration_ready:
+        return True
+    board.configuration.heard_at = now
+    for entry in event.result.unwrap():
+        try:
+            document = declarations.decode_document(entry.value)
+        except exceptions.CodecError as error:
+            dissemination.report_damage(board, entry.key, "store", error)
+            continue
+        dissemination.adopt(board, document, now, source="store", fresh=False)
+    _become_ready(board, now, "store")
+    return True
+
+
+def _become_ready(board, now: float, source: str) -> None:
+    board.configuration_ready = True
+    board.log(
+        logs.LogEvent.SNAPSHOT_TAKEN,
+        source=source,
+        pools=len(board.documents),
+        seconds=round(now - board.configuration.snapshot.started_at, 2),
+    )
--- /dev/null
+++ b/hyssopshelf/configuration/state.py
@@ -0,0 +1,226 @@
+"""State of the configuration controllers on the blackboard."""
+
+from typing import Any
+
+import attrs
+
+from hyssopshelf.configuration import resources, versions
+
+UNKNOWN_TIME = float("-inf")
+
+
+@attrs.define(kw_only=True)
+class Push:
+    """Offers of one document that are still to be sent.
+
+    Attributes
+    ----------
+    rounds : int
+        Rounds left; each goes to other random peers.
+    informed : set of str
+        Hosts that were told of the version or told it to this node.
+    """
+
+    rounds: int
+    next_at: float
+    informed: set[str] = attrs.field(factory=set)
+
+
+@attrs.define(kw_only=True)
+class Pull:
+    """A document that is being fetched from a peer.
+
+    Attributes
+    ----------
+    summary : Summary
+        What the peer offered.
+    host : str
+        The peer that was asked.
+    others : list of str
+        Peers that offered the same, asked in turn if the first fails.
+    deadline : float
+        Time at which the next part is given up.
+    fresh : bool
+        The offer came by push; the node then pushes on in full.
+    parts : bytearray
+        Compressed data received so far.
+    """
+
+    summary: versions.Summary
+    host: str
+    deadline: float
+    fresh: bool
+    others: list[str] = attrs.field(factory=list)
+    parts: bytearray = attrs.field(factory=bytearray)
+
+
+@attrs.define(kw_only=True)
+class Snapshot:
+    """Progress of a starting node.
+
+    Attributes
+    ----------
+    host : str
+        The peer that was asked, empty if none is.
+    after : str
+        Pool name after which the next part starts.
+    deadline : float
+        Time at which the peer or the store call is given up.
+    silent, unready, old : int
+        Attempts that got no answer, an answer of a node without a snapshot,
+        or an answer of a node whose configuration may be old.
+    call_id : str
+        Store call that reads all documents, empty if none runs.
+    store_at : float
+        Time before which the store is not called again.
+    confirming : set of str
+        Peers whose digest is awaited before the node is ready.
+    loaded : bool
+        All documents of a peer were received.
+    """
+
+    started_at: float | None = None
+    host: str = ""
+    after: str = ""
+    deadline: float = UNKNOWN_TIME
+    silent: int = 0
+    unready: int = 0
+    old: int = 0
+    call_id: str = ""
+    store_at: float = UNKNOWN_TIME
+    confirming: set[str] = attrs.field(factory=set)
+    loaded: bool = False
+
+
+@attrs.define(kw_only=True)
+class Repair:
+    """A stored document that a node has to replace by its higher version."""
+
+    due: float
+    revision: int
+    lost_change_ids: tuple[str, ...] = ()
+
+
+@attrs.define(kw_only=True)
+class StoreWatch:
+    """The watch of a node that reads the store for the others.
+
+    Attributes
+    ----------
+    index : int or None
+        Position of the node among the watchers, None if it is not one.
+    revision : int or None
+        Revision up to which the store was read, None before the first read.
+    call_id : str
+        The waiting call, empty if none is.
+    retry_seconds : float
+        Delay after the next failure.
+    repairs : dict of str to Repair
+        Documents to write back, by pool.
+    repair_calls : dict of str to str
+        Running write, by call id, with its pool.
+    """
+
+    index: int | None = None
+    decide_at: float = UNKNOWN_TIME
+    revision: int | None = None
+    call_id: str = ""
+    deadline: float = UNKNOWN_TIME
+    next_at: float = UNKNOWN_TIME
+    retry_seconds: float = 0.0
+    repairs: dict[str, Repair] = attrs.field(factory=dict)
+    repair_calls: dict[str, str] = attrs.field(factory=dict)
+
+
+@attrs.define(kw_only=True)
+class StatusQuery:
+    """A question about a version that this node has passed on.
+
+    Attributes
+    ----------
+    parent : str
+        Host that asked, empty at the node that an operator asked.
+    operation : str
+        Operation of the resource API that waits for the result.
+    waiting : dict of str to tuple of str
+        Hosts asked and the hosts that each has to ask in turn.
+    retry_at : float
+        Time at which hosts that did not answer are passed over.
+    """
+
+    id: str
+    parent: str
+    operation: str
+    pool: str
+    version: int
+    deadline: float
+    retry_at: float
+    in_force: int = 0
+    missing: dict[str, int] = attrs.field(factory=dict)
+    missing_count: int = 0
+    silent: list[str] = attrs.field(factory=list)
+    silent_count: int = 0
+    waiting: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
+
+
+@attrs.define(kw_only=True)
+class ApiOperation:
+    """A request of the resource API that waits for the store or for peers.
+
+    Attributes
+    ----------
+    call_id : str
+        Running store call, empty if none.
+    call_deadline : float
+        Time at which that call is given up.
+    next_at : float
+        Time of the next read after a failure.
+    candidate : Document or None
+        Document of the running compare-and-swap; None during a read.
+    revision : int
+        Revision of the document that was read last.
+    unsure_revision : int or None
+        Revision that a compare-and-swap of unknown outcome expects.
+    """
+
+    id: str
+    caller: str
+    request: Any
+    deadline: float
+    call_id: str = ""
+    call_deadline: float = UNKNOWN_TIME
+    next_at: float = UNKNOWN_TIME
+    retry_seconds: float = 0.0
+    candidate: resources.Document | None = None
+    revision: int = 0
+    unsure_revision: int | None = None
+
+
+@attrs.define(kw_only=True)
+class ConfigurationState:
+    """State of the configuration controllers.
+
+    Attributes
+    ----------
+    table : VersionTable
+        Versions and checksums of the documents in force.
+    encoded : dict
+        Compressed form of the documents that were sent last, by pool.
+    heard_at : float
+        Time at which a peer or the store was last reached.
+    reported_old : bool
+        The node has logged that its configuration may be old.
+    """
+
+    table: versions.VersionTable = attrs.field(factory=versions.VersionTable)
+    encoded: dict[str, tuple[versions.Summary, bytes]] = attrs.field(factory=dict)
+    pushes: dict[str, Push] = attrs.field(factory=dict)
+    pulls: dict[str, Pull] = attrs.field(factory=dict)
+    snapshot: Snapshot = attrs.field(factory=Snapshot)
+    watch: StoreWatch = attrs.field(factory=StoreWatch)
+    queries: dict[str, StatusQuery] = attrs.field(factory=dict)
+    operations: dict[str, ApiOperation] = attrs.field(factory=dict)
+    digest_at: float = UNKNOWN_TIME
+    heard_at: float | None = None
+    peer_heard_at: float | None = None
+    reported_old: bool = False
--- /dev/null
+++ b/hyssopshelf/configuration/status.py
@@ -0,0 +1,204 @@
+"""Status of a version: on how many nodes it is in force and where it is missing.
+
+The question goes down a tree of bounded fan-out when an operator asks; nodes do
+not report on their own. A node asks a few hosts and gives each a part of the
+list to ask in turn.
+"""
+
+import attrs
+
+from hyssopshelf import base, messages
+from hyssopshelf.configuration import dissemination, peers, state
+
+FAN_OUT = 8
+"""Hosts that one node asks; 5,100 nodes are reached in five levels."""
+
+REMAINING_SHARE = 0.8
+"""Part of its time that a node gives to the hosts it asks.
+
+It has the rest to collect their answers, so that one silent host deep in the
+tree does not cost the answers of the hosts around it.
+"""
+
+RETRY_SHARE = 0.5
+"""Part of the time after which silent hosts are passed over."""
+
+MAXIMUM_NAMES = 100
+"""Names of hosts in one answer; the numbers are always complete."""
+
+
+@messages.register("configuration.status_query")
+@attrs.frozen(kw_only=True)
+class StatusQuery:
+    """Ask for the version of a pool on the receiver and on ``hosts``."""
+
+    query_id: str
+    pool: str
+    version: int
+    hosts: tuple[str, ...]
+    remaining_seconds: float
+
+
+@messages.register("configuration.status_result")
+@attrs.frozen(kw_only=True)
+class StatusResult:
+    """Versions on the sender and on the hosts it asked.
+
+    Attributes
+    ----------
+    in_force : int
+        Nodes that hold the version or a higher one.
+    missing : dict of str to int
+        Version by host where a lower one is held, bounded in number.
+    silent : tuple of str
+        Hosts that did not answer, bounded in number.
+    """
+
+    query_id: str
+    in_force: int
+    missing: dict[str, int]
+    missing_count: int
+    silent: tuple[str, ...]
+    silent_count: int
+
+
+def start_query(
+    board, pool: str, version: int, operation: str, deadline: float, now: float
+) -> None:
+    """Ask all live nodes for a version on behalf of an operator."""
+    hosts = tuple(sorted(peers.list_peers(board)))
+    _open_query(
+        board, board.next_id(), "", operation, pool, version, hosts, deadline, now
+    )
+
+
+@base.receive.register
+def receive_query(message: StatusQuery, board, host, now):
+    """Report the own version and ask the hosts of the own part."""
+    dissemination.note_peer(board, now)
+    _open_query(
+        board,
+        message.query_id,
+        host,
+        "",
+        message.pool,
+        message.version,
+        message.hosts,
+        now + message.remaining_seconds,
+        now,
+    )
+
+
+def _open_query(
+    board, query_id, parent, operation, pool, version, hosts, deadline, now
+) -> None:
+    summary = board.configuration.table.summaries.get(pool)
+    held = summary.version if summary is not None and board.configuration_ready else 0
+    query = state.StatusQuery(
+        id=query_id,
+        parent=parent,
+        operation=operation,
+        pool=pool,
+        version=version,
+        deadline=deadline,
+        retry_at=now + (deadline - now) * RETRY_SHARE,
+    )
+    if held >= version:
+        query.in_force = 1
+    else:
+        query.missing[board.identity.host] = held
+        query.missing_count = 1
+    board.configuration.queries[query.id] = query
+    _ask(board, query, hosts, now)
+    _finish_if_complete(board, query)
+
+
+def _ask(board, query: state.StatusQuery, hosts: tuple[str, ...], now: float) -> None:
+    """Give each of a few hosts its part of the list."""
+    remaining = (query.deadline - now) * REMAINING_SHARE
+    for index in range(min(FAN_OUT, len(hosts))):
+        first, *rest = hosts[index::FAN_OUT]
+        query.waiting[first] = tuple(rest)
+        message = StatusQuery(
+            query_id=query.id,
+            pool=query.pool,
+            version=query.version,
+            hosts=tuple(rest),
+            remaining_seconds=remaining,
+        )
+        dissemination.send(board, first, message)
+
+
+@base.receive.register
+def receive_result(message: StatusResult, board, host, now):
+    """Add the answer of a host."""
+    dissemination.note_peer(board, now)
+    query = board.configuration.queries.get(message.query_id)
+    if query is None or query.waiting.pop(host, None) is None:
+        return
+    query.in_force += message.in_force
+    query.missing_count += message.missing_count
+    query.silent_count += message.silent_count
+    room = MAXIMUM_NAMES - len(query.missing)
+    query.missing.update(list(message.missing.items())[: max(0, room)])
+    query.silent.extend(message.silent)
+    del query.silent[MAXIMUM_NAMES:]
+    _finish_if_complete(board, query)
+
+
+def step(board, now: float) -> None:
+    """Pass over silent hosts and close questions whose time is over."""
+    for query in list(board.configuration.queries.values()):
+        if now >= query.deadline:
+            _give_up(query)
+            _finish_if_complete(board, query)
+        elif now >= query.retry_at:
+            _pass_over(board, query, now)
+
+
+def _pass_over(board, query: state.StatusQuery, now: float) -> None:
+    """Ask the hosts behind silent ones by way of others.
+
+    A host that only leads a slow part answers for nobody any more: its late
+    answer is dropped, so that no node is counted twice.
+    """
+    query.retry_at = now + (query.deadline - now) * RETRY_SHARE
+    leading = {host: rest for host, rest in query.waiting.items() if rest}
+    if not leading:
+        query.retry_at = query.deadline
+        return
+    for host, rest in leading.items():
+        del query.waiting[host]
+        _count_silent(query, (host,))
+        _ask(board, query, rest, now)
+
+
+def _count_silent(query: state.StatusQuery, hosts: tuple[str, ...]) -> None:
+    query.silent_count += len(hosts)
+    query.silent.extend(hosts[: max(0, MAXIMUM_NAMES - len(query.silent))])
+
+
+def _give_up(query: state.StatusQuery) -> None:
+    """Count all hosts that have not answered."""
+    for host, rest in query.waiting.items():
+        _count_silent(query, (host, *rest))
+    query.waiting.clear()
+
+
+def _finish_if_complete(board, query: state.StatusQuery) -> None:
+    """Answer the parent once all hosts have answered or were given up.
+
+    The answer to an operator is picked up by the API controller.
+    """
+    if query.waiting or not query.parent:
+        return
+    del board.configuration.queries[query.id]
+    result = StatusResult(
+        query_id=query.id,
+        in_force=query.in_force,
+        missing=dict(query.missing),
+        missing_count=query.missing_count,
+        silent=tuple(query.silent),
+        silent_count=query.silent_count,
+    )
+    dissemination.send(board, query.parent, result)
