--- a/hyssopshelf/configuration/dissemination.py
+++ b/hyssopshelf/configuration/dissemination.py
@@ -11,8 +11,8 @@
 
 from hyssopshelf import base, exceptions, logs, messages
 from hyssopshelf.configuration import (
+    application,
     declarations,
-    derivation,
     documents,
     peers,
     resources,
@@ -146,15 +146,9 @@
         _report_divergence(board, held, document, source)
     if not documents.supersedes(document, held):
         return False
-    derivation.apply_document(board, document, now)
+    application.apply_document(board, document, now, source)
     board.configuration.table.update(summarize(document))
     board.count("configuration_applied_total")
-    board.log(
-        logs.LogEvent.CONFIGURATION_APPLIED,
-        pool=document.pool,
-        version=document.version,
-        source=source,
-    )
     if board.configuration_ready:
         board.configuration.pushes[document.pool] = state.Push(
             rounds=OFFER_ROUNDS if fresh else 1,
--- /dev/null
+++ b/hyssopshelf/node.py
@@ -0,0 +1,169 @@
+"""The core of a node: its blackboard and the controllers that work on it."""
+
+import random
+
+from hyssopshelf import base, blackboard, logs
+from hyssopshelf.connections import pool
+from hyssopshelf.failover import confirmation, terms
+from hyssopshelf.membership import placement
+from hyssopshelf.statements import (
+    completion,
+    entry,
+    polling,
+    replay,
+    serving,
+    transactions,
+)
+
+TICK_SECONDS = 0.05
+"""Time between two ticks, in seconds."""
+
+PAUSE_SECONDS = 0.5
+"""A longer gap between two ticks counts as a pause of the process."""
+
+STEPS = (
+    replay.step,
+    placement.step,
+    polling.step,
+    transactions.step,
+    serving.step,
+    entry.step,
+)
+"""Periodic work of the controllers, in the order in which it runs."""
+
+
+class Node:
+    """The core of a node.
+
+    Parameters
+    ----------
+    identity : blackboard.Identity
+        Who the node is.
+    seed : int
+        Seed of the node's random choices.
+    token_keys : tuple of (str, bytes)
+        Keys of session tokens; the first one signs.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: blackboard.Identity,
+        seed: int,
+        token_keys: tuple[tuple[str, bytes], ...],
+    ) -> None:
+        self.board = blackboard.Blackboard(
+            identity=identity, random=random.Random(seed), token_keys=token_keys
+        )
+
+    def handle(self, event: base.Event, now: float) -> list[base.Action]:
+        """Apply an event and return the actions to carry out.
+
+        Parameters
+        ----------
+        event : base.Event
+            What happened.
+        now : float
+            Time on the node's monotonic clock, in seconds.
+        """
+        board = self.board
+        _measure_pause(board, now)
+        board.now = now
+        base.handle(event, board, now)
+        _settle(board, now)
+        actions, board.actions = board.actions, []
+        return actions
+
+
+def _measure_pause(board, now: float) -> None:
+    """Set the length of a pause of the process that just ended.
+
+    Work that arrived during a pause carries a remaining time that has partly
+    passed, so its deadline is shortened by the pause until the next tick.
+    """
+    if board.ticked_at is None:
+        return
+    gap = now - board.ticked_at
+    if gap > PAUSE_SECONDS and board.pause_seconds == 0.0:
+        board.log(logs.LogEvent.PAUSE_NOTICED, seconds=round(gap, 3))
+    board.pause_seconds = gap if gap > PAUSE_SECONDS else 0.0
+
+
+def _settle(board, now: float) -> None:
+    """Run the controllers that react to changes until nothing is left."""
+    while True:
+        completion.settle(board, now)
+        serving.settle(board, now)
+        entry.settle(board, now)
+        if not board.local_answers and not board.ready_endpoints:
+            break
+    confirmation.settle(board, now)
+
+
+@base.handle.register
+def handle_tick(event: base.Ticked, board, now) -> None:
+    """Run the periodic work of all controllers."""
+    for step in STEPS:
+        step(board, now)
+    board.ticked_at = now
+    board.pause_seconds = 0.0
+
+
+@base.handle.register
+def handle_peer(event: base.PeerReceived, board, now) -> None:
+    """Pass a message of another node to its controller."""
+    base.receive(event.message, board, event.host, now)
+
+
+@base.handle.register
+def handle_opened(event: base.ConnectionOpened, board, now) -> None:
+    """Use a connection that is ready."""
+    pool.receive_opened(board, event.connection, now)
+    record = board.connections.get(event.connection)
+    if record is not None:
+        board.ready_endpoints.add(record.endpoint)
+
+
+@base.handle.register
+def handle_failed(event: base.ConnectionFailed, board, now) -> None:
+    """Forget a connection that could not be opened."""
+    pool.receive_failed(board, event.connection, event.refused, event.reason, now)
+
+
+@base.handle.register
+def handle_closed(event: base.ConnectionClosed, board, now) -> None:
+    """End the work of a connection that closed."""
+    completion.receive_closed(board, event.connection, now)
+
+
+@base.handle.register
+def handle_answer(event: base.EndpointAnswered, board, now) -> None:
+    """Pass an endpoint's answer to its request."""
+    completion.receive_answer(
+        board, event.connection, event.request_id, event.answer, now
+    )
+
+
+@base.handle.register
+def handle_status(event: base.StatusReceived, board, now) -> None:
+    """Pass an endpoint's status to the controllers that asked for it."""
+    polling.receive_status(board, event.endpoint, event.probe_id, event.status, now)
+    confirmation.receive_status(
+        board, event.endpoint, event.probe_id, event.status, now
+    )
+    if event.status is not None:
+        terms.learn_status(board, event.status)
+        serving.receive_status(board, event.endpoint, now)
+
+
+@base.handle.register
+def handle_drain(event: base.DrainRequested, board, now) -> None:
+    """Stop taking new statements; those in flight go on."""
+    if not board.draining:
+        board.draining = True
+        board.log(logs.LogEvent.PROCESS_DRAINING, host=board.identity.host)
+
+
+def is_idle(board) -> bool:
+    """Return whether no statement or transaction is left on the node."""
+    return not (board.requests or board.served or board.transactions)
