--- a/hyssopshelf/configuration/dissemination.py
+++ b/hyssopshelf/configuration/dissemination.py
@@ -308,9 +308,8 @@
     """Answer a peer's digest with the own buckets if it differs."""
     note_peer(board, now)
     table = board.configuration.table
-    if not board.configuration_ready:
-        return
-    differs = message.root != table.root
+    # A node without a snapshot has nothing to compare.
+    differs = board.configuration_ready and message.root != table.root
     send(board, host, Buckets(buckets=tuple(table.buckets) if differs else ()))
 
 
--- a/hyssopshelf/configuration/snapshots.py
+++ b/hyssopshelf/configuration/snapshots.py
@@ -42,6 +42,9 @@
 
 CONFIRMING_PEERS = 2
 
+MAXIMUM_ASKERS = 8
+"""Starting nodes that a starting node tells when it is ready."""
+
 PART_DOCUMENTS = 32
 """Documents in one part; encoding them takes a few milliseconds of the peer."""
 
@@ -86,10 +89,19 @@
     last: bool = False
 
 
+@messages.register("configuration.snapshot_ready")
+@attrs.frozen(kw_only=True)
+class SnapshotReady:
+    """The sender, which had none when it was asked, now has a snapshot."""
+
+
 @base.receive.register
 def receive_request(message: SnapshotRequest, board, host, now):
     """Send a part of the snapshot to a starting node."""
     if not board.configuration_ready:
+        askers = board.configuration.snapshot.askers
+        if len(askers) < MAXIMUM_ASKERS:
+            askers.add(host)
         part = SnapshotPart(after=message.after, ready=False)
         dissemination.send(board, host, part)
         return
@@ -123,6 +135,15 @@
     )
 
 
+@base.receive.register
+def receive_ready(message: SnapshotReady, board, host, now):
+    """Take the snapshot from a peer that has become ready."""
+    snapshot = board.configuration.snapshot
+    busy = snapshot.host or snapshot.call_id or snapshot.loaded
+    if not board.configuration_ready and not busy:
+        _ask_peer(board, host, now)
+
+
 @base.receive.register
 def receive_part(message: SnapshotPart, board, host, now):
     """Apply a part of the snapshot and ask for the next one."""
@@ -265,10 +286,13 @@
 
 
 def _become_ready(board, now: float, source: str) -> None:
+    snapshot = board.configuration.snapshot
     board.configuration_ready = True
+    for host in sorted(snapshot.askers):
+        dissemination.send(board, host, SnapshotReady())
     board.log(
         logs.LogEvent.SNAPSHOT_TAKEN,
         source=source,
         pools=len(board.documents),
-        seconds=round(now - board.configuration.snapshot.started_at, 2),
+        seconds=round(now - snapshot.started_at, 2),
     )
--- a/hyssopshelf/configuration/state.py
+++ b/hyssopshelf/configuration/state.py
@@ -77,6 +77,8 @@
         Peers whose digest is awaited before the node is ready.
     loaded : bool
         All documents of a peer were received.
+    askers : set of str
+        Starting hosts to tell when this node is ready.
     """
 
     started_at: float | None = None
@@ -90,6 +92,7 @@
     store_at: float = UNKNOWN_TIME
     confirming: set[str] = attrs.field(factory=set)
     loaded: bool = False
+    askers: set[str] = attrs.field(factory=set)
 
 
 @attrs.define(kw_only=True)
--- a/hyssopshelf/configuration/status.py
+++ b/hyssopshelf/configuration/status.py
@@ -13,15 +13,15 @@
 FAN_OUT = 8
 """Hosts that one node asks; 5,100 nodes are reached in five levels."""
 
-REMAINING_SHARE = 0.8
-"""Part of its time that a node gives to the hosts it asks.
+RETRY_SHARE = 0.6
+"""Part of its time after which a node passes over silent hosts."""
 
-It has the rest to collect their answers, so that one silent host deep in the
-tree does not cost the answers of the hosts around it.
-"""
+REMAINING_SHARE = 0.85
+"""Part of the time until then that a node gives to the hosts it asks.
 
-RETRY_SHARE = 0.5
-"""Part of the time after which silent hosts are passed over."""
+A host answers before it is passed over even if a host below it is silent. Of
+5 s the fifth level has 0.3 s, ten times the longest round trip.
+"""
 
 MAXIMUM_NAMES = 100
 """Names of hosts in one answer; the numbers are always complete."""
@@ -115,7 +115,7 @@
 
 def _ask(board, query: state.StatusQuery, hosts: tuple[str, ...], now: float) -> None:
     """Give each of a few hosts its part of the list."""
-    remaining = (query.deadline - now) * REMAINING_SHARE
+    remaining = (query.retry_at - now) * REMAINING_SHARE
     for index in range(min(FAN_OUT, len(hosts))):
         first, *rest = hosts[index::FAN_OUT]
         query.waiting[first] = tuple(rest)
--- a/hyssopshelf/configuration/watching.py
+++ b/hyssopshelf/configuration/watching.py
@@ -89,6 +89,10 @@
         max(2 * watch.retry_seconds, FIRST_RETRY_SECONDS), MAXIMUM_RETRY_SECONDS
     )
     watch.next_at = now + watch.retry_seconds * board.random.uniform(0.5, 1)
+    # After an outage all is read again: the store may have lost data or
+    # dropped the history that the watch continues from.
+    if watch.retry_seconds == MAXIMUM_RETRY_SECONDS:
+        watch.revision = None
 
 
 def _call(board, now: float) -> None:
