--- a/hyssopshelf/blackboard.py
+++ b/hyssopshelf/blackboard.py
@@ -12,17 +12,13 @@
 from hyssopshelf import base, logs, messages
 from hyssopshelf.configuration import resources, state, views
 from hyssopshelf.connections import records
-from hyssopshelf.failover import confirmation, tickets
-from hyssopshelf.scheduling import queues, work
+from hyssopshelf.failover import confirmation, state, tickets
+from hyssopshelf.membership import protocol as membership_protocol
+from hyssopshelf.membership import records as host_records
+from hyssopshelf.scheduling import budgets, limits, queues, shares, work
 
-
-class HostState(enum.Enum):
-    """What this node believes of a host."""
-
-    ALIVE = "alive"
-    SUSPECT = "suspect"
-    DEAD = "dead"
-    LEAVING = "leaving"
+HostState = host_records.HostState
+HostRecord = host_records.HostRecord
 
 
 @attrs.frozen(kw_only=True)
@@ -48,18 +44,6 @@
     incarnation: int = 0
 
 
-@attrs.define(kw_only=True)
-class HostRecord:
-    """A host as this node sees it."""
-
-    name: str
-    address: str
-    place: str
-    region: str = ""
-    state: HostState = HostState.ALIVE
-    incarnation: int = 0
-
-
 @attrs.define(kw_only=True)
 class EndpointRecord:
     """An endpoint as this node sees it.
@@ -108,6 +92,8 @@
         Endpoint that is primary in that term, empty if unknown.
     fenced_term : int
         Highest term known to be proposed; may exceed ``term`` in a failover.
+    held_until : float
+        New writes wait until this time or a new term, for a planned change.
     """
 
     name: str
@@ -116,6 +102,7 @@
     term: int = 0
     primary: str = ""
     fenced_term: int = 0
+    held_until: float = float("-inf")
 
 
 @attrs.define(kw_only=True)
@@ -148,6 +135,7 @@
     retry_at: float = 0.0
     sent_at: float = 0.0
     primary_only: bool = False
+    admitted: bool = False
     answer: messages.ServedAnswer | None = None
 
 
@@ -242,6 +230,9 @@
     token_keys: tuple[tuple[str, bytes], ...] = ()
 
     hosts: dict[str, HostRecord] = attrs.field(factory=dict)
+    membership: membership_protocol.Membership = attrs.field(
+        factory=membership_protocol.Membership
+    )
     endpoints: dict[str, EndpointRecord] = attrs.field(factory=dict)
     databases: dict[str, DatabaseRecord] = attrs.field(factory=dict)
     documents: dict[str, resources.Document] = attrs.field(factory=dict)
@@ -272,6 +263,10 @@
     confirmations: confirmation.ConfirmationState = attrs.field(
         factory=confirmation.ConfirmationState
     )
+    failover: state.FailoverState = attrs.field(factory=state.FailoverState)
+    usage: shares.UsageState = attrs.field(factory=shares.UsageState)
+    admission: limits.LimitState = attrs.field(factory=limits.LimitState)
+    retry_budget: budgets.RetryBudget = attrs.field(factory=budgets.RetryBudget)
 
     actions: list[base.Action] = attrs.field(factory=list)
     counters: dict[str, float] = attrs.field(factory=dict)
@@ -279,7 +274,8 @@
     ticked_at: float | None = None
     pause_seconds: float = 0.0
     draining: bool = False
-    drain_deadline: float | None = None
+    drained_at: float = float("-inf")
+    forwarded_at: float = float("-inf")
     configuration_ready: bool = False
     _sequence: int = 0
 
--- a/hyssopshelf/node.py
+++ b/hyssopshelf/node.py
@@ -4,8 +4,9 @@
 
 from hyssopshelf import base, blackboard, logs
 from hyssopshelf.connections import pool
-from hyssopshelf.failover import confirmation, terms
-from hyssopshelf.membership import placement
+from hyssopshelf.failover import confirmation, detection, leases, promotion
+from hyssopshelf.membership import hosts, placement
+from hyssopshelf.scheduling import limits, shares
 from hyssopshelf.statements import (
     completion,
     entry,
@@ -21,13 +22,21 @@
 PAUSE_SECONDS = 0.5
 """A longer gap between two ticks counts as a pause of the process."""
 
+QUIET_SECONDS = 1.0
+"""A draining node stops when no statement came from a peer for this time."""
+
 STEPS = (
     replay.step,
+    hosts.step,
     placement.step,
     polling.step,
+    detection.step,
+    promotion.step,
     transactions.step,
     serving.step,
     entry.step,
+    limits.step,
+    shares.step,
 )
 """Periodic work of the controllers, in the order in which it runs."""
 
@@ -151,19 +160,32 @@
     confirmation.receive_status(
         board, event.endpoint, event.probe_id, event.status, now
     )
+    detection.receive_status(board, event.endpoint, event.probe_id, event.status, now)
     if event.status is not None:
-        terms.learn_status(board, event.status)
         serving.receive_status(board, event.endpoint, now)
 
 
+@base.handle.register
+def handle_store(event: base.StoreAnswered, board, now) -> None:
+    """Pass the end of a store call to the controller that made it."""
+    leases.receive_store(board, event.call_id, event.result, now)
+
+
 @base.handle.register
 def handle_drain(event: base.DrainRequested, board, now) -> None:
     """Stop taking new statements; those in flight go on."""
     if not board.draining:
         board.draining = True
+        board.drained_at = now
         board.log(logs.LogEvent.PROCESS_DRAINING, host=board.identity.host)
 
 
-def is_idle(board) -> bool:
-    """Return whether no statement or transaction is left on the node."""
-    return not (board.requests or board.served or board.transactions)
+def is_idle(board, now: float) -> bool:
+    """Return whether a draining node can stop without cutting a request.
+
+    Peers may forward statements until they have learned that the host leaves,
+    so the node also waits until none has come for a while.
+    """
+    if board.requests or board.served or board.transactions:
+        return False
+    return now - max(board.drained_at, board.forwarded_at) >= QUIET_SECONDS
