--- a/hyssopshelf/configuration/application.py
+++ b/hyssopshelf/configuration/application.py
@@ -4,8 +4,22 @@
 from hyssopshelf.configuration import resources, views
 
 
-def apply_document(board, document: resources.Document, now: float) -> None:
-    """Put a document in force; endpoints that stay keep their state."""
+def apply_document(
+    board, document: resources.Document, now: float, source: str = ""
+) -> None:
+    """Put a document in force; endpoints and databases that stay keep their state.
+
+    Parameters
+    ----------
+    board : blackboard.Blackboard
+        State of the node.
+    document : Document
+        The document; the caller has checked that it is newer.
+    now : float
+        Time on the node's clock, in seconds.
+    source : str
+        Where the document came from, for the log.
+    """
     board.documents[document.pool] = document
     view = views.build_view(document)
     _remove_missing(board, document.pool, view)
@@ -19,6 +33,7 @@
         logs.LogEvent.CONFIGURATION_APPLIED,
         pool=document.pool,
         version=document.version,
+        source=source,
     )
 
 
@@ -32,6 +47,8 @@
         )
     else:
         record.endpoints = names
+        if record.primary not in names:
+            record.primary = ""
     for full_name, endpoint in zip(names, spec.endpoints, strict=True):
         _apply_endpoint(board, pool, name, full_name, endpoint, now)
 
