Report a finite age from an instance that never heard a primary

Cause: a new instance reported an infinite age. JSON has no infinity, so the control reply carried null and the node could not decode the status. No node could see a group before its first primary.

Change: times before any event are -1e9 s instead of minus infinity.

Conclusion: a status survives the wire in every state of an instance.

--- a/hyssopshelf/standins/database.py
+++ b/hyssopshelf/standins/database.py
@@ -9,6 +9,9 @@
 from hyssopshelf import messages
 from hyssopshelf.consistency import positions
 
+NEVER = -1e9
+"""Time before any event, in seconds. JSON has no infinity for the age since."""
+
 
 @attrs.frozen(kw_only=True)
 class Change:
@@ -109,8 +112,8 @@
     _outcomes: dict[str, int] = attrs.field(factory=dict)
     _arrivals: list[float] = attrs.field(factory=list)
     _markers: list[_Marker] = attrs.field(factory=list)
-    _fresh_at: float = float("-inf")
-    _heard_at: float = float("-inf")
+    _fresh_at: float = NEVER
+    _heard_at: float = NEVER
 
     @property
     def position(self) -> int:
