Count a renewed replication age as a sign of life

Cause: the age that a replica reports counts from the sending of a fetch. With a primary that takes 1.5 s for each fetch it reaches 3 s, so a slow primary looked lost although a slow answer is an answer.

Change: an age renewed since the previous report tells that the replica heard its primary since then.

Conclusion: slowness below the window no longer replaces a primary.

--- a/hyssopshelf/failover/detection.py
+++ b/hyssopshelf/failover/detection.py
@@ -239,15 +239,15 @@
             watch.progress_at = now
     previous = watch.reports.get(endpoint)
     if previous is None or previous.asked_at <= poll.asked_at:
-        watch.reports[endpoint] = observations.Report(
-            asked_at=poll.asked_at, received_at=now, status=status
+        watch.reports[endpoint] = observations.build_report(
+            previous, poll.asked_at, status, now
         )
     if endpoint == record.primary:
         watch.alive_at = now
         watch.unanswered = [at for at in watch.unanswered if at > poll.asked_at]
         watch.unreached.clear()
     elif status.primary == record.primary:
-        watch.alive_at = max(watch.alive_at, now - status.upstream_age_seconds)
+        watch.alive_at = max(watch.alive_at, watch.reports[endpoint].heard_at)
     _note_discarded(board, watch, endpoint, status)
     _lead_follower(board, record, watch, endpoint, status, now)
 
--- a/hyssopshelf/failover/observations.py
+++ b/hyssopshelf/failover/observations.py
@@ -20,22 +20,57 @@
 FRESH_SECONDS = 1.0
 """Age up to which a report is evidence."""
 
+RENEWAL_SECONDS = 0.1
+"""Least change of the time of a fetch that is not a change of network delay."""
+
 UNANSWERED_POLLS = 2
 """Polls without an answer that are needed to call a primary unreachable."""
 
 
 @attrs.frozen(kw_only=True)
 class Report:
-    """The newest answer of an endpoint."""
+    """The newest answer of an endpoint.
+
+    Attributes
+    ----------
+    sent_at : float
+        When the endpoint sent the last fetch that its primary answered.
+    heard_at : float
+        When the endpoint is known to have heard its primary.
+    """
 
     asked_at: float
     received_at: float
     status: messages.EndpointStatus
+    sent_at: float
+    heard_at: float
 
-    @property
-    def heard_at(self) -> float:
-        """Return when the endpoint last heard its primary."""
-        return self.received_at - self.status.upstream_age_seconds
+
+def build_report(
+    previous: Report | None,
+    asked_at: float,
+    status: messages.EndpointStatus,
+    now: float,
+) -> Report:
+    """Return the report of an endpoint that follows its previous one.
+
+    The reported age counts from the sending of a fetch. With a slow primary it
+    is large although answers keep coming, so an age that was renewed since the
+    previous report tells that the endpoint heard its primary since then.
+    """
+    sent_at = now - status.upstream_age_seconds
+    heard_at = sent_at
+    if previous is not None:
+        heard_at = max(heard_at, previous.heard_at)
+        if sent_at > previous.sent_at + RENEWAL_SECONDS:
+            heard_at = max(heard_at, previous.received_at)
+    return Report(
+        asked_at=asked_at,
+        received_at=now,
+        status=status,
+        sent_at=sent_at,
+        heard_at=heard_at,
+    )
 
 
 @attrs.define(kw_only=True)
