Let a store lease block another promoter for one second only

Cause: a promoter that died after fencing left a lease that kept its successor waiting for a full time to live.

Change: another node's lease blocks for 1 s. A living holder raises a term within that time, and watchers wait for it after that.

--- a/hyssopshelf/failover/leases.py
+++ b/hyssopshelf/failover/leases.py
@@ -18,6 +18,13 @@
 LEASE_SECONDS = 3.0
 """Time to live of the lease; a promoter that dies blocks nobody for longer."""
 
+BLOCKED_SECONDS = 1.0
+"""Time for which another node's lease blocks this one.
+
+A holder that is alive raises a term within this time, and the watchers wait for
+it after that. A holder that is dead must not delay its successor for long.
+"""
+
 RETRY_SECONDS = 5.0
 """Time between attempts to write the record."""
 
@@ -82,8 +89,7 @@
 def is_blocked(board, database: str, now: float) -> bool:
     """Return whether another node holds the lease.
 
-    Another node's lease blocks for one time to live, counted on this node's
-    clock, and never longer, whatever the store says.
+    The time counts on this node's clock, whatever the store says.
     """
     lease = board.failover.stored.leases.get(database)
     return lease is not None and now < lease.blocked_until
@@ -158,7 +164,7 @@
     if lease is None or swapped.succeeded or swapped.current is None:
         return
     if swapped.current.value != board.identity.host.encode():
-        lease.blocked_until = now + LEASE_SECONDS
+        lease.blocked_until = now + BLOCKED_SECONDS
         board.log(
             logs.LogEvent.PROMOTION_LEFT,
             database=database,
