Hold new writes during a planned change and wait for a quiet log

Cause: without a hold the old primary's log grew between the comparison with the target and the fence, so the old primary was promoted again.

Change: routing gives no endpoint for a new write while the database is held, and the entry node parks it until the term changes. A planned change fences only when the old primary's log has not grown for 50 ms.

--- a/hyssopshelf/consistency/routing.py
+++ b/hyssopshelf/consistency/routing.py
@@ -46,6 +46,8 @@
             return Route(endpoint=replica, reason="replica")
     if not database.primary or database.primary not in board.endpoints:
         return None
+    if not reading and now < database.held_until:
+        return None
     return Route(endpoint=database.primary, reason="primary")
 
 
--- a/hyssopshelf/failover/promotion.py
+++ b/hyssopshelf/failover/promotion.py
@@ -37,6 +37,9 @@
 SETTLE_SECONDS = 0.1
 """Time for the hold of new writes to reach the nodes in a planned change."""
 
+QUIET_SECONDS = 0.05
+"""Time without a new entry that shows that writes in flight have ended."""
+
 PROBE_SECONDS = 0.05
 """Time between two comparisons of the logs in a planned change."""
 
@@ -83,8 +86,10 @@
         State of the endpoints that granted the fence, after the grant.
     fenced_at : float or None
         Time at which a majority had granted it.
-    ends : dict of str to EndpointStatus
-        Log ends seen while a planned change waits for its target.
+    end, target_end : Position or None
+        Log ends of the old primary and the target of a planned change.
+    ended_at : float
+        Time at which the old primary's log end was first seen.
     """
 
     database: str
@@ -102,7 +107,9 @@
     fenced_at: float | None = None
     next_call_at: float = float("-inf")
     chosen: str = ""
-    ends: dict[str, messages.EndpointStatus] = attrs.field(factory=dict)
+    end: messages.Position | None = None
+    target_end: messages.Position | None = None
+    ended_at: float = float("inf")
 
 
 @attrs.define(kw_only=True)
@@ -214,12 +221,16 @@
     attempt = _find_attempt(board, probe_id)
     if attempt is None or attempt.phase is not Phase.CATCHING_UP or status is None:
         return
-    attempt.ends[endpoint] = status
     primary = board.databases[attempt.database].primary
-    first, second = attempt.ends.get(primary), attempt.ends.get(attempt.target)
-    if first is None or second is None or now < attempt.started_at + SETTLE_SECONDS:
-        return
-    if first.role is messages.Role.PRIMARY and _get_end(second) == _get_end(first):
+    if endpoint == primary and status.role is messages.Role.PRIMARY:
+        end = _get_end(status)
+        if end != attempt.end:
+            attempt.end = end
+            attempt.ended_at = now
+    if endpoint == attempt.target:
+        attempt.target_end = _get_end(status)
+    settled = max(attempt.started_at + SETTLE_SECONDS, attempt.ended_at + QUIET_SECONDS)
+    if now >= settled and attempt.end is not None and attempt.target_end == attempt.end:
         attempt.phase = Phase.FENCING
         attempt.deadline = now + FENCE_SECONDS
         _start_fencing(board, attempt, now)
--- a/hyssopshelf/statements/entry.py
+++ b/hyssopshelf/statements/entry.py
@@ -99,7 +99,14 @@
     """Choose the endpoint and serving node of a statement and send it there."""
     target = _choose_target(board, request, now)
     if target is None:
-        park(board, request, "no endpoint or serving node is known", now)
+        database = board.databases[
+            f"{request.statement.pool}/{request.statement.database}"
+        ]
+        held = now < database.held_until
+        reason = "no endpoint or serving node is known"
+        if held:
+            reason = "new writes wait for a planned change of primary"
+        park(board, request, reason, now, term=database.term if held else 0)
         return
     route, host = target
     request.parked = False
