Account slot time and write the bill to the store

Cause: the partners share costs by slot time, hosts keep no state, and store answers get lost.

Change: a grow-only account per host and incarnation; changed parts go to two keepers each second, preferably in other places, and to the pool's writer. Copies merge by maximum. The writer keeps one document a pool, written by compare-and-swap once a minute; after a lost answer it reads the document back and merges again. Accounts of ended incarnations are folded into a closed sum inside the document, and a mark keeps late copies from counting twice.

--- a/hyssopshelf/blackboard.py
+++ b/hyssopshelf/blackboard.py
@@ -13,7 +13,7 @@
 from hyssopshelf.configuration import resources, views
 from hyssopshelf.connections import records
 from hyssopshelf.failover import confirmation, tickets
-from hyssopshelf.scheduling import limits, queues, shares, work
+from hyssopshelf.scheduling import billing, limits, queues, shares, work
 
 
 class HostState(enum.Enum):
@@ -271,6 +271,7 @@
     )
     usage: shares.UsageState = attrs.field(factory=shares.UsageState)
     admission: limits.LimitState = attrs.field(factory=limits.LimitState)
+    bills: billing.BillingState = attrs.field(factory=billing.BillingState)
 
     actions: list[base.Action] = attrs.field(factory=list)
     counters: dict[str, float] = attrs.field(factory=dict)
--- /dev/null
+++ b/hyssopshelf/scheduling/accounts.py
@@ -0,0 +1,289 @@
+"""Slot time accounts and the document that holds the bill of a pool."""
+
+import json
+import zlib
+
+import attrs
+
+from hyssopshelf import exceptions, messages
+
+LATE_WRITES = 1440
+"""Writes of the document, a day at one a minute, for which the account of a host
+that is gone is kept open after its last change, and for which the mark of such
+a host is kept after its account was folded. Counting writes needs no clock
+that hosts share, and goes on when another host becomes the writer."""
+
+LARGEST_PART = 12
+"""Amounts in one message. A message then stays below half of the byte budget of a
+second, so that large accounts cannot exceed it forever."""
+
+Amounts = dict[tuple[str, str], float]
+"""Slot seconds by partner and rank."""
+
+
+@attrs.frozen(kw_only=True)
+class Account:
+    """Slot time that one incarnation of a host has served in a pool.
+
+    Amounts only grow, so two copies merge by the maximum of each.
+
+    Attributes
+    ----------
+    pool, host : str
+        Whose account it is.
+    incarnation : int
+        Incarnation of the node on the host.
+    amounts : tuple of (str, str, float)
+        Partner, rank and slot seconds.
+    changed : int
+        In a document: its sequence when the amounts last changed.
+    """
+
+    pool: str
+    host: str
+    incarnation: int
+    amounts: tuple[tuple[str, str, float], ...]
+    changed: int = 0
+
+
+@messages.register("scheduling.account")
+@attrs.frozen(kw_only=True)
+class AccountCopy:
+    """A part of an account, as it is sent to another node.
+
+    Attributes
+    ----------
+    names : tuple of str
+        Names of partners and ranks, each sent once to save bytes.
+    amounts : tuple of (int, int, float)
+        Indexes of partner and rank in ``names``, and slot seconds.
+    """
+
+    pool: str
+    host: str
+    incarnation: int
+    names: tuple[str, ...]
+    amounts: tuple[tuple[int, int, float], ...]
+
+
+@attrs.frozen(kw_only=True)
+class Folded:
+    """Mark that all incarnations of a host up to one are in the closed sum.
+
+    ``sequence`` is the document's sequence at which it was set.
+    """
+
+    host: str
+    incarnation: int
+    sequence: int
+
+
+@attrs.frozen(kw_only=True)
+class Bill:
+    """Bill document of a pool, kept in the store under ``billing/<pool>``.
+
+    Attributes
+    ----------
+    sequence : int
+        Raised by one with each write.
+    closed : tuple of (str, str, float)
+        Sum of all folded accounts.
+    accounts : tuple of Account
+        Accounts that can still grow.
+    folded : tuple of Folded
+        Incarnations whose accounts are in ``closed``; late copies of them
+        are ignored, as they would count twice.
+    """
+
+    pool: str
+    sequence: int = 0
+    closed: tuple[tuple[str, str, float], ...] = ()
+    accounts: tuple[Account, ...] = ()
+    folded: tuple[Folded, ...] = ()
+
+
+@attrs.define(kw_only=True)
+class PoolAccounts:
+    """Accounts of a pool in memory.
+
+    Attributes
+    ----------
+    open : dict of (str, int) to Amounts
+        Accounts by host and incarnation.
+    closed : Amounts
+        Closed sum of the last document read or written.
+    folded : dict of str to Folded
+        Marks of that document by host.
+    stored : dict of (str, int) to Account
+        Open accounts of that document.
+    sequence : int
+        Sequence of that document.
+    """
+
+    open: dict[tuple[str, int], Amounts] = attrs.field(factory=dict)
+    closed: Amounts = attrs.field(factory=dict)
+    folded: dict[str, Folded] = attrs.field(factory=dict)
+    stored: dict[tuple[str, int], Account] = attrs.field(factory=dict)
+    sequence: int = 0
+
+    def is_folded(self, host: str, incarnation: int) -> bool:
+        """Return whether an account is part of the closed sum."""
+        mark = self.folded.get(host)
+        return mark is not None and incarnation <= mark.incarnation
+
+    def merge(self, account: Account) -> bool:
+        """Merge a copy of an account; return False if it is folded already."""
+        if self.is_folded(account.host, account.incarnation):
+            return False
+        amounts = self.open.setdefault((account.host, account.incarnation), {})
+        for partner, rank, seconds in account.amounts:
+            key = (partner, rank)
+            amounts[key] = max(amounts.get(key, 0.0), seconds)
+        return True
+
+    def adopt(self, bill: Bill) -> None:
+        """Take over a document that the store holds."""
+        self.sequence = bill.sequence
+        self.closed = {(p, r): seconds for p, r, seconds in bill.closed}
+        self.folded = {mark.host: mark for mark in bill.folded}
+        self.stored = {(row.host, row.incarnation): row for row in bill.accounts}
+        for key in [key for key in self.open if self.is_folded(*key)]:
+            del self.open[key]
+        for account in bill.accounts:
+            self.merge(account)
+
+    def export(self, pool: str, host: str, incarnation: int) -> Account:
+        """Return an account in the form that is sent and stored."""
+        amounts = self.open[host, incarnation]
+        return Account(
+            pool=pool,
+            host=host,
+            incarnation=incarnation,
+            amounts=_listed(amounts),
+        )
+
+    def is_quiet(self, host: str, incarnation: int) -> bool:
+        """Return whether an account did not change for a day of writes."""
+        row = self.stored.get((host, incarnation))
+        return (
+            row is not None
+            and row.amounts == _listed(self.open[host, incarnation])
+            and self.sequence - row.changed >= LATE_WRITES
+        )
+
+    def draft(self, pool: str, ended: set[tuple[str, int]], present: set[str]) -> Bill:
+        """Return the next document without changing the state in memory.
+
+        Parameters
+        ----------
+        pool : str
+            Name of the pool.
+        ended : set of (str, int)
+            Incarnations that can no longer grow; they are folded.
+        present : set of str
+            Hosts whose marks have to stay.
+        """
+        sequence = self.sequence + 1
+        last: dict[str, int] = {}
+        for host, incarnation in ended & self.open.keys():
+            last[host] = max(incarnation, last.get(host, incarnation))
+        closed = dict(self.closed)
+        kept = []
+        for host, incarnation in sorted(self.open):
+            if host not in last or incarnation > last[host]:
+                kept.append(self._export_stored(pool, host, incarnation))
+                continue
+            for key, seconds in self.open[host, incarnation].items():
+                closed[key] = closed.get(key, 0.0) + seconds
+        folded = {
+            host: mark
+            for host, mark in self.folded.items()
+            if host in present or sequence - mark.sequence < LATE_WRITES
+        }
+        for host, incarnation in last.items():
+            folded[host] = Folded(host=host, incarnation=incarnation, sequence=sequence)
+        return Bill(
+            pool=pool,
+            sequence=sequence,
+            closed=_listed(closed),
+            accounts=tuple(kept),
+            folded=tuple(folded[host] for host in sorted(folded)),
+        )
+
+    def _export_stored(self, pool: str, host: str, incarnation: int) -> Account:
+        exported = self.export(pool, host, incarnation)
+        row = self.stored.get((host, incarnation))
+        if row is not None and row.amounts == exported.amounts:
+            return row
+        return attrs.evolve(exported, changed=self.sequence + 1)
+
+    def total(self) -> Amounts:
+        """Return the sum of the closed and the open accounts."""
+        total = dict(self.closed)
+        for amounts in self.open.values():
+            for key, seconds in amounts.items():
+                total[key] = total.get(key, 0.0) + seconds
+        return total
+
+
+def split_account(account: Account) -> tuple[AccountCopy, ...]:
+    """Return an account in parts that each fit into one message."""
+    return tuple(
+        _copy_part(account, account.amounts[start : start + LARGEST_PART])
+        for start in range(0, len(account.amounts), LARGEST_PART)
+    )
+
+
+def join_copy(copy: AccountCopy) -> Account:
+    """Return the account that a copy holds.
+
+    Raises
+    ------
+    IndexError
+        If an amount refers to a name that the copy does not hold.
+    """
+    return Account(
+        pool=copy.pool,
+        host=copy.host,
+        incarnation=copy.incarnation,
+        amounts=tuple((copy.names[p], copy.names[r], s) for p, r, s in copy.amounts),
+    )
+
+
+def _copy_part(account: Account, amounts) -> AccountCopy:
+    names = tuple(sorted({name for row in amounts for name in row[:2]}))
+    return AccountCopy(
+        pool=account.pool,
+        host=account.host,
+        incarnation=account.incarnation,
+        names=names,
+        amounts=tuple((names.index(p), names.index(r), s) for p, r, s in amounts),
+    )
+
+
+def encode_bill(bill: Bill) -> bytes:
+    """Return the stored form of a bill, compressed JSON.
+
+    Without compression the field names of several thousand accounts would
+    exceed the store's limit of 1 MB for a value.
+    """
+    return zlib.compress(json.dumps(messages.unstructure(bill)).encode())
+
+
+def decode_bill(data: bytes) -> Bill:
+    """Return the bill of its stored form.
+
+    Raises
+    ------
+    CodecError
+        If the data is not a bill.
+    """
+    try:
+        plain = json.loads(zlib.decompress(data))
+    except (ValueError, zlib.error) as error:
+        raise exceptions.CodecError("bill is not compressed JSON") from error
+    return messages.structure(plain, Bill)
+
+
+def _listed(amounts: Amounts) -> tuple[tuple[str, str, float], ...]:
+    return tuple((p, r, seconds) for (p, r), seconds in sorted(amounts.items()))
--- /dev/null
+++ b/hyssopshelf/scheduling/settlement.py
@@ -0,0 +1,183 @@
+"""Writes of the bill documents to the platform's store.
+
+The writer of a pool keeps the document's revision and writes by
+compare-and-swap. Merging is idempotent and folding happens only inside the
+document, so after a lost answer the writer reads the document back and merges
+again: it neither loses slot time nor counts it twice. Two nodes that both
+believe they are the writer only repeat each other's work.
+"""
+
+import attrs
+
+from hyssopshelf import base, exceptions, logs, platform
+from hyssopshelf.scheduling import accounts
+
+KEY_PREFIX = "billing/"
+PERIOD_SECONDS = 60.0
+RETRY_SECONDS = 1.0
+LONGEST_RETRY_SECONDS = 60.0
+
+ANSWER_SECONDS = 10.0
+"""Time after which a call without an answer counts as lost."""
+
+SUPERSEDED_SECONDS = 300.0
+"""Time for late copies of an account to arrive after a newer incarnation of its
+host was seen, before the account is folded."""
+
+
+@attrs.define(kw_only=True)
+class Settlement:
+    """State of the writes of one pool's bill.
+
+    Attributes
+    ----------
+    call_id : str
+        Call whose answer is awaited, empty if none.
+    is_write : bool
+        Whether that call is the compare-and-swap.
+    revision : int or None
+        Revision of the document in the store; None if it must be read.
+    next_at : float
+        Time of the next call.
+    written : Bill or None
+        Document of the last or pending write.
+    superseded_since : dict of (str, int) to float
+        Time at which a newer incarnation of the host was first seen.
+    """
+
+    call_id: str = ""
+    is_write: bool = False
+    asked_at: float = 0.0
+    revision: int | None = None
+    next_at: float = float("-inf")
+    retry_seconds: float = RETRY_SECONDS
+    written: accounts.Bill | None = None
+    superseded_since: dict[tuple[str, int], float] = attrs.field(factory=dict)
+
+
+def write(board, pool: str, now: float) -> None:
+    """Read or write the bill of a pool if it is time."""
+    state = board.bills.settlements.setdefault(pool, Settlement())
+    held = board.bills.pools.setdefault(pool, accounts.PoolAccounts())
+    if state.call_id:
+        if now - state.asked_at < ANSWER_SECONDS:
+            return
+        _fail(board, state, pool, now)
+    if now < state.next_at:
+        return
+    key = KEY_PREFIX + pool
+    if state.revision is None:
+        state.is_write = False
+        _call(board, state, platform.Get(key=key), now)
+        return
+    draft = held.draft(pool, _ended(board, state, pool, now), set(board.hosts))
+    if state.written is not None and _same(draft, state.written):
+        state.next_at = now + PERIOD_SECONDS
+        return
+    state.is_write = True
+    state.written = draft
+    operation = platform.CompareAndSwap(
+        key=key, value=accounts.encode_bill(draft), revision=state.revision
+    )
+    _call(board, state, operation, now)
+
+
+def store_answered(event: base.StoreAnswered, board, now: float) -> bool:
+    """Apply a store answer; return whether it belongs to a bill."""
+    for pool, state in board.bills.settlements.items():
+        if state.call_id == event.call_id:
+            _apply(event, board, state, pool, now)
+            return True
+    return False
+
+
+def _apply(
+    event: base.StoreAnswered, board, state: Settlement, pool: str, now: float
+) -> None:
+    if event.result.is_err():
+        _fail(board, state, pool, now)
+        return
+    state.call_id = ""
+    answer = event.result.unwrap()
+    swapped = state.is_write and answer.succeeded
+    entry = answer.current if state.is_write else answer
+    held = board.bills.pools[pool]
+    try:
+        document = _decode(entry, pool)
+    except exceptions.CodecError:
+        # Overwriting a document that cannot be read would lose the bill.
+        board.log(logs.LogEvent.BILL_UNREADABLE, pool=pool)
+        state.revision = None
+        state.next_at = now + PERIOD_SECONDS
+        return
+    held.adopt(document)
+    state.revision = entry.revision if entry is not None else 0
+    state.retry_seconds = RETRY_SECONDS
+    if swapped:
+        state.next_at = now + PERIOD_SECONDS
+        board.count("bills_written")
+        return
+    state.written = document
+    state.next_at = now + (RETRY_SECONDS if state.is_write else 0.0)
+
+
+def _decode(entry: platform.Entry | None, pool: str) -> accounts.Bill:
+    if entry is None:
+        return accounts.Bill(pool=pool)
+    return accounts.decode_bill(entry.value)
+
+
+def _call(board, state: Settlement, operation: object, now: float) -> None:
+    state.call_id = board.next_id()
+    state.asked_at = now
+    board.act(base.CallStore(call_id=state.call_id, operation=operation))
+
+
+def _fail(board, state: Settlement, pool: str, now: float) -> None:
+    """Forget what the store holds; the next call reads it back."""
+    board.log(
+        logs.LogEvent.BILL_OUTCOME_UNKNOWN, pool=pool, retry_seconds=state.retry_seconds
+    )
+    board.count("bill_calls_failed")
+    state.call_id = ""
+    state.revision = None
+    state.next_at = now + state.retry_seconds
+    state.retry_seconds = min(LONGEST_RETRY_SECONDS, 2.0 * state.retry_seconds)
+
+
+def _same(draft: accounts.Bill, written: accounts.Bill) -> bool:
+    return (
+        draft.closed == written.closed
+        and draft.accounts == written.accounts
+        and draft.folded == written.folded
+    )
+
+
+def _ended(board, state: Settlement, pool: str, now: float) -> set[tuple[str, int]]:
+    """Return the incarnations that can no longer grow."""
+    held = board.bills.pools[pool]
+    newest = {host: row.incarnation for host, row in board.hosts.items()}
+    for host, incarnation in [*held.open, _own_key(board)]:
+        newest[host] = max(incarnation, newest.get(host, incarnation))
+    since = {
+        key: state.superseded_since.get(key, now)
+        for key in held.open
+        if newest[key[0]] > key[1]
+    }
+    state.superseded_since = since
+    ended = {
+        key for key, seen_at in since.items() if now - seen_at >= SUPERSEDED_SECONDS
+    }
+    return ended | {
+        key for key in held.open if _is_absent(board, key[0]) and held.is_quiet(*key)
+    }
+
+
+def _own_key(board) -> tuple[str, int]:
+    return (board.identity.host, board.identity.incarnation)
+
+
+def _is_absent(board, host: str) -> bool:
+    row = board.hosts.get(host)
+    gone = row is None or row.state.value == "dead"
+    return gone and host != board.identity.host
--- a/hyssopshelf/scheduling/shares.py
+++ b/hyssopshelf/scheduling/shares.py
@@ -20,8 +20,8 @@
 SMOOTHING_SECONDS = 5.0
 """Time constant of the usage averages; shares hold over seconds to minutes."""
 
-BYTES_PER_SECOND = 500.0
-"""Half of the 1 KB/s that scheduling may send; billing has the other half."""
+BYTES_PER_SECOND = 400.0
+"""Part of the 1 KB/s that scheduling may send; billing has the rest."""
 
 STALE_SECONDS = 30.0
 """Age at which the report of a peer is dropped. In a pool with more peers than
