Merge configuration, failover and scheduling; compose them in the node

Cause: the controllers of configuration, bills and planned changes were built side by side. Change: their steps and store answers run in the node.

--- a/hyssopshelf/runtime/engine.py
+++ b/hyssopshelf/runtime/engine.py
@@ -5,9 +5,10 @@
 import itertools
 import time
 
+import result
 import tornado.ioloop
 
-from hyssopshelf import base, exceptions, logs, node
+from hyssopshelf import base, logs, node
 from hyssopshelf.membership import hosts
 from hyssopshelf.runtime import endpoints, peers
 
@@ -186,6 +187,7 @@
 
 async def _call_store(engine: Engine, action: base.CallStore) -> None:
     if engine.store is None:
-        raise exceptions.SettingError("no store is configured")
-    outcome = await engine.store.call(action.operation)
+        outcome = result.Err("no store is configured")
+    else:
+        outcome = await engine.store.call(action.operation)
     engine.emit(base.StoreAnswered(call_id=action.call_id, result=outcome))
--- a/hyssopshelf/statements/completion.py
+++ b/hyssopshelf/statements/completion.py
@@ -5,7 +5,7 @@
 from hyssopshelf.connections import pool
 from hyssopshelf.consistency import positions, reads
 from hyssopshelf.failover import terms
-from hyssopshelf.scheduling import shares, work
+from hyssopshelf.scheduling import billing, work
 from hyssopshelf.statements import polling, transactions
 
 FRESHNESS_SECONDS = 0.2
@@ -161,7 +161,7 @@
     if queue is not None:
         seconds = queue.finish(served.id, now)
         item = served.work
-        shares.record_usage(board, queue.pool, item.partner, item.rank, seconds)
+        billing.account(board, queue.pool, item.partner, item.rank, seconds)
     board.ready_endpoints.add(served.endpoint)
 
 
