Add integration scenarios with real processes

Cause: the issue asks for proofs with processes and injected faults. Change: tests/test_processes.py: roaming at lag, killed proxy, lost answers, graceful stop, leaving endpoint, failover.

--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,230 @@
+"""Integration tests: real processes, real sockets, faults between them."""
+
+import asyncio
+import signal
+
+import pytest
+
+from hyssopshelf import exceptions, messages
+from tests import processes
+
+UNKNOWN = exceptions.ErrorKind.OUTCOME_UNKNOWN
+LEAVING_BOUND_SECONDS = 3.0
+FAILOVER_BOUND_SECONDS = 17.0
+
+
+def run(scenario, folder, **options):
+    """Run a scenario with a started fleet."""
+
+    async def main():
+        async with processes.Fleet(folder, **options) as fleet:
+            await scenario(fleet)
+
+    asyncio.run(main())
+
+
+async def read_values(fleet, key: str) -> list[str]:
+    """Return the values of a key as a strong read sees them."""
+    session = fleet.make_session(timeout_seconds=20.0)
+    answer = await session.get(
+        key, kind="scan", consistency=messages.Consistency.STRONG
+    )
+    await session.close()
+    return answer.value.split(",") if answer.value else []
+
+
+def test_roaming_session_reads_its_writes_at_replica_lag(tmp_path):
+    """Guards against a stale read after a session changed its proxy."""
+
+    async def scenario(fleet):
+        session = fleet.make_session()
+        replica_reads = 0
+        for number in range(20):
+            await session.roam(fleet.addresses["h1"])
+            await session.append("slot", str(number), kind="relabel")
+            await session.roam(fleet.addresses["h2"])
+            answer = await session.get("slot", kind="scan")
+            assert answer.value.split(",")[-1] == str(number)
+            page = await session.get(
+                "slot", kind="dashboard", consistency=messages.Consistency.BOUNDED
+            )
+            assert page.value.split(",")[-1] == str(number)
+            replica_reads += page.from_replica
+        other = fleet.make_session("h2")
+        page = await other.get(
+            "slot", kind="dashboard", consistency=messages.Consistency.BOUNDED
+        )
+        assert page.from_replica
+        await other.close()
+        await session.close()
+
+    run(scenario, tmp_path, apply_delay_seconds=0.3)
+
+
+def test_killed_proxy_rolls_back_its_transaction(tmp_path):
+    """Guards against a half transaction that survives the death of its node."""
+
+    async def scenario(fleet):
+        session = fleet.make_session("h1")
+        transaction = await session.begin(kind="scan")
+        await session.append("half", "x", kind="scan", transaction=transaction)
+        for process in fleet.nodes.values():
+            if transaction.split("|")[0] in process.log.name:
+                process.kill()
+        with pytest.raises(exceptions.AnswerError):
+            await session.commit(transaction, kind="scan", timeout_seconds=2.0)
+        await session.close()
+        survivors = [h for h, p in fleet.nodes.items() if p.popen.poll() is None]
+        other = fleet.make_session(*survivors, timeout_seconds=20.0)
+        await other.append("half", "y", kind="scan")
+        answer = await other.get("half", kind="scan")
+        assert answer.value == "y"
+        await other.close()
+
+    run(scenario, tmp_path)
+
+
+def test_lost_commit_answer_is_unknown_and_not_repeated(tmp_path):
+    """Guards against a write that runs twice after its answer was lost."""
+
+    async def scenario(fleet):
+        session = fleet.make_session(timeout_seconds=1.0)
+        for number in range(3):
+            for front in fleet.fronts.values():
+                front.faults.answers_dropped = True
+            with pytest.raises(exceptions.AnswerError) as error:
+                await session.append("lost", str(number), kind="scan")
+            assert error.value.kind is UNKNOWN
+            for front in fleet.fronts.values():
+                front.cut()
+                front.heal()
+            await asyncio.sleep(0.5)
+        values = await read_values(fleet, "lost")
+        assert len(values) == len(set(values))
+        await session.close()
+
+    run(scenario, tmp_path)
+
+
+def test_repeat_with_idempotency_key_runs_once(tmp_path):
+    """Guards against a repeat that adds a second value after a lost answer."""
+
+    async def scenario(fleet):
+        session = fleet.make_session(timeout_seconds=1.0)
+        for front in fleet.fronts.values():
+            front.faults.answers_dropped = True
+        with pytest.raises(exceptions.AnswerError):
+            await session.append("once", "x", kind="scan", idempotency_key="k1")
+        for front in fleet.fronts.values():
+            front.cut()
+            front.heal()
+        await session.append(
+            "once", "x", kind="scan", idempotency_key="k1", timeout_seconds=20.0
+        )
+        assert await read_values(fleet, "once") == ["x"]
+        await session.close()
+
+    run(scenario, tmp_path)
+
+
+def test_graceful_stop_cuts_no_request(tmp_path):
+    """Guards against requests that fail because a proxy was asked to stop."""
+
+    async def scenario(fleet):
+        sessions = [fleet.make_session(seed=number) for number in range(6)]
+        stopping = asyncio.Event()
+        written = []
+
+        async def write(number, session):
+            count = 0
+            while not stopping.is_set():
+                value = f"{number}-{count}"
+                await session.append("stop", value, kind="relabel")
+                written.append(value)
+                count += 1
+
+        tasks = [asyncio.ensure_future(write(n, s)) for n, s in enumerate(sessions)]
+        await asyncio.sleep(1.0)
+        process = fleet.nodes["h1"]
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait(15.0) == 0
+        await asyncio.sleep(1.0)
+        stopping.set()
+        await asyncio.gather(*tasks)
+        values = await read_values(fleet, "stop")
+        assert sorted(values) == sorted(written)
+        for session in sessions:
+            await session.close()
+
+    run(scenario, tmp_path, nodes=3)
+
+
+def test_leaving_endpoint_gets_no_new_work(tmp_path):
+    """Guards against work sent to an endpoint long after it was declared leaving."""
+
+    async def scenario(fleet):
+        session = fleet.make_session()
+        stopping = asyncio.Event()
+
+        async def read():
+            while not stopping.is_set():
+                await session.get(
+                    "x", kind="dashboard", consistency=messages.Consistency.BOUNDED
+                )
+
+        task = asyncio.ensure_future(read())
+        await asyncio.sleep(0.5)
+        for leaving in "bc":
+            await fleet.apply(fleet.make_resources(leaving=leaving))
+            await asyncio.sleep(LEAVING_BOUND_SECONDS)
+            address = f"127.0.0.1:{fleet.endpoint_ports[leaving]}/v1/faults"
+            before = await processes.post(address, {})
+            await asyncio.sleep(1.0)
+            assert await processes.post(address, {}) == before
+        stopping.set()
+        await task
+        await session.close()
+
+    run(scenario, tmp_path)
+
+
+@pytest.mark.parametrize("fault", ["killed", "partitioned"])
+def test_failover_keeps_acknowledged_writes(tmp_path, fault):
+    """Guards against lost or doubled writes and a long gap in a failover."""
+
+    async def scenario(fleet):
+        session = fleet.make_session(timeout_seconds=FAILOVER_BOUND_SECONDS)
+        acknowledged = []
+        unknown = []
+        for number in range(10):
+            await session.append("kept", str(number), kind="scan")
+            acknowledged.append(str(number))
+        answer = await session.get(
+            "kept", kind="scan", consistency=messages.Consistency.STRONG
+        )
+        primary = answer.endpoint.rpartition("/")[2]
+        if fault == "killed":
+            fleet.endpoints[primary].kill()
+        else:
+            fleet.backs[primary].cut()
+        loop = asyncio.get_running_loop()
+        stopped_at = loop.time()
+        number = 10
+        while True:
+            number += 1
+            try:
+                await session.append("kept", str(number), kind="scan")
+            except exceptions.AnswerError as error:
+                if error.kind is UNKNOWN:
+                    unknown.append(str(number))
+                assert loop.time() - stopped_at < FAILOVER_BOUND_SECONDS
+                continue
+            acknowledged.append(str(number))
+            break
+        assert loop.time() - stopped_at < FAILOVER_BOUND_SECONDS
+        values = await read_values(fleet, "kept")
+        assert len(values) == len(set(values))
+        assert set(acknowledged) <= set(values) <= set(acknowledged + unknown)
+        await session.close()
+
+    run(scenario, tmp_path)
