--- /dev/null
+++ b/benchmarks/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the randomised fault run: fakes, callers with histories, checker."""
--- /dev/null
+++ b/benchmarks/faults/cases.py
@@ -0,0 +1,128 @@
+"""A recorded history with indexes, and what a check reports of it."""
+
+from collections import defaultdict
+
+import attrs
+
+from benchmarks.faults import histories, logtree
+from hyssopshelf import exceptions, messages
+
+TICK_SECONDS = 0.05
+"""Period of the nodes' timer: the resolution of what they can observe."""
+
+Operation = messages.Operation
+Position = messages.Position
+
+
+@attrs.frozen(kw_only=True)
+class Violation:
+    """A broken guarantee.
+
+    Attributes
+    ----------
+    guarantee : int
+        Number of the guarantee on the design page, 0 for a check of the run.
+    rule : str
+        Name of the check.
+    subject : str
+        Request, endpoint or host concerned.
+    """
+
+    guarantee: int
+    rule: str
+    subject: str
+    detail: str = ""
+    at: float = 0.0
+
+
+@attrs.define(kw_only=True)
+class Case:
+    """A history with the indexes that the checks share."""
+
+    history: histories.History
+    trees: dict[str, logtree.LogTree]
+    by_label: dict[str, list[histories.Request]]
+    by_transaction: dict[str, list[histories.Request]]
+
+    def find_tree(self, database: str) -> logtree.LogTree:
+        """Return the log tree of a database, empty if it has no entry."""
+        return self.trees.setdefault(database, logtree.LogTree())
+
+    def find_labels(self, request: histories.Request) -> list[str]:
+        """Return the labels of the writes that a write request commits."""
+        if request.operation is not Operation.COMMIT:
+            return [request.label]
+        return [
+            other.label
+            for other in self.by_transaction[request.transaction]
+            if other.label and other.succeeded
+        ]
+
+    def find_read_entries(
+        self, request: histories.Request
+    ) -> list[Position | None] | None:
+        """Return the entries that a read's value may come from.
+
+        None in the list stands for the empty log, no list for a value that no
+        entry explains.
+        """
+        if request.value is None:
+            return [None]
+        labels = histories.parse_value(request.database, request.key, request.value)
+        if labels is None:
+            return None
+        return list(self.find_tree(request.database).find(labels[-1])) or None
+
+
+def blame(
+    guarantee: int, rule: str, request: histories.Request, detail: str = ""
+) -> Violation:
+    return Violation(
+        guarantee=guarantee,
+        rule=rule,
+        subject=request.id,
+        detail=detail,
+        at=request.answered_at or request.invoked_at,
+    )
+
+
+def is_write(request: histories.Request) -> bool:
+    """Return whether a request commits writes when it succeeds."""
+    if request.operation is Operation.COMMIT:
+        return True
+    writes = (Operation.PUT, Operation.APPEND)
+    return request.operation in writes and not request.transaction
+
+
+def is_plain_read(request: histories.Request) -> bool:
+    """Return whether a request is a successful read outside a transaction."""
+    return (
+        request.succeeded
+        and request.operation is Operation.GET
+        and not request.transaction
+    )
+
+
+def denies(request: histories.Request) -> bool:
+    """Return whether the answer says that the request did not run."""
+    if request.answered_at is None or request.error is None:
+        return False
+    ran = exceptions.DISPOSITIONS[request.error].ran
+    return ran is exceptions.Ran.NO
+
+
+def build_case(history: histories.History) -> Case:
+    """Return a history with its indexes."""
+    by_label = defaultdict(list)
+    by_transaction = defaultdict(list)
+    for request in history.requests:
+        if request.label:
+            by_label[request.label].append(request)
+        if request.transaction:
+            by_transaction[request.transaction].append(request)
+    return Case(
+        history=history,
+        trees=logtree.build_trees(history.entries),
+        by_label=by_label,
+        by_transaction=by_transaction,
+    )
--- /dev/null
+++ b/benchmarks/faults/checker.py
@@ -0,0 +1,32 @@
+"""Checks of a recorded history against the databases' own logs.
+
+The checker knows nothing of the program under test. It takes what callers
+sent and were told, and what the databases executed, and returns violations.
+"""
+
+from benchmarks.faults import cases, fleet, freshness, histories, isolation, outcomes
+
+CHECKS = (
+    outcomes.check_answers,
+    outcomes.check_not_run,
+    outcomes.check_at_most_once,
+    outcomes.check_acknowledgements,
+    outcomes.check_terms,
+    isolation.check_transactions,
+    isolation.check_connections,
+    freshness.check_sessions,
+    freshness.check_bounded_reads,
+    freshness.check_strong_reads,
+    fleet.check_leaving,
+    fleet.check_drains,
+    fleet.check_configuration,
+    fleet.check_run,
+)
+"""All checks; each takes a case and yields violations."""
+
+
+def check_history(history: histories.History) -> list[cases.Violation]:
+    """Return all violations in a history, in the order of time."""
+    case = cases.build_case(history)
+    found = [violation for check in CHECKS for violation in check(case)]
+    return sorted(found, key=lambda violation: violation.at)
--- /dev/null
+++ b/benchmarks/faults/histories.py
@@ -0,0 +1,215 @@
+"""Records that the fakes write and the checker reads. Times are true times."""
+
+import re
+import zlib
+
+import attrs
+
+from hyssopshelf import exceptions, messages
+
+_ITEM = re.compile(r"<([^<>|,]*)\|([^<>|,]*)\|([^<>|,]*)\|([0-9a-f]{8})>")
+
+
+def make_value(database: str, key: str, label: str) -> str:
+    """Return a value that names the write that made it, with a checksum."""
+    body = f"{database}|{key}|{label}"
+    return f"<{body}|{zlib.crc32(body.encode()):08x}>"
+
+
+def parse_value(database: str, key: str, value: str) -> list[str] | None:
+    """Return the labels of the writes in a value, None if it is not whole."""
+    labels = []
+    for item in value.split(","):
+        match = _ITEM.fullmatch(item)
+        if match is None:
+            return None
+        found_database, found_key, label, checksum = match.groups()
+        body = f"{found_database}|{found_key}|{label}"
+        whole = f"{zlib.crc32(body.encode()):08x}" == checksum
+        if not whole or (found_database, found_key) != (database, key):
+            return None
+        labels.append(label)
+    return labels
+
+
+@attrs.define(kw_only=True)
+class Request:
+    """One statement of a caller and its answer.
+
+    Attributes
+    ----------
+    session : str
+        Session that the statement belongs to; a session is sequential.
+    label : str
+        Name of the write, shared by repeats with one idempotency key.
+    transaction : str
+        Caller's name of the transaction, empty outside one.
+    had_token, forged : bool
+        Whether a session token was sent, and whether it was a forged one.
+    answered_at : float or None
+        Time at which the caller received the answer, None if none came.
+    answers : int
+        Number of answers that came.
+    """
+
+    id: str
+    session: str
+    entry: str
+    database: str
+    operation: messages.Operation
+    key: str = ""
+    label: str = ""
+    kind: str = ""
+    consistency: messages.Consistency = messages.Consistency.SESSION
+    staleness_seconds: float = 0.0
+    acknowledge: str = "majority"
+    transaction: str = ""
+    idempotency_key: str = ""
+    had_token: bool = False
+    forged: bool = False
+    invoked_at: float = 0.0
+    answered_at: float | None = None
+    answers: int = 0
+    answered_id: str = ""
+    error: exceptions.ErrorKind | None = None
+    value: str | None = None
+    endpoint: str = ""
+    from_replica: bool = False
+    retried: bool = False
+
+    @property
+    def succeeded(self) -> bool:
+        """Return whether the caller was told that the statement succeeded."""
+        return self.answered_at is not None and self.error is None
+
+
+@attrs.frozen(kw_only=True)
+class LogEntry:
+    """An entry that a primary appended to the log of its database.
+
+    Attributes
+    ----------
+    parent : Position or None
+        Position of the entry before it, None for the first.
+    writes : tuple of (key, label)
+        The writes of the entry.
+    """
+
+    database: str
+    endpoint: str
+    position: messages.Position
+    parent: messages.Position | None
+    writes: tuple[tuple[str, str], ...]
+    executed_at: float
+
+
+@attrs.frozen(kw_only=True)
+class Execution:
+    """A request that an endpoint took from a connection.
+
+    Attributes
+    ----------
+    overlapped : bool
+        An earlier request on the connection had not been answered yet.
+    sent_at : float
+        Time at which the node issued it.
+    """
+
+    endpoint: str
+    host: str
+    incarnation: int
+    connection: str
+    operation: messages.Operation
+    key: str
+    label: str
+    sent_at: float
+    at: float
+    succeeded: bool
+    overlapped: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Promotion:
+    """A promotion that an endpoint carried out."""
+
+    database: str
+    endpoint: str
+    term: int
+    at: float
+
+
+@attrs.frozen(kw_only=True)
+class ConfigurationAccepted:
+    """A version of a pool's document that the store accepted."""
+
+    pool: str
+    version: int
+    at: float
+    leaving: frozenset[str] = frozenset()
+
+
+@attrs.frozen(kw_only=True)
+class ConfigurationInForce:
+    """The version that a node uses from a time on."""
+
+    host: str
+    incarnation: int
+    pool: str
+    version: int
+    at: float
+
+
+@attrs.frozen(kw_only=True)
+class Unreachable:
+    """A span of time in which a node could not take part.
+
+    The node was dead, starting, paused, or cut from the store and from half
+    of its peers or more.
+    """
+
+    host: str
+    start: float
+    end: float
+
+
+@attrs.frozen(kw_only=True)
+class Stopped:
+    """A drained node that ended; ``in_flight`` are the requests it left."""
+
+    host: str
+    at: float
+    in_flight: tuple[str, ...]
+
+
+@attrs.define(kw_only=True)
+class History:
+    """Everything that one run recorded.
+
+    Attributes
+    ----------
+    acknowledged_at : dict of str to float
+        Time at which the entry node sent a success answer, by statement id.
+    survivors : dict of str to Position or None
+        Last entry of the surviving log of each database.
+    stalled : list of str
+        Databases that took no write after all faults had ended.
+    crashes : list of str
+        Exceptions that the core raised.
+    slowest_rate : float
+        Rate of the slowest clock; a duration on it is longer in true time.
+    """
+
+    requests: list[Request] = attrs.field(factory=list)
+    entries: list[LogEntry] = attrs.field(factory=list)
+    executions: list[Execution] = attrs.field(factory=list)
+    promotions: list[Promotion] = attrs.field(factory=list)
+    accepted: list[ConfigurationAccepted] = attrs.field(factory=list)
+    in_force: list[ConfigurationInForce] = attrs.field(factory=list)
+    unreachable: list[Unreachable] = attrs.field(factory=list)
+    stopped: list[Stopped] = attrs.field(factory=list)
+    acknowledged_at: dict[str, float] = attrs.field(factory=dict)
+    survivors: dict[str, messages.Position | None] = attrs.field(factory=dict)
+    stalled: list[str] = attrs.field(factory=list)
+    crashes: list[str] = attrs.field(factory=list)
+    end: float = 0.0
+    slowest_rate: float = 1.0
--- /dev/null
+++ b/benchmarks/faults/network.py
@@ -0,0 +1,140 @@
+"""The network between the parties of a run, with cuts, delays and doubled messages.
+
+A party is the name of a host, an endpoint, a caller, the store or the host
+list. Two services are offered: single messages, as nodes exchange them, and
+ordered channels, as websockets provide them.
+"""
+
+import random
+from collections import Counter, deque
+from collections.abc import Callable
+
+import attrs
+
+from benchmarks.faults import clocks
+
+UNSENT_SECONDS = 1.0
+"""Send timeout between nodes: a message that cannot be sent is reported then."""
+
+RESEND_SECONDS = 0.2
+"""Period at which a channel tries to pass a cut again."""
+
+
+@attrs.define(kw_only=True)
+class Network:
+    """Delivers between parties with a delay for each link.
+
+    Attributes
+    ----------
+    places : dict of str to str
+        Place of each party; parties without one are at the caller's distance.
+    late_rate, doubled_rate, lost_rate : float
+        Parts of the messages between nodes that come late, twice or never.
+    """
+
+    loop: clocks.EventLoop
+    random: random.Random
+    places: dict[str, str] = attrs.field(factory=dict)
+    local_seconds: float = 0.0005
+    region_seconds: float = 0.010
+    caller_seconds: float = 0.003
+    late_rate: float = 0.0
+    late_seconds: float = 2.0
+    doubled_rate: float = 0.0
+    lost_rate: float = 0.0
+    _cuts: Counter = attrs.field(factory=Counter, init=False)
+
+    def cut(self, sender: str, receiver: str) -> None:
+        """Stop delivery in one direction; cuts of the same link add up."""
+        self._cuts[sender, receiver] += 1
+
+    def heal(self, sender: str, receiver: str) -> None:
+        """Take back one cut."""
+        self._cuts[sender, receiver] -= 1
+
+    def is_cut(self, sender: str, receiver: str) -> bool:
+        """Return whether nothing passes in a direction."""
+        return self._cuts[sender, receiver] > 0
+
+    def connects(self, first: str, second: str) -> bool:
+        """Return whether both directions between two parties are open."""
+        return not (self.is_cut(first, second) or self.is_cut(second, first))
+
+    def draw_delay(self, sender: str, receiver: str) -> float:
+        """Return the delay of one delivery in seconds."""
+        here, there = self.places.get(sender), self.places.get(receiver)
+        if here is None or there is None:
+            base = self.caller_seconds
+        else:
+            base = self.local_seconds if here == there else self.region_seconds
+        return base * self.random.uniform(1.0, 1.3)
+
+    def send(
+        self,
+        sender: str,
+        receiver: str,
+        deliver: Callable[[], None],
+        report_unsent: Callable[[], None],
+    ) -> None:
+        """Send a single message: it may come late, twice, never or unsent."""
+        if self.is_cut(sender, receiver):
+            if self.random.random() < 0.5:
+                self.loop.call_later(UNSENT_SECONDS, report_unsent)
+            return
+        if self.random.random() < self.lost_rate:
+            return
+        copies = 2 if self.random.random() < self.doubled_rate else 1
+        for _ in range(copies):
+            delay = self.draw_delay(sender, receiver)
+            if self.random.random() < self.late_rate:
+                delay += self.random.uniform(0.0, self.late_seconds)
+            self.loop.call_later(delay, self._arrive, sender, receiver, deliver)
+
+    def _arrive(self, sender: str, receiver: str, deliver: Callable) -> None:
+        if not self.is_cut(sender, receiver):
+            deliver()
+
+
+@attrs.define(kw_only=True)
+class Channel:
+    """One direction of an ordered connection; a cut holds data back.
+
+    A transport repeats lost packets, so that data sent before or during a cut
+    arrives after it, in order, unless the channel is closed before.
+    """
+
+    network: Network
+    sender: str
+    receiver: str
+    closed: bool = False
+    _waiting: deque = attrs.field(factory=deque, init=False)
+    _ready_at: float = attrs.field(default=0.0, init=False)
+    _resending: bool = attrs.field(default=False, init=False)
+
+    def send(self, deliver: Callable[[], None]) -> None:
+        """Deliver after everything that was sent before."""
+        loop = self.network.loop
+        delay = self.network.draw_delay(self.sender, self.receiver)
+        self._ready_at = max(self._ready_at, loop.now + delay)
+        self._waiting.append((self._ready_at, deliver))
+        loop.call_at(self._ready_at, self._pump)
+
+    def close(self) -> None:
+        """Drop what has not been delivered."""
+        self.closed = True
+        self._waiting.clear()
+
+    def _pump(self) -> None:
+        loop = self.network.loop
+        while self._waiting and self._waiting[0][0] <= loop.now:
+            if self.network.is_cut(self.sender, self.receiver):
+                if not self._resending:
+                    self._resending = True
+                    loop.call_later(RESEND_SECONDS, self._resend)
+                return
+            _, deliver = self._waiting.popleft()
+            deliver()
+
+    def _resend(self) -> None:
+        self._resending = False
+        self._pump()
--- /dev/null
+++ b/benchmarks/faults/tests/test_checker.py
@@ -0,0 +1,512 @@
+"""The checker finds each broken guarantee in a history made by hand."""
+
+import pytest
+
+from benchmarks.faults import checker, histories
+from hyssopshelf import exceptions, messages
+
+DATABASE = "pool/db"
+Operation = messages.Operation
+ErrorKind = exceptions.ErrorKind
+
+
+class Builder:
+    """Builds a history of one database, one call a step of time."""
+
+    def __init__(self):
+        self.history = histories.History(end=1000.0)
+        self.now = 0.0
+        self.heads = {}
+
+    def tick(self, seconds=1.0):
+        self.now += seconds
+        return self.now
+
+    def append(self, label, key="k", term=1, parent=None, writes=None):
+        """Append an entry to the log of a term."""
+        head = self.heads.get(term) or parent
+        position = messages.Position(term=term, index=(head.index if head else 0) + 1)
+        self.history.entries.append(
+            histories.LogEntry(
+                database=DATABASE,
+                endpoint="pool/db/a",
+                position=position,
+                parent=head,
+                writes=((key, label),) if writes is None else writes,
+                executed_at=self.tick(),
+            )
+        )
+        self.heads[term] = position
+        self.history.survivors[DATABASE] = position
+        return position
+
+    def request(self, operation, *, error=None, answered=True, **fields):
+        """Add a request that is invoked and answered now."""
+        number = len(self.history.requests)
+        request = histories.Request(
+            **{
+                "id": f"r{number}",
+                "session": "s",
+                "entry": "h",
+                "database": DATABASE,
+                "operation": operation,
+                "key": "k",
+                "invoked_at": self.tick(),
+                "error": error,
+                "answered_at": self.tick() if answered else None,
+                "answers": int(answered),
+                "answered_id": f"r{number}",
+                **fields,
+            }
+        )
+        self.history.requests.append(request)
+        return request
+
+    def write(self, label, **fields):
+        """Add an acknowledged put with its entry."""
+        invoked = self.tick()
+        log = {name: fields.pop(name) for name in ("term", "parent") if name in fields}
+        position = self.append(label, **log)
+        self.request(Operation.PUT, label=label, invoked_at=invoked, **fields)
+        return position
+
+    def read(self, *labels, **fields):
+        """Add a read that returned the writes with these labels."""
+        fields.setdefault("had_token", True)
+        key = fields.get("key", "k")
+        items = [histories.make_value(DATABASE, key, label) for label in labels]
+        fields.setdefault("value", ",".join(items) or None)
+        return self.request(Operation.GET, **fields)
+
+    def execute(self, operation, connection="c", label="", key="k", **fields):
+        """Add a request that an endpoint ran."""
+        at = self.tick()
+        self.history.executions.append(
+            histories.Execution(
+                **{
+                    "endpoint": "pool/db/a",
+                    "host": "h",
+                    "incarnation": 1,
+                    "connection": connection,
+                    "operation": operation,
+                    "key": key,
+                    "label": label,
+                    "sent_at": at,
+                    "at": at,
+                    "succeeded": True,
+                    **fields,
+                }
+            )
+        )
+
+    def find_rules(self):
+        return {violation.rule for violation in checker.check_history(self.history)}
+
+
+def build_correct(b):
+    b.write("w1")
+    b.read("w1")
+    second = b.write("w2")
+    b.write("w3", term=2, parent=second)
+    b.read("w3", session="other", consistency=messages.Consistency.STRONG)
+    b.request(Operation.PUT, label="never", error=ErrorKind.NOT_RUN)
+    b.request(Operation.BEGIN, transaction="t", key="")
+    b.request(Operation.PUT, transaction="t", label="w4")
+    b.append("w4", term=2)
+    b.request(Operation.COMMIT, transaction="t", invoked_at=b.now - 0.5)
+    b.execute(Operation.BEGIN)
+    b.execute(Operation.PUT, label="w4")
+    b.execute(Operation.COMMIT)
+
+
+def build_stale_read(b):
+    b.write("w1")
+    b.write("w2")
+    b.read("w1")
+
+
+def build_empty_read(b):
+    b.write("w1")
+    b.read()
+
+
+def build_non_monotonic_read(b):
+    b.write("w1", session="writer")
+    b.write("w2", session="writer")
+    b.read("w2", had_token=False)
+    b.read("w1")
+
+
+def build_stale_read_of_other_key(b):
+    # The session saw the second write of ``k`` through its later write of ``j``.
+    b.write("w1", session="writer")
+    b.write("w2", session="writer")
+    b.append("w3", key="j")
+    b.request(Operation.PUT, key="j", label="w3", invoked_at=b.now - 0.5)
+    b.read("w1")
+
+
+def build_discarded_state_read(b):
+    first = b.write("w1")
+    b.write("w2", acknowledge="confirmed")
+    b.write("w3", term=2, parent=first, session="other")
+    b.read("w3")
+
+
+def build_session_crossing(b):
+    first = b.write("w1")
+    b.write("w2", acknowledge="confirmed")
+    b.write("w3", term=2, parent=first)
+
+
+def build_forged_token(b):
+    b.write("w1")
+    b.read("w1", session="other", forged=True)
+
+
+def build_refused_token(b):
+    b.read(error=ErrorKind.BAD_TOKEN, value=None)
+
+
+def build_lost_majority_write(b):
+    first = b.write("w1")
+    b.write("w2")
+    b.write("w3", term=2, parent=first, session="other")
+
+
+def build_replaced_primary(b):
+    first = b.write("w1")
+    b.history.promotions.append(
+        histories.Promotion(database=DATABASE, endpoint="b", term=2, at=b.tick())
+    )
+    b.append("w2", term=1)
+    b.request(
+        Operation.PUT, label="w2", acknowledge="confirmed", invoked_at=b.now - 0.5
+    )
+    b.append("w3", term=2, parent=first)
+
+
+def build_phantom_acknowledgement(b):
+    b.request(Operation.PUT, label="w1")
+
+
+def build_two_logs(b):
+    b.write("w1")
+    b.heads.clear()
+    b.write("w2")
+
+
+def build_two_primaries(b):
+    for endpoint in ("a", "b"):
+        b.history.promotions.append(
+            histories.Promotion(database=DATABASE, endpoint=endpoint, term=2, at=1.0)
+        )
+
+
+def build_shared_connection(b):
+    for name in ("t", "u"):
+        b.request(Operation.PUT, transaction=name, label=name)
+    b.execute(Operation.BEGIN)
+    b.execute(Operation.PUT, label="t")
+    b.execute(Operation.PUT, label="u")
+
+
+def build_plain_statement_in_transaction(b):
+    b.request(Operation.PUT, transaction="t", label="t")
+    b.execute(Operation.BEGIN)
+    b.execute(Operation.PUT, label="t")
+    b.execute(Operation.GET)
+
+
+def build_statement_without_transaction(b):
+    b.request(Operation.PUT, transaction="t", label="t")
+    b.execute(Operation.PUT, label="t")
+
+
+def build_begin_in_transaction(b):
+    b.execute(Operation.BEGIN)
+    b.execute(Operation.BEGIN)
+
+
+def build_overlap(b):
+    b.execute(Operation.GET)
+    b.execute(Operation.GET, overlapped=True)
+
+
+def build_mixed_entry(b):
+    for name in ("t", "u"):
+        b.request(Operation.PUT, transaction=name, label=name)
+        b.request(Operation.COMMIT, transaction=name, answered=False)
+    b.append("", writes=(("k", "t"), ("k", "u")))
+
+
+def build_partial_transaction(b):
+    for label in ("w1", "w2"):
+        b.request(Operation.PUT, transaction="t", label=label)
+    b.request(Operation.COMMIT, transaction="t", answered=False)
+    b.append("w1")
+
+
+def build_uncommitted_write(b):
+    b.request(Operation.PUT, transaction="t", label="w1")
+    b.append("w1")
+
+
+def build_wrong_answer(b):
+    b.request(Operation.PUT, label="w", error=ErrorKind.NOT_RUN, answered_id="r9")
+
+
+def build_second_answer(b):
+    b.request(Operation.PUT, label="w", error=ErrorKind.NOT_RUN, answers=2)
+
+
+def build_foreign_value(b):
+    b.write("w1")
+    b.read(value=histories.make_value(DATABASE, "other", "w1"))
+
+
+def build_cut_value(b):
+    b.write("w1")
+    b.read(value=histories.make_value(DATABASE, "k", "w1")[:-3])
+
+
+def build_incomplete_list(b):
+    b.append("w1")
+    b.append("w2")
+    b.read("w2", "w1", had_token=False)
+
+
+def build_unwritten_value(b):
+    b.read("w9", had_token=False)
+
+
+def build_denied_write(b, kind=ErrorKind.NOT_RUN):
+    invoked = b.tick()
+    b.append("w1")
+    b.request(Operation.PUT, label="w1", error=kind, invoked_at=invoked)
+
+
+def build_late_denied_write(b):
+    b.request(Operation.APPEND, label="w1", error=ErrorKind.REFUSED)
+    b.append("w1")
+
+
+def build_denied_commit(b):
+    b.request(Operation.PUT, transaction="t", label="w1")
+    b.request(Operation.COMMIT, transaction="t", error=ErrorKind.CONFLICT)
+    b.append("w1")
+
+
+def build_doubled_append(b):
+    b.write("w1")
+    b.append("w1")
+
+
+def build_append_on_two_branches(b):
+    first = b.append("w0")
+    b.request(Operation.APPEND, label="w1", answered=False)
+    b.append("w1")
+    b.append("w1", term=2, parent=first)
+
+
+def build_doubled_keyed_append(b):
+    b.request(Operation.APPEND, label="w1", idempotency_key="i", answered=False)
+    b.append("w1")
+    b.append("w1")
+
+
+def build_old_bounded_read(b):
+    b.write("w1")
+    b.write("w2")
+    b.tick(10)
+    b.read(
+        "w1",
+        session="reader",
+        had_token=False,
+        consistency=messages.Consistency.BOUNDED,
+        staleness_seconds=5.0,
+    )
+
+
+def build_weak_strong_read(b):
+    b.write("w1")
+    b.write("w2")
+    b.read("w1", session="reader", consistency=messages.Consistency.STRONG)
+
+
+def _declare(b, version, *leaving):
+    change = histories.ConfigurationAccepted(
+        pool="pool", version=version, at=b.tick(), leaving=frozenset(leaving)
+    )
+    b.history.accepted.append(change)
+
+
+def _apply(b, version, incarnation=1):
+    b.history.in_force.append(
+        histories.ConfigurationInForce(
+            host="h",
+            incarnation=incarnation,
+            pool="pool",
+            version=version,
+            at=b.now + 0.5,
+        )
+    )
+
+
+def build_leaving_endpoint(b):
+    _declare(b, 1, "pool/db/a")
+    _apply(b, 1)
+    b.tick(5)
+    b.execute(Operation.GET)
+
+
+def build_cut_drain(b):
+    b.history.stopped.append(
+        histories.Stopped(host="h", at=b.tick(), in_flight=("r1",))
+    )
+
+
+def build_late_configuration(b):
+    _declare(b, 1)
+    _apply(b, 1)
+    b.tick(10)
+    _declare(b, 2)
+    b.tick(7)
+    _apply(b, 2)
+
+
+def build_reverted_configuration(b):
+    _declare(b, 1)
+    _declare(b, 2)
+    _apply(b, 2)
+    b.tick()
+    _apply(b, 1)
+
+
+def build_reverted_store(b):
+    _declare(b, 2)
+    _declare(b, 1)
+
+
+def build_stalled(b):
+    b.history.stalled.append(DATABASE)
+
+
+def build_crash(b):
+    b.history.crashes.append("KeyError")
+
+
+BROKEN = {
+    build_stale_read: "session_went_back",
+    build_empty_read: "session_went_back",
+    build_non_monotonic_read: "session_went_back",
+    build_stale_read_of_other_key: "session_went_back",
+    build_discarded_state_read: "session_went_back",
+    build_session_crossing: "session_crossed_discard",
+    build_forged_token: "forged_token_accepted",
+    build_refused_token: "genuine_token_refused",
+    build_lost_majority_write: "majority_write_lost",
+    build_replaced_primary: "acknowledged_by_replaced_primary",
+    build_phantom_acknowledgement: "acknowledged_but_not_written",
+    build_two_logs: "two_logs_in_one_term",
+    build_two_primaries: "two_primaries_in_one_term",
+    build_shared_connection: "transactions_share_connection",
+    build_plain_statement_in_transaction: "transactions_share_connection",
+    build_statement_without_transaction: "statement_outside_transaction",
+    build_begin_in_transaction: "begin_inside_transaction",
+    build_overlap: "requests_overlap_on_connection",
+    build_mixed_entry: "transactions_mixed",
+    build_partial_transaction: "transaction_in_parts",
+    build_uncommitted_write: "write_left_transaction",
+    build_wrong_answer: "answer_of_other_request",
+    build_second_answer: "answered_twice",
+    build_foreign_value: "value_of_other_request",
+    build_cut_value: "value_of_other_request",
+    build_incomplete_list: "value_not_in_any_log",
+    build_unwritten_value: "value_not_in_any_log",
+    build_denied_write: "ran_after_not_run",
+    build_late_denied_write: "ran_after_not_run",
+    build_denied_commit: "ran_after_not_run",
+    build_doubled_append: "ran_twice",
+    build_append_on_two_branches: "ran_twice",
+    build_doubled_keyed_append: "ran_twice",
+    build_old_bounded_read: "read_older_than_bound",
+    build_weak_strong_read: "strong_read_missed_write",
+    build_leaving_endpoint: "work_sent_to_leaving_endpoint",
+    build_cut_drain: "drain_cut_requests",
+    build_late_configuration: "configuration_late",
+    build_reverted_configuration: "configuration_reverted",
+    build_reverted_store: "store_reverted",
+    build_stalled: "no_recovery",
+    build_crash: "core_raised",
+}
+
+
+def test_accepts_correct_history():
+    # Guards against a check that reports what the guarantees allow.
+    builder = Builder()
+    build_correct(builder)
+    assert builder.find_rules() == set()
+
+
+@pytest.mark.parametrize("build", BROKEN, ids=lambda build: build.__name__)
+def test_finds_broken_guarantee(build):
+    # Guards against a check that cannot fail.
+    builder = Builder()
+    build(builder)
+    assert BROKEN[build] in builder.find_rules()
+
+
+@pytest.mark.parametrize(
+    "kind",
+    [
+        kind
+        for kind, disposition in exceptions.DISPOSITIONS.items()
+        if disposition.ran is exceptions.Ran.NO
+    ],
+)
+def test_every_kind_that_denies_execution_is_checked(kind):
+    # Guards against an error kind whose promise nobody checks.
+    builder = Builder()
+    build_denied_write(builder, kind)
+    assert "ran_after_not_run" in builder.find_rules()
+
+
+def test_repeat_after_not_run_may_run():
+    # Guards against blaming the refused attempt for the repeat's entry.
+    builder = Builder()
+    builder.request(Operation.APPEND, label="w1", error=ErrorKind.NOT_RUN)
+    builder.write("w1")
+    assert builder.find_rules() == set()
+
+
+def test_lost_confirmed_write_is_allowed_before_the_promotion():
+    # Guards against a check stricter than the mode ``confirmed``.
+    builder = Builder()
+    first = builder.write("w1")
+    builder.write("w2", acknowledge="confirmed", session="other")
+    builder.history.promotions.append(
+        histories.Promotion(
+            database=DATABASE, endpoint="b", term=2, at=builder.tick(10)
+        )
+    )
+    builder.append("w3", term=2, parent=first)
+    assert builder.find_rules() == set()
+
+
+def test_unreachable_node_may_be_late():
+    # Guards against blaming a node that was cut off.
+    builder = Builder()
+    build_late_configuration(builder)
+    span = histories.Unreachable(host="h", start=13.0, end=14.0)
+    builder.history.unreachable.append(span)
+    assert builder.find_rules() == set()
+
+
+def test_value_round_trip():
+    # Guards against a value format that hides a mixed-up answer.
+    first = histories.make_value(DATABASE, "k", "a")
+    second = histories.make_value(DATABASE, "k", "b")
+    assert histories.parse_value(DATABASE, "k", f"{first},{second}") == ["a", "b"]
+    assert histories.parse_value(DATABASE, "j", first) is None
+    assert histories.parse_value(DATABASE, "k", first + ",") is None
