--- /dev/null
+++ b/hyssopshelf/configuration/application.py
@@ -0,0 +1,70 @@
+"""Application of a document to the tables that the controllers use."""
+
+from hyssopshelf import blackboard, logs
+from hyssopshelf.configuration import resources, views
+
+
+def apply_document(board, document: resources.Document, now: float) -> None:
+    """Put a document in force; endpoints that stay keep their state."""
+    board.documents[document.pool] = document
+    view = views.build_view(document)
+    _remove_missing(board, document.pool, view)
+    if view is None:
+        board.pools.pop(document.pool, None)
+    else:
+        board.pools[document.pool] = view
+        for database in view.databases.values():
+            _apply_database(board, document.pool, database, now)
+    board.log(
+        logs.LogEvent.CONFIGURATION_APPLIED,
+        pool=document.pool,
+        version=document.version,
+    )
+
+
+def _apply_database(board, pool: str, spec: resources.DatabaseSpec, now) -> None:
+    name = f"{pool}/{spec.name}"
+    names = tuple(f"{name}/{endpoint.name}" for endpoint in spec.endpoints)
+    record = board.databases.get(name)
+    if record is None:
+        board.databases[name] = blackboard.DatabaseRecord(
+            name=name, pool=pool, endpoints=names
+        )
+    else:
+        record.endpoints = names
+    for full_name, endpoint in zip(names, spec.endpoints, strict=True):
+        _apply_endpoint(board, pool, name, full_name, endpoint, now)
+
+
+def _apply_endpoint(board, pool, database, name, spec, now) -> None:
+    record = board.endpoints.get(name)
+    if record is None or record.address != spec.address:
+        record = blackboard.EndpointRecord(
+            name=name,
+            pool=pool,
+            database=database,
+            place=spec.place,
+            address=spec.address,
+        )
+        board.endpoints[name] = record
+    record.place = spec.place
+    if not spec.leaving:
+        record.leaving_at = None
+    elif record.leaving_at is None:
+        record.leaving_at = now
+
+
+def _remove_missing(board, pool: str, view: views.PoolView | None) -> None:
+    databases = set()
+    endpoints = set()
+    if view is not None:
+        for spec in view.databases.values():
+            databases.add(f"{pool}/{spec.name}")
+            endpoints.update(f"{pool}/{spec.name}/{e.name}" for e in spec.endpoints)
+    for name in [n for n, r in board.databases.items() if r.pool == pool]:
+        if name not in databases:
+            del board.databases[name]
+    for name in [n for n, r in board.endpoints.items() if r.pool == pool]:
+        if name not in endpoints:
+            del board.endpoints[name]
+            board.placement.pop(name, None)
