Run the real node core among fakes with callers and faults

Cause: the checker had no runs to check. Hosts and the first document are given to each core, as membership and dissemination are not part of it yet. Before: no runs.

--- a/benchmarks/faults/endpoints.py
+++ b/benchmarks/faults/endpoints.py
@@ -67,6 +67,11 @@
         """Return the full name of the endpoint's database."""
         return self.name.rpartition("/")[0]
 
+    @property
+    def is_primary(self) -> bool:
+        """Return whether the endpoint believes to be the primary."""
+        return self.instance.role is messages.Role.PRIMARY
+
     def run(self, step: Callable[[], None]) -> None:
         """Run a step of the process now, or after its pause; not if it is dead."""
         if self.dead:
--- /dev/null
+++ b/benchmarks/faults/nodes.py
@@ -0,0 +1,495 @@
+"""Nodes of a run: the real core behind fake adapters, with pauses and deaths."""
+
+import random
+import traceback
+from collections.abc import Callable
+
+import attrs
+
+from benchmarks.faults import clocks, endpoints, histories, network, store
+from hyssopshelf import base, blackboard, messages, node, platform
+
+OPEN_SECONDS = 0.010
+"""Time that an endpoint takes to open a connection."""
+
+CALL_TIMEOUT_SECONDS = 1.0
+"""Time after which a status probe, control call or opening has failed."""
+
+HOST_LIST_SECONDS = 1.0
+"""Period at which a node reads the host list."""
+
+REPLACE_SECONDS = 2.0
+"""Time after which a drained process is replaced by a new one."""
+
+TOKEN_KEYS = (("k1", b"secret of the fault run"),)
+
+
+def is_handled(event_class: type) -> bool:
+    """Return whether a controller of the core handles an event class."""
+    return base.handle.dispatch(event_class) is not base.handle.dispatch(object)
+
+
+@attrs.define(kw_only=True)
+class Surroundings:
+    """What the adapters of all nodes talk to.
+
+    Attributes
+    ----------
+    replies : dict of str to callable
+        Takes an answer for the connection of a caller.
+    trace : callable
+        Takes the name of a party and a line of text.
+    """
+
+    loop: clocks.EventLoop
+    network: network.Network
+    history: histories.History
+    store: store.FakeStore
+    host_list: store.FakeHostList
+    endpoints: "dict[str, endpoints.FakeEndpoint]" = attrs.field(factory=dict)
+    nodes: dict[str, "NodeProcess"] = attrs.field(factory=dict)
+    replies: dict[str, Callable] = attrs.field(factory=dict)
+    trace: Callable[[str, str], None] | None = None
+
+
+@attrs.define(kw_only=True, eq=False)
+class NodeProcess:
+    """The process of one node.
+
+    Attributes
+    ----------
+    prepare : callable
+        Called with a new core before its first event.
+    in_flight : dict of str to str
+        Caller's connection of each statement that waits for its answer.
+    """
+
+    host: str
+    place: str
+    region: str
+    clock: clocks.SkewedClock
+    random: random.Random
+    around: Surroundings
+    prepare: Callable
+    alive: bool = False
+    paused: bool = False
+    stopping: bool = False
+    started_at: float = 0.0
+    incarnation: int = 0
+    core: node.Node | None = None
+    in_flight: dict[str, str] = attrs.field(factory=dict)
+    on_death: list[Callable[[], None]] = attrs.field(factory=list)
+    _held: list[base.Event] = attrs.field(factory=list)
+    _connections: dict[str, tuple] = attrs.field(factory=dict)
+    _channels: dict[str, tuple] = attrs.field(factory=dict)
+    _versions: dict[str, int] = attrs.field(factory=dict)
+
+    # Life.
+
+    def start(self) -> None:
+        """Start the process with a new incarnation and no state."""
+        self.incarnation += 1
+        self.alive = True
+        self.paused = self.stopping = False
+        self.started_at = self.around.loop.now
+        self._versions.clear()
+        identity = blackboard.Identity(
+            host=self.host,
+            address=self.host,
+            place=self.place,
+            region=self.region,
+            incarnation=self.incarnation,
+        )
+        seed = self.random.getrandbits(32)
+        self.core = node.Node(identity=identity, seed=seed, token_keys=TOKEN_KEYS)
+        self.prepare(self)
+        self._schedule(node.TICK_SECONDS * self.random.random(), self._tick)
+        if is_handled(base.HostListReceived):
+            self._schedule(0.0, self._read_host_list)
+
+    def kill(self) -> None:
+        """End the process at once; its connections break."""
+        self.alive = False
+        self.incarnation += 1
+        self.paused = False
+        self._held.clear()
+        self.in_flight.clear()
+        for connection, endpoint in list(self._connections.values()):
+            self._close(connection, endpoint)
+            endpoint.watch_broken(connection)
+        self._connections.clear()
+        self._channels.clear()
+        closed, self.on_death = self.on_death, []
+        for call in closed:
+            call()
+
+    def pause(self) -> None:
+        """Stop the process without its knowledge; what arrives waits."""
+        self.paused = True
+
+    def resume(self) -> None:
+        """Continue after a pause, with the timer first or last."""
+        if not self.paused:
+            return
+        self.paused = False
+        held, self._held = self._held, []
+        place = self.random.choice((0, len(held)))
+        for event in (*held[:place], base.Ticked(), *held[place:]):
+            self.handle(event)
+
+    def drain(self) -> None:
+        """Ask for a graceful stop; the process ends when the core is idle."""
+        if not self.alive:
+            return
+        self.stopping = True
+        self.handle(base.DrainRequested())
+
+    def break_connections(self, endpoint: str) -> None:
+        """Break the data connections to an endpoint, as a lost route does."""
+        for connection, other in list(self._connections.values()):
+            if other.name == endpoint:
+                self._connections.pop(connection.id, None)
+                connection.up.close()
+                connection.down.close()
+                other.watch_broken(connection)
+                self.handle(base.ConnectionClosed(connection=connection.id))
+
+    def handle(self, event: base.Event) -> None:
+        """Pass an event to the core and carry out its actions."""
+        if not self.alive:
+            return
+        if self.paused:
+            self._held.append(event)
+            return
+        try:
+            actions = self.core.handle(event, self.clock.read())
+        except Exception as error:
+            place = traceback.extract_tb(error.__traceback__)[-1]
+            self.around.history.crashes.append(
+                f"{error!r} in {place.name} on {type(event).__name__}"
+            )
+            self._trace(traceback.format_exc())
+            return
+        if self.around.trace is not None:
+            self._trace_event(event, actions)
+        self._record_versions()
+        for action in actions:
+            self._carry_out(action)
+        if self.stopping:
+            self._stop_when_idle()
+
+    def _stop_when_idle(self) -> None:
+        if self.paused or not node.is_idle(self.core.board):
+            return
+        stopped = histories.Stopped(
+            host=self.host,
+            at=self.around.loop.now,
+            in_flight=tuple(self.in_flight),
+        )
+        self.around.history.stopped.append(stopped)
+        # The answers that were just sent reach the callers before the close.
+        self.stopping = False
+        self._schedule(0.05, self._replace)
+
+    def _replace(self) -> None:
+        """End a drained process; the platform starts another one later."""
+        self.kill()
+        self.around.loop.call_later(REPLACE_SECONDS, self._start_if_dead)
+
+    def _start_if_dead(self) -> None:
+        if not self.alive:
+            self.start()
+
+    def _schedule(self, seconds: float, call: Callable[[], None]) -> None:
+        incarnation = self.incarnation
+
+        def run() -> None:
+            if self.incarnation == incarnation:
+                call()
+
+        delay = self.clock.to_true_delay(seconds)
+        self.around.loop.call_later(delay, run)
+
+    def _tick(self) -> None:
+        self._schedule(node.TICK_SECONDS, self._tick)
+        if not self.paused:
+            self.handle(base.Ticked())
+
+    def _read_host_list(self) -> None:
+        self._schedule(HOST_LIST_SECONDS, self._read_host_list)
+        if not self.paused:
+            receive = self._in_this_life(
+                lambda hosts: self.handle(base.HostListReceived(hosts=hosts))
+            )
+            self.around.host_list.read(self.host, receive)
+
+    def _in_this_life(self, call: Callable) -> Callable:
+        """Return a callback that does nothing after the process ended."""
+        incarnation = self.incarnation
+
+        def run(*arguments) -> None:
+            if self.incarnation == incarnation:
+                call(*arguments)
+
+        return run
+
+    def _record_versions(self) -> None:
+        for pool, view in self.core.board.pools.items():
+            if self._versions.get(pool) != view.version:
+                self._versions[pool] = view.version
+                self.around.history.in_force.append(
+                    histories.ConfigurationInForce(
+                        host=self.host,
+                        incarnation=self.incarnation,
+                        pool=pool,
+                        version=view.version,
+                        at=self.around.loop.now,
+                    )
+                )
+
+    # Actions.
+
+    def _carry_out(self, action: base.Action) -> None:
+        match action:
+            case base.Reply():
+                self._reply(action)
+            case base.SendPeer():
+                self._send_peer(action)
+            case base.OpenConnection():
+                self._open(action)
+            case base.CloseConnection():
+                held = self._connections.pop(action.connection, None)
+                if held is not None:
+                    self._close(*held)
+            case base.Execute():
+                self._execute(action)
+            case base.ProbeStatus():
+                self._probe(action)
+            case base.CallControl():
+                self._control(action)
+            case base.CallStore():
+                self._call_store(action)
+
+    def _reply(self, action: base.Reply) -> None:
+        answer = action.answer
+        statement_id = getattr(answer, "id", "")
+        self.in_flight.pop(statement_id, None)
+        if getattr(answer, "error", None) is None:
+            times = self.around.history.acknowledged_at
+            times.setdefault(statement_id, self.around.loop.now)
+        receive = self.around.replies.get(action.caller)
+        caller = action.caller.partition("#")[0]
+        if receive is not None and not self.around.network.is_cut(self.host, caller):
+            delay = self.around.network.draw_delay(self.host, caller)
+            self.around.loop.call_later(delay, receive, answer)
+
+    def _send_peer(self, action: base.SendPeer) -> None:
+        envelope = messages.Envelope(
+            host=self.host, address=self.host, message=action.message
+        )
+        data = messages.encode(envelope)
+        peer = self.around.nodes.get(action.host)
+        unsent = base.PeerUnsent(host=action.host, message=action.message)
+        report_unsent = self._in_this_life(lambda: self.handle(unsent))
+        if peer is None or not peer.alive:
+            if self.random.random() < 0.5:
+                self.around.loop.call_later(0.001, report_unsent)
+            return
+
+        def deliver() -> None:
+            message = messages.decode(data).message
+            peer.handle(base.PeerReceived(host=self.host, message=message))
+
+        self.around.network.send(self.host, action.host, deliver, report_unsent)
+
+    def _open(self, action: base.OpenConnection) -> None:
+        endpoint = self.around.endpoints[action.endpoint]
+        net = self.around.network
+        connection = endpoints.DataConnection(
+            id=action.connection,
+            host=self.host,
+            incarnation=self.incarnation,
+            up=network.Channel(network=net, sender=self.host, receiver=endpoint.name),
+            down=network.Channel(network=net, sender=endpoint.name, receiver=self.host),
+            receive=self._in_this_life(
+                lambda request_id, answer: self._receive(connection, request_id, answer)
+            ),
+            report_closed=self._in_this_life(lambda: self._report_closed(connection)),
+        )
+        self._connections[connection.id] = (connection, endpoint)
+        state = {"open": False}
+
+        def accept() -> None:
+            accepted = endpoint.accept(connection)
+            connection.down.send(self._in_this_life(lambda: finish(accepted)))
+
+        def finish(accepted: bool) -> None:
+            if state["open"] or connection.id not in self._connections:
+                return
+            state["open"] = True
+            if accepted:
+                self.handle(base.ConnectionOpened(connection=connection.id))
+            else:
+                fail(True, "the endpoint is full")
+
+        def fail(refused: bool, reason: str) -> None:
+            held = self._connections.pop(connection.id, None)
+            if held is None:
+                return
+            self._close(*held)
+            self.handle(
+                base.ConnectionFailed(
+                    connection=connection.id, refused=refused, reason=reason
+                )
+            )
+
+        def expire() -> None:
+            if not state["open"]:
+                fail(False, "no answer in time")
+
+        connection.up.send(lambda: endpoint.run_later(OPEN_SECONDS, accept))
+        if endpoint.dead:
+            self._schedule(0.002, lambda: fail(False, "connection refused"))
+        self._schedule(CALL_TIMEOUT_SECONDS, expire)
+
+    def _close(
+        self,
+        connection: endpoints.DataConnection,
+        endpoint: endpoints.FakeEndpoint,
+    ) -> None:
+        # An opening takes the endpoint some time, so its close is sent later.
+        loop = self.around.loop
+        connection.down.close()
+        connection.receive = connection.report_closed = _ignore
+        close = connection.up.send
+        loop.call_later(
+            2 * OPEN_SECONDS,
+            close,
+            lambda: endpoint.run(lambda: endpoint.close(connection)),
+        )
+
+    def _report_closed(self, connection: endpoints.DataConnection) -> None:
+        if self._connections.pop(connection.id, None) is not None:
+            self.handle(base.ConnectionClosed(connection=connection.id))
+
+    def _receive(
+        self,
+        connection: endpoints.DataConnection,
+        request_id: str,
+        answer: messages.EndpointAnswer,
+    ) -> None:
+        self.handle(
+            base.EndpointAnswered(
+                connection=connection.id, request_id=request_id, answer=answer
+            )
+        )
+
+    def _execute(self, action: base.Execute) -> None:
+        held = self._connections.get(action.connection)
+        if held is None:
+            return
+        connection, endpoint = held
+        sent_at = self.around.loop.now
+        connection.up.send(
+            lambda: endpoint.run(
+                lambda: endpoint.submit(
+                    connection, action.request_id, action.request, sent_at
+                )
+            )
+        )
+
+    def _call_endpoint(self, name: str, call: Callable, report: Callable) -> None:
+        """Call an endpoint's control interface; report None without an answer."""
+        endpoint = self.around.endpoints[name]
+        if name not in self._channels:
+            net = self.around.network
+            self._channels[name] = (
+                network.Channel(network=net, sender=self.host, receiver=name),
+                network.Channel(network=net, sender=name, receiver=self.host),
+            )
+        up, down = self._channels[name]
+        state = {"done": False}
+
+        def finish(answer) -> None:
+            if not state["done"]:
+                state["done"] = True
+                report(answer)
+
+        finish_here = self._in_this_life(finish)
+
+        def serve() -> None:
+            answer = call(endpoint)
+            down.send(lambda: finish_here(answer))
+
+        up.send(lambda: endpoint.run(serve))
+        self._schedule(CALL_TIMEOUT_SECONDS, lambda: finish(None))
+
+    def _probe(self, action: base.ProbeStatus) -> None:
+        def report(status) -> None:
+            self.handle(
+                base.StatusReceived(
+                    endpoint=action.endpoint, probe_id=action.probe_id, status=status
+                )
+            )
+
+        self._call_endpoint(
+            action.endpoint, endpoints.FakeEndpoint.report_status, report
+        )
+
+    def _control(self, action: base.CallControl) -> None:
+        def report(answer) -> None:
+            self.handle(
+                base.ControlAnswered(
+                    endpoint=action.endpoint, call_id=action.call_id, answer=answer
+                )
+            )
+
+        self._call_endpoint(
+            action.endpoint,
+            lambda endpoint: endpoint.control(action.operation),
+            report,
+        )
+
+    def _call_store(self, action: base.CallStore) -> None:
+        receive = self._in_this_life(
+            lambda result: self.handle(
+                base.StoreAnswered(call_id=action.call_id, result=result)
+            )
+        )
+        self.around.store.call(self.host, action.operation, receive)
+
+    # Trace.
+
+    def _trace(self, text: str) -> None:
+        if self.around.trace is not None:
+            self.around.trace(self.host, text)
+
+    def _trace_event(self, event: base.Event, actions: list[base.Action]) -> None:
+        quiet = (base.Ticked, base.StatusReceived, base.HostListReceived)
+        if not isinstance(event, quiet):
+            self._trace(f"< {event}")
+        for action in actions:
+            if isinstance(action, base.Log):
+                fields = " ".join(f"{k}={v}" for k, v in action.fields.items())
+                self._trace(f"  {action.event.name.lower()} {fields}")
+            elif not isinstance(action, base.ProbeStatus):
+                self._trace(f"> {action}")
+
+
+def list_host_entries(nodes: dict[str, NodeProcess]) -> tuple:
+    """Return the rows that the platform lists for the live nodes."""
+    return tuple(
+        platform.HostEntry(
+            name=process.host,
+            address=process.host,
+            place=process.place,
+            region=process.region,
+            leaving=process.stopping,
+        )
+        for process in nodes.values()
+        if process.alive
+    )
+
+
+def _ignore(*arguments) -> None:
+    """Take an answer on a connection that the node closed."""
--- /dev/null
+++ b/benchmarks/faults/plan.py
@@ -0,0 +1,316 @@
+"""The faults of a run: what may happen, when, and how it ends."""
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from benchmarks.faults import endpoints, nodes, store
+
+GAP_SECONDS = 1.5
+"""Mean time between two faults."""
+
+REPEAT_RATE = 0.25
+"""Part of the faults that are followed at once by the same kind again."""
+
+
+@attrs.define(kw_only=True)
+class Injector:
+    """Starts and ends faults.
+
+    Attributes
+    ----------
+    leave : callable or None
+        Declares an endpoint as leaving or not, None without operators.
+    edit : callable or None
+        Makes operators edit the split at the same time.
+    flood : callable
+        Starts a flood of a duration in seconds.
+    """
+
+    around: nodes.Surroundings
+    random: random.Random
+    callers: tuple[str, ...]
+    flood: Callable[[float], None]
+    edit: Callable[[], None] | None = None
+    leave: Callable[[str, bool], None] | None = None
+    counts: dict[str, int] = attrs.field(factory=dict)
+
+    def run(self, start: float, end: float) -> None:
+        """Schedule faults between two times; all end by ``end``."""
+        time = start
+        while True:
+            time += self.random.expovariate(1.0 / GAP_SECONDS)
+            if time >= end:
+                return
+            kind = self.random.choice(self._list_kinds())
+            times = 2 if self.random.random() < REPEAT_RATE else 1
+            for number in range(times):
+                begin = time + number * self.random.uniform(0.0, 1.0)
+                self.around.loop.call_at(begin, self._start, kind, end)
+
+    def _list_kinds(self) -> list[Callable]:
+        kinds = [
+            self._cut_pair,
+            self._cut_one_way,
+            self._isolate,
+            self._isolate_primary,
+            self._isolate_place,
+            self._pause_node,
+            self._pause_node,
+            self._pause_endpoint,
+            self._kill_node,
+            self._kill_node,
+            self._kill_endpoint,
+            self._lag,
+            self._stop_replication,
+            self._stop_store,
+            self._slow_store,
+            self._lose_store_answers,
+            self._drain_node,
+            self._flood,
+            self._disturb_messages,
+            self._break_connections,
+        ]
+        if self.edit is not None:
+            kinds.extend((self._edit, self._edit))
+        if self.leave is not None:
+            kinds.append(self._leave)
+        return kinds
+
+    def _start(self, kind: Callable, end: float) -> None:
+        now = self.around.loop.now
+        if now >= end:
+            return
+        short = self.random.random() < 0.5
+        seconds = self.random.uniform(0.05, 1.0) if short else self.random.uniform(1, 9)
+        seconds = min(seconds, end - now)
+        name = kind.__name__.removeprefix("_")
+        self.counts[name] = self.counts.get(name, 0) + 1
+        undo = kind(seconds)
+        if undo is not None:
+            self.around.loop.call_later(seconds, undo)
+
+    def _trace(self, text: str) -> None:
+        if self.around.trace is not None:
+            self.around.trace("faults", text)
+
+    # Network.
+
+    def _list_parties(self) -> list[str]:
+        return [
+            *sorted(self.around.nodes),
+            *sorted(self.around.endpoints),
+            store.NAME,
+            store.HOST_LIST_NAME,
+            *self.callers,
+        ]
+
+    def _cut_links(self, links: list[tuple[str, str]], seconds: float) -> Callable:
+        self._trace(f"cut for {seconds:.3f} s: {links}")
+        net = self.around.network
+        for link in links:
+            net.cut(*link)
+
+        def heal() -> None:
+            for link in links:
+                net.heal(*link)
+
+        return heal
+
+    def _cut_pair(self, seconds: float) -> Callable:
+        one, other = self.random.sample(self._list_parties(), 2)
+        return self._cut_links([(one, other), (other, one)], seconds)
+
+    def _cut_one_way(self, seconds: float) -> Callable:
+        one, other = self.random.sample(self._list_parties(), 2)
+        return self._cut_links([(one, other)], seconds)
+
+    def _cut_groups(self, inner: set[str], outer: set[str], seconds: float) -> Callable:
+        way = self.random.choice(("both", "both", "in", "out"))
+        links = []
+        for one in sorted(inner):
+            for other in sorted(outer - inner):
+                if way in ("both", "out"):
+                    links.append((one, other))
+                if way in ("both", "in"):
+                    links.append((other, one))
+        return self._cut_links(links, seconds)
+
+    def _isolate(self, seconds: float) -> Callable:
+        parties = self._list_parties()
+        return self._cut_groups({self.random.choice(parties)}, set(parties), seconds)
+
+    def _isolate_primary(self, seconds: float) -> Callable:
+        """Cut a primary from its peers; some hosts still reach it."""
+        primary = self._choose_primary()
+        others = {name for name in primary.peers if name != primary.name}
+        hosts = sorted(self.around.nodes)
+        count = self.random.randrange(len(hosts) + 1)
+        others.update(self.random.sample(hosts, count))
+        return self._cut_groups({primary.name}, others, seconds)
+
+    def _isolate_place(self, seconds: float) -> Callable:
+        places = self.around.network.places
+        place = self.random.choice(sorted(set(places.values())))
+        inner = {name for name, where in places.items() if where == place}
+        return self._cut_groups(inner, set(self._list_parties()), seconds)
+
+    def _disturb_messages(self, seconds: float) -> Callable:
+        self._trace("messages are late, doubled, reordered and lost")
+        net = self.around.network
+        net.late_rate, net.doubled_rate, net.lost_rate = 0.2, 0.2, 0.03
+
+        def restore() -> None:
+            net.late_rate, net.doubled_rate, net.lost_rate = 0.0, 0.0, 0.0
+
+        return restore
+
+    def _break_connections(self, seconds: float) -> None:
+        process = self._choose_node()
+        endpoint = self.random.choice(sorted(self.around.endpoints))
+        self._trace(f"connections of {process.host} to {endpoint} break")
+        process.break_connections(endpoint)
+
+    # Processes.
+
+    def _choose_node(self) -> nodes.NodeProcess:
+        return self.around.nodes[self.random.choice(sorted(self.around.nodes))]
+
+    def _choose_endpoint(self) -> endpoints.FakeEndpoint:
+        if self.random.random() < 0.5:
+            return self._choose_primary()
+        name = self.random.choice(sorted(self.around.endpoints))
+        return self.around.endpoints[name]
+
+    def _choose_primary(self) -> endpoints.FakeEndpoint:
+        found = [
+            endpoint
+            for _, endpoint in sorted(self.around.endpoints.items())
+            if endpoint.is_primary
+        ]
+        return self.random.choice(found or list(self.around.endpoints.values()))
+
+    def _pause_node(self, seconds: float) -> Callable | None:
+        process = self._choose_node()
+        if not process.alive or process.paused:
+            return None
+        self._trace(f"pause {process.host} for {seconds:.3f} s")
+        process.pause()
+        incarnation = process.incarnation
+
+        def resume() -> None:
+            if process.incarnation == incarnation:
+                process.resume()
+
+        return resume
+
+    def _pause_endpoint(self, seconds: float) -> Callable | None:
+        endpoint = self._choose_endpoint()
+        if endpoint.dead or endpoint.paused:
+            return None
+        self._trace(f"pause {endpoint.name} for {seconds:.3f} s")
+        endpoint.pause()
+        return endpoint.resume
+
+    def _kill_node(self, seconds: float) -> Callable | None:
+        process = self._choose_node()
+        if not process.alive:
+            return None
+        self._trace(f"kill {process.host} for {seconds:.3f} s")
+        process.kill()
+        return self._restarter(process)
+
+    def _restarter(self, process: nodes.NodeProcess) -> Callable:
+        def restart() -> None:
+            if not process.alive:
+                self._trace(f"restart {process.host}")
+                process.start()
+
+        return restart
+
+    def _drain_node(self, seconds: float) -> None:
+        process = self._choose_node()
+        if not process.alive or process.stopping:
+            return
+        self._trace(f"drain {process.host}")
+        process.drain()
+
+    def _kill_endpoint(self, seconds: float) -> Callable | None:
+        endpoint = self._choose_endpoint()
+        if endpoint.dead:
+            return None
+        self._trace(f"kill {endpoint.name} for {seconds:.3f} s")
+        endpoint.kill()
+        return endpoint.restart
+
+    # Replication.
+
+    def _lag(self, seconds: float) -> Callable:
+        endpoint = self._choose_endpoint()
+        delay = self.random.uniform(0.1, 4.0)
+        self._trace(f"{endpoint.name} applies {delay:.3f} s late for {seconds:.3f} s")
+        endpoint.instance.apply_delay_seconds = delay
+
+        def recover() -> None:
+            endpoint.instance.apply_delay_seconds = 0.0
+
+        return recover
+
+    def _stop_replication(self, seconds: float) -> Callable:
+        endpoint = self._choose_endpoint()
+        self._trace(f"{endpoint.name} fetches nothing for {seconds:.3f} s")
+        endpoint.fetching = False
+
+        def recover() -> None:
+            endpoint.fetching = True
+
+        return recover
+
+    # Platform.
+
+    def _stop_store(self, seconds: float) -> Callable:
+        self._trace(f"store down for {seconds:.3f} s")
+        target = self.around.store
+        target.down = True
+
+        def recover() -> None:
+            target.down = False
+
+        return recover
+
+    def _slow_store(self, seconds: float) -> Callable:
+        target = self.around.store
+        target.slow_seconds = self.random.uniform(0.1, 3.0)
+        self._trace(f"store slow by {target.slow_seconds:.3f} s for {seconds:.3f} s")
+
+        def recover() -> None:
+            target.slow_seconds = 0.0
+
+        return recover
+
+    def _lose_store_answers(self, seconds: float) -> Callable:
+        self._trace(f"store loses answers for {seconds:.3f} s")
+        target = self.around.store
+        target.lost_rate = 0.5
+
+        def recover() -> None:
+            target.lost_rate = 0.0
+
+        return recover
+
+    # Load and operators.
+
+    def _flood(self, seconds: float) -> None:
+        self._trace(f"flood for {seconds:.3f} s")
+        self.flood(seconds)
+
+    def _edit(self, seconds: float) -> None:
+        self._trace("operators edit the split")
+        self.edit()
+
+    def _leave(self, seconds: float) -> Callable:
+        name = self.random.choice(sorted(self.around.endpoints))
+        self._trace(f"{name} is leaving for {seconds:.3f} s")
+        self.leave(name, True)
+        return lambda: self.leave(name, False)
--- /dev/null
+++ b/benchmarks/faults/store.py
@@ -0,0 +1,209 @@
+"""The platform of a run: a key-value store with faults and a lagging host list."""
+
+import random
+from collections.abc import Callable
+
+import attrs
+import result
+
+from benchmarks.faults import clocks, histories, network
+from hyssopshelf import platform
+from hyssopshelf.configuration import resources
+
+NAME = "store"
+"""Party name of the store in the network."""
+
+HOST_LIST_NAME = "hostlist"
+"""Party name of the host list in the network."""
+
+CALL_SECONDS = 0.002
+"""Time that the store takes for a call when it is well."""
+
+TIMEOUT_SECONDS = 2.0
+"""Time after which a call without an answer has an unknown outcome."""
+
+
+@attrs.define(kw_only=True)
+class FakeStore:
+    """Keys with revisions, leases and waiting watches.
+
+    Attributes
+    ----------
+    read_document : callable
+        Decodes the value of a configuration key.
+    down : bool
+        Calls are neither carried out nor answered.
+    slow_seconds : float
+        Time added to each call.
+    lost_rate : float
+        Part of the answers that are lost after the call took effect.
+    """
+
+    loop: clocks.EventLoop
+    network: network.Network
+    random: random.Random
+    history: histories.History
+    read_document: Callable[[bytes], resources.Document]
+    down: bool = False
+    slow_seconds: float = 0.0
+    lost_rate: float = 0.0
+    calls: int = 0
+    revision: int = 0
+    entries: dict[str, platform.Entry] = attrs.field(factory=dict)
+    _leases: dict[int, float] = attrs.field(factory=dict)
+    _bound: dict[str, int] = attrs.field(factory=dict)
+    _watches: list = attrs.field(factory=list)
+
+    def call(self, host: str, operation, answer: Callable) -> None:
+        """Carry out a call of a host; ``answer`` takes a ``result.Result``."""
+        done = False
+
+        def finish(value) -> None:
+            nonlocal done
+            if not done:
+                done = True
+                answer(value)
+
+        def reply(value) -> None:
+            if self.down or self.random.random() < self.lost_rate:
+                return
+            if self.network.is_cut(NAME, host):
+                return
+            delay = self.network.draw_delay(NAME, host)
+            self.loop.call_later(delay, finish, result.Ok(value))
+
+        def arrive() -> None:
+            if self.down or self.network.is_cut(host, NAME):
+                return
+            self.calls += 1
+            self._serve(operation, reply)
+
+        wait = getattr(operation, "wait_seconds", 0.0) + TIMEOUT_SECONDS
+        delay = self.network.draw_delay(host, NAME)
+        self.loop.call_later(delay + CALL_SECONDS + self.slow_seconds, arrive)
+        self.loop.call_later(wait, finish, result.Err("no answer in time"))
+
+    def write(self, key: str, value: bytes, lease: int = 0) -> platform.Entry:
+        """Write a key and wake the watches on it."""
+        self.revision += 1
+        entry = platform.Entry(key=key, value=value, revision=self.revision)
+        self.entries[key] = entry
+        self._bound[key] = lease
+        self._record(key, value)
+        waiting, self._watches = self._watches, []
+        for prefix, after, reply in waiting:
+            if key.startswith(prefix) and entry.revision > after:
+                reply(platform.Changes(entries=(entry,), revision=self.revision))
+            else:
+                self._watches.append((prefix, after, reply))
+        return entry
+
+    def _record(self, key: str, value: bytes) -> None:
+        if not key.startswith("configuration/"):
+            return
+        document = self.read_document(value)
+        leaving = set()
+        for resource in document.resources:
+            if resource.kind is resources.ResourceKind.POOL:
+                leaving.update(
+                    f"{document.pool}/{database.name}/{endpoint.name}"
+                    for database in resource.spec.databases
+                    for endpoint in database.endpoints
+                    if endpoint.leaving
+                )
+        self.history.accepted.append(
+            histories.ConfigurationAccepted(
+                pool=document.pool,
+                version=document.version,
+                at=self.loop.now,
+                leaving=frozenset(leaving),
+            )
+        )
+
+    def _serve(self, operation, reply: Callable) -> None:
+        self._expire()
+        if isinstance(operation, platform.Get):
+            reply(self.entries.get(operation.key))
+        elif isinstance(operation, platform.ListPrefix):
+            reply(self._list(operation.prefix, 0))
+        elif isinstance(operation, platform.CompareAndSwap):
+            reply(self._swap(operation))
+        elif isinstance(operation, platform.GrantLease):
+            lease = self.random.getrandbits(32) + 1
+            self._leases[lease] = self.loop.now + operation.time_to_live_seconds
+            reply(lease)
+        elif isinstance(operation, platform.RevokeLease):
+            self._leases.pop(operation.lease, None)
+            self._expire()
+            reply(None)
+        else:
+            self._watch(operation, reply)
+
+    def _swap(self, operation: platform.CompareAndSwap) -> platform.Swapped:
+        current = self.entries.get(operation.key)
+        held = current.revision if current else 0
+        if held != operation.revision:
+            return platform.Swapped(succeeded=False, current=current)
+        entry = self.write(operation.key, operation.value, operation.lease)
+        return platform.Swapped(succeeded=True, current=entry)
+
+    def _watch(self, operation: platform.Watch, reply: Callable) -> None:
+        changed = self._list(operation.prefix, operation.after_revision)
+        if changed:
+            reply(platform.Changes(entries=changed, revision=self.revision))
+            return
+        watch = (operation.prefix, operation.after_revision, reply)
+        self._watches.append(watch)
+
+        def end() -> None:
+            if watch in self._watches:
+                self._watches.remove(watch)
+                reply(platform.Changes(entries=(), revision=self.revision))
+
+        self.loop.call_later(operation.wait_seconds, end)
+
+    def _list(self, prefix: str, after: int) -> tuple[platform.Entry, ...]:
+        return tuple(
+            entry
+            for entry in self.entries.values()
+            if entry.key.startswith(prefix) and entry.revision > after
+        )
+
+    def _expire(self) -> None:
+        for lease in [k for k, end in self._leases.items() if end <= self.loop.now]:
+            del self._leases[lease]
+        for key, lease in list(self._bound.items()):
+            if lease and lease not in self._leases:
+                del self._bound[key]
+                self.entries.pop(key, None)
+
+
+@attrs.define(kw_only=True)
+class FakeHostList:
+    """The platform's host list, which tells a state that is some seconds old.
+
+    Attributes
+    ----------
+    lag_seconds : float
+        Age of the state that readers get.
+    """
+
+    loop: clocks.EventLoop
+    network: network.Network
+    lag_seconds: float = 3.0
+    _versions: list[tuple[float, tuple]] = attrs.field(factory=list)
+
+    def publish(self, hosts: tuple[platform.HostEntry, ...]) -> None:
+        """Change the list."""
+        self._versions.append((self.loop.now, hosts))
+
+    def read(self, host: str, answer: Callable[[tuple], None]) -> None:
+        """Answer a host with the list; nothing comes over a cut link."""
+        if not self.network.connects(host, HOST_LIST_NAME):
+            return
+        seen = self._versions[0][1]
+        for at, hosts in self._versions:
+            if at + self.lag_seconds <= self.loop.now:
+                seen = hosts
+        delay = self.network.draw_delay(host, HOST_LIST_NAME)
+        self.loop.call_later(2 * delay, answer, seen)
--- /dev/null
+++ b/benchmarks/faults/world.py
@@ -0,0 +1,397 @@
+"""One run: a fleet of real cores among fakes, callers, faults and the checks."""
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from benchmarks.faults import (
+    callers,
+    cases,
+    checker,
+    clocks,
+    endpoints,
+    histories,
+    network,
+    nodes,
+    plan,
+    store,
+)
+from hyssopshelf import blackboard, messages
+from hyssopshelf.configuration import application, resources
+from hyssopshelf.consistency import positions
+from hyssopshelf.standins import database
+
+POOL = "mondkartei"
+PARTNERS = ("steyrtal", "priehradka")
+PLACES = ("steyr-rathaus", "enns-werkhof", "freistadt-keller")
+DATABASES = ("orders", "almanac")
+CONNECTIONS = 8
+SLOTS = 3
+
+RATE_SPREAD = 0.05
+"""Clocks run between 1 - spread and 1 + spread seconds a second."""
+
+START_SECONDS = 3.0
+"""Time without faults at the start of a run."""
+
+SETTLE_SECONDS = 20.0
+"""Time after the last fault in which the fleet has to recover under load."""
+
+QUIET_SECONDS = 6.0
+"""Time after the load in which all replicas catch up."""
+
+SAMPLE_SECONDS = 0.1
+"""Period at which the reachability of nodes is sampled."""
+
+JOIN_SECONDS = 4.0
+"""Time after a start in which a node is not yet expected to take part."""
+
+KINDS = (
+    callers.Kind(name="order", staleness_seconds=0.5, acknowledge="majority"),
+    callers.Kind(name="page", staleness_seconds=1.0, acknowledge="confirmed"),
+    callers.Kind(name="report", staleness_seconds=4.0, acknowledge="confirmed"),
+)
+
+
+@attrs.frozen(kw_only=True)
+class Options:
+    """What a run does.
+
+    Attributes
+    ----------
+    seconds : float
+        Virtual time with faults.
+    hosts, callers : int
+        Size of the fleet and of the load.
+    """
+
+    seed: int
+    seconds: float = 30.0
+    hosts: int = 6
+    callers: int = 9
+    with_faults: bool = True
+    trace: Callable[[str], None] | None = None
+
+
+@attrs.frozen(kw_only=True)
+class Outcome:
+    """What a run found."""
+
+    violations: list[cases.Violation]
+    history: histories.History
+    faults: dict[str, int]
+    virtual_seconds: float
+    store_calls: int
+
+
+def make_document() -> resources.Document:
+    """Return the first document of the pool."""
+    specs = {
+        (resources.ResourceKind.POOL, POOL): resources.PoolSpec(
+            databases=tuple(
+                resources.DatabaseSpec(
+                    name=name,
+                    endpoints=tuple(
+                        resources.EndpointSpec(
+                            name=letter, address=f"127.0.0.1:{port}", place=place
+                        )
+                        for port, (letter, place) in enumerate(
+                            zip("abc", PLACES, strict=True), start=1000 + 10 * number
+                        )
+                    ),
+                )
+                for number, name in enumerate(DATABASES)
+            ),
+            partners=PARTNERS,
+            slots=SLOTS,
+            connections=CONNECTIONS,
+        ),
+    }
+    for order, kind in enumerate(KINDS):
+        specs[resources.ResourceKind.RANK, f"rank-{kind.name}"] = resources.RankSpec(
+            order=order,
+            floor=(0.5, 0.2, 0.1)[order],
+            acknowledge=kind.acknowledge,
+            queue_limit=50,
+        )
+    for partner in PARTNERS:
+        specs[resources.ResourceKind.PARTNER, partner] = resources.PartnerSpec(
+            kinds=tuple(
+                resources.KindSpec(
+                    name=kind.name,
+                    rank=f"rank-{kind.name}",
+                    staleness_seconds=kind.staleness_seconds,
+                )
+                for kind in KINDS
+            )
+        )
+    even = dict.fromkeys(PARTNERS, 0.5)
+    specs[resources.ResourceKind.SPLIT, "split"] = resources.SplitSpec(
+        capacity=even, bill=even
+    )
+    return resources.Document(
+        pool=POOL,
+        version=1,
+        resources=tuple(
+            resources.Resource(
+                kind=kind, pool=POOL, name=name, resource_version=1, spec=spec
+            )
+            for (kind, name), spec in specs.items()
+        ),
+    )
+
+
+class World:
+    """A fleet on a virtual clock."""
+
+    def __init__(self, options: Options) -> None:
+        self.options = options
+        self.random = random.Random(options.seed)
+        self.loop = clocks.EventLoop()
+        self.history = histories.History(slowest_rate=1.0 - RATE_SPREAD)
+        net = network.Network(loop=self.loop, random=self._fork())
+        self.around = nodes.Surroundings(
+            loop=self.loop,
+            network=net,
+            history=self.history,
+            store=store.FakeStore(
+                loop=self.loop,
+                network=net,
+                random=self._fork(),
+                history=self.history,
+                read_document=lambda data: make_document(),
+            ),
+            host_list=store.FakeHostList(loop=self.loop, network=net),
+            trace=self._trace if options.trace else None,
+        )
+        self._down_since: dict[str, float] = {}
+        self._build_endpoints()
+        self._build_nodes()
+        self.callers = [
+            self._make_caller(f"c{n}", KINDS[n % len(KINDS)])
+            for n in range(options.callers)
+        ]
+        self.injector = plan.Injector(
+            around=self.around,
+            random=self._fork(),
+            callers=tuple(caller.name for caller in self.callers),
+            flood=self._flood,
+        )
+
+    def run(self) -> Outcome:
+        """Run to the end and check the history."""
+        self.start()
+        end_of_faults = START_SECONDS + self.options.seconds
+        if self.options.with_faults:
+            self.injector.run(START_SECONDS, end_of_faults)
+        end_of_load = end_of_faults + SETTLE_SECONDS
+        for caller in self.callers:
+            caller.stop_at = end_of_load
+        self.loop.run_until(end_of_load)
+        return self.finish()
+
+    def start(self) -> None:
+        """Start all processes and the load."""
+        for process in self.around.nodes.values():
+            process.start()
+        self._publish_hosts()
+        for caller in self.callers:
+            caller.start()
+        self._sample()
+
+    def finish(self) -> Outcome:
+        """Let the fleet become quiet, see whether it serves, and check."""
+        for caller in self.callers:
+            caller.stop_at = min(caller.stop_at, self.loop.now)
+        self.loop.run_until(self.loop.now + QUIET_SECONDS)
+        self._probe_service()
+        self.history.stalled.extend(
+            f"{host} drains without end"
+            for host, process in self.around.nodes.items()
+            if process.stopping
+        )
+        self.history.end = self.loop.now
+        for host in list(self._down_since):
+            self._set_reachable(host, True)
+        self._find_survivors()
+        return Outcome(
+            violations=checker.check_history(self.history),
+            history=self.history,
+            faults=dict(self.injector.counts),
+            virtual_seconds=self.loop.now,
+            store_calls=self.around.store.calls,
+        )
+
+    # Construction.
+
+    def _fork(self) -> random.Random:
+        return random.Random(self.random.getrandbits(64))
+
+    def _make_clock(self) -> clocks.SkewedClock:
+        return clocks.SkewedClock(
+            loop=self.loop,
+            rate=self.random.uniform(1.0 - RATE_SPREAD, 1.0 + RATE_SPREAD),
+            origin=self.random.uniform(0.0, 1e6),
+        )
+
+    def _build_endpoints(self) -> None:
+        for name in DATABASES:
+            group: dict[str, endpoints.FakeEndpoint] = {}
+            for letter, place in zip("abc", PLACES, strict=True):
+                full = f"{POOL}/{name}/{letter}"
+                self.around.network.places[full] = place
+                group[full] = endpoints.FakeEndpoint(
+                    name=full,
+                    loop=self.loop,
+                    clock=self._make_clock(),
+                    network=self.around.network,
+                    random=self._fork(),
+                    history=self.history,
+                    instance=database.Instance(name=full, connection_limit=CONNECTIONS),
+                    peers=group,
+                )
+            primary, *replicas = group.values()
+            primary.instance.bootstrap(1, primary.clock.read())
+            for replica in replicas:
+                order = messages.Follow(term=1, primary=primary.name)
+                replica.instance.follow(order, replica.clock.read())
+            self.around.endpoints.update(group)
+        for endpoint in self.around.endpoints.values():
+            endpoint.start()
+
+    def _build_nodes(self) -> None:
+        for number in range(self.options.hosts):
+            host = f"h{number}"
+            place = PLACES[number % len(PLACES)]
+            self.around.network.places[host] = place
+            self.around.nodes[host] = nodes.NodeProcess(
+                host=host,
+                place=place,
+                region=place,
+                clock=self._make_clock(),
+                random=self._fork(),
+                around=self.around,
+                prepare=self._prepare,
+            )
+
+    def _prepare(self, process: nodes.NodeProcess) -> None:
+        """Give a new core what the platform tells a process at its start."""
+        board = process.core.board
+        for other in self.around.nodes.values():
+            board.hosts[other.host] = blackboard.HostRecord(
+                name=other.host,
+                address=other.host,
+                place=other.place,
+                region=other.region,
+            )
+        application.apply_document(board, make_document(), process.clock.read())
+        board.configuration_ready = True
+
+    def _make_caller(self, name: str, kind: callers.Kind) -> callers.Caller:
+        return callers.Caller(
+            name=name,
+            pool=POOL,
+            partner=self.random.choice(PARTNERS),
+            databases=DATABASES,
+            kind=kind,
+            random=self._fork(),
+            around=self.around,
+        )
+
+    # Course of the run.
+
+    def _flood(self, seconds: float) -> None:
+        for number in range(20):
+            name = f"f{self.loop.now:.3f}-{number}"
+            caller = self._make_caller(name, KINDS[-1])
+            caller.think_seconds = 0.01
+            caller.stop_at = self.loop.now + seconds
+            caller.start()
+
+    def _publish_hosts(self) -> None:
+        self.around.host_list.publish(nodes.list_host_entries(self.around.nodes))
+        self.loop.call_later(1.0, self._publish_hosts)
+
+    def _sample(self) -> None:
+        """Record which nodes can take part."""
+        alive = [process for process in self.around.nodes.values() if process.alive]
+        everyone = True
+        for process in self.around.nodes.values():
+            reachable = self._is_reachable(process, alive)
+            everyone = everyone and reachable
+            self._set_reachable(process.host, reachable)
+        platform = self.around.store
+        well = not (platform.down or platform.slow_seconds or platform.lost_rate)
+        # Without the store a change that only its committer knows is lost to
+        # the others until the committer or the store is back.
+        for host in () if well or everyone else self.around.nodes:
+            self._set_reachable(host, False)
+        self.loop.call_later(SAMPLE_SECONDS, self._sample)
+
+    def _is_reachable(
+        self, process: nodes.NodeProcess, alive: list[nodes.NodeProcess]
+    ) -> bool:
+        if not process.alive or process.paused or process.stopping:
+            return False
+        if self.loop.now < process.started_at + JOIN_SECONDS:
+            return False
+        peers = [
+            other
+            for other in alive
+            if other is not process
+            and not other.paused
+            and self.around.network.connects(process.host, other.host)
+        ]
+        return 2 * len(peers) > len(self.around.nodes) - 1
+
+    def _set_reachable(self, host: str, reachable: bool) -> None:
+        if not reachable:
+            self._down_since.setdefault(host, self.loop.now - SAMPLE_SECONDS)
+        elif host in self._down_since:
+            self.history.unreachable.append(
+                histories.Unreachable(
+                    host=host, start=self._down_since.pop(host), end=self.loop.now
+                )
+            )
+
+    def _probe_service(self) -> None:
+        """Write to each database until it takes a write, for a limited time."""
+        missing = set(DATABASES)
+        for _ in range(20):
+            for name in sorted(missing):
+                caller = self._make_caller(f"p{self.loop.now:.0f}{name}", KINDS[0])
+                caller.probe(name)
+            self.loop.run_until(self.loop.now + 1.0)
+            for request in reversed(self.history.requests):
+                if not request.session.startswith("p"):
+                    break
+                if request.succeeded:
+                    missing.discard(request.database.partition("/")[2])
+            if not missing:
+                return
+        self.history.stalled.extend(sorted(missing))
+
+    def _find_survivors(self) -> None:
+        for name in DATABASES:
+            full = f"{POOL}/{name}"
+            group = [
+                endpoint.instance
+                for endpoint in self.around.endpoints.values()
+                if endpoint.database == full
+            ]
+            primaries = [i for i in group if i.role is messages.Role.PRIMARY]
+            heads = [
+                (instance.term, positions.locate(instance.history, instance.position))
+                for instance in primaries or group
+            ]
+            _, head = max(heads)
+            self.history.survivors[full] = head if head.index else None
+
+    def _trace(self, party: str, text: str) -> None:
+        self.options.trace(f"{self.loop.now:9.4f} {party:<8} {text}")
+
+
+def run_seed(options: Options) -> Outcome:
+    """Run one seed."""
+    return World(options).run()
