--- a/benchmarks/faults/nodes.py
+++ b/benchmarks/faults/nodes.py
@@ -291,6 +291,9 @@
         peer = self.around.nodes.get(action.host)
         unsent = base.PeerUnsent(host=action.host, message=action.message)
         report_unsent = self._in_this_life(lambda: self.handle(unsent))
+        if action.host not in self.core.board.hosts:
+            self.around.loop.call_later(0.0, report_unsent)
+            return
         if peer is None or not peer.alive:
             if self.random.random() < 0.5:
                 self.around.loop.call_later(0.001, report_unsent)
@@ -298,7 +301,10 @@
 
         def deliver() -> None:
             message = messages.decode(data).message
-            peer.handle(base.PeerReceived(host=self.host, message=message))
+            event = base.PeerReceived(
+                host=self.host, message=message, address=self.host
+            )
+            peer.handle(event)
 
         self.around.network.send(self.host, action.host, deliver, report_unsent)
 
@@ -387,6 +393,8 @@
     def _execute(self, action: base.Execute) -> None:
         held = self._connections.get(action.connection)
         if held is None:
+            closed = base.ConnectionClosed(connection=action.connection)
+            self._schedule(0.0, lambda: self.handle(closed))
             return
         connection, endpoint = held
         sent_at = self.around.loop.now
