--- a/hyssopshelf/statements/serving.py
+++ b/hyssopshelf/statements/serving.py
@@ -13,7 +13,12 @@
 """New work is refused this long after an endpoint was seen leaving; the stated
 bound is 3 s and leaves 1 s for the news to arrive."""
 
-OPERATIONS_WITH_VALUE = (messages.Operation.PUT, messages.Operation.APPEND)
+DRAIN_GRACE_SECONDS = 1.0
+"""A draining node serves its endpoints for this time, while its peers learn that
+it leaves; later it answers new statements with "not run"."""
+
+KNOWN_ROLE_SECONDS = 0.5
+"""Time for which a replica's last known role decides without asking it."""
 
 
 @base.receive.register
@@ -27,6 +32,7 @@
             reason="received before or too late",
         )
         return
+    board.forwarded_at = now
     deadline = now + message.remaining_seconds - board.pause_seconds
     served = _make_request(board, message, host, deadline, now)
     if served is None:
@@ -72,7 +78,8 @@
         endpoint.leaving_at is not None
         and now >= endpoint.leaving_at + LEAVING_GRACE_SECONDS
     )
-    if leaving and not statement.transaction:
+    draining = board.draining and now >= board.drained_at + DRAIN_GRACE_SECONDS
+    if (leaving or draining) and not statement.transaction:
         return None
     item = work.Work(
         id=message.request_id,
@@ -142,6 +149,14 @@
 
 
 def _admit(board, served, now) -> None:
+    if _is_known_replica(board, served, now):
+        completion.finish_error(
+            board,
+            served,
+            exceptions.ErrorKind.NOT_RUN,
+            "the endpoint is not the primary",
+        )
+        return
     if served.statement.operation is messages.Operation.GET:
         verdict = _check_known_state(board, served, now)
         if verdict is reads.Verdict.BEHIND:
@@ -150,6 +165,19 @@
     _enqueue(board, served, now)
 
 
+def _is_known_replica(board, served, now) -> bool:
+    """Return whether a statement needs the primary and this is not it."""
+    statement = served.statement
+    record = board.endpoints[served.endpoint]
+    if record.status is None or record.status.role is messages.Role.PRIMARY:
+        return False
+    if now - record.status_asked_at > KNOWN_ROLE_SECONDS:
+        return False
+    return statement.operation is not messages.Operation.GET or reads.needs_primary(
+        statement.consistency, served.required
+    )
+
+
 def _check_known_state(board, served, now) -> reads.Verdict:
     """Compare the endpoint's last known state with what a read needs.
 
