Refuse reads of a session whose seen state was discarded

Cause: after a write of such a session the token kept the discarded position. A replica that still held the discarded branch contains it and served a read without the session's own write. Change: the token gets a position that no log contains, so that the next read is answered with stale_token or goes to the primary.

--- a/hyssopshelf/consistency/positions.py
+++ b/hyssopshelf/consistency/positions.py
@@ -10,6 +10,9 @@
 START = messages.Position(term=0, index=0)
 """Position before the first entry; every log contains it."""
 
+UNREACHED_INDEX = 2**62
+"""An index that no log reaches."""
+
 
 def find_end(
     history: tuple[messages.TermStart, ...], term: int, last: int
@@ -60,6 +63,15 @@
     return end is None or position.index > end
 
 
+def mark_discarded(position: messages.Position) -> messages.Position:
+    """Return a position for a session whose seen state was discarded.
+
+    No log contains it: one that has only the discarded branch seems to be
+    behind, and one that continued without it tells that it was discarded.
+    """
+    return messages.Position(term=position.term, index=UNREACHED_INDEX)
+
+
 def locate(history: tuple[messages.TermStart, ...], index: int) -> messages.Position:
     """Return the position of an index: with the term that wrote it."""
     term = 0
--- a/hyssopshelf/statements/completion.py
+++ b/hyssopshelf/statements/completion.py
@@ -310,9 +310,10 @@
         and served.required is not None
         and positions.is_discarded(answer.status.history, served.required)
     ):
-        # The token keeps the discarded position, so that the session's next
-        # read tells it that a change of primary discarded what it had seen.
-        seen = None
+        # No log holds both what the session had seen and what it now wrote. The
+        # next read has to tell it, also on a replica that still holds the
+        # discarded branch.
+        seen = positions.mark_discarded(served.required)
     transaction = served.statement.transaction
     if served.statement.operation is messages.Operation.BEGIN:
         transaction = board.connections[served.connection].transaction
