--- a/hyssopshelf/blackboard.py
+++ b/hyssopshelf/blackboard.py
@@ -11,11 +11,13 @@
 
 from hyssopshelf import base, logs, messages
 from hyssopshelf.configuration import resources, views
+from hyssopshelf.configuration import state as configuration_state
 from hyssopshelf.connections import records
-from hyssopshelf.failover import confirmation, state, tickets
+from hyssopshelf.failover import confirmation, tickets
+from hyssopshelf.failover import state as failover_state
 from hyssopshelf.membership import protocol as membership_protocol
 from hyssopshelf.membership import records as host_records
-from hyssopshelf.scheduling import limits, queues, shares, work
+from hyssopshelf.scheduling import billing, budgets, limits, queues, shares, work
 
 HostState = host_records.HostState
 HostRecord = host_records.HostRecord
@@ -135,6 +137,7 @@
     retry_at: float = 0.0
     sent_at: float = 0.0
     primary_only: bool = False
+    admitted: bool = False
     answer: messages.ServedAnswer | None = None
 
 
@@ -236,6 +239,9 @@
     databases: dict[str, DatabaseRecord] = attrs.field(factory=dict)
     documents: dict[str, resources.Document] = attrs.field(factory=dict)
     pools: dict[str, views.PoolView] = attrs.field(factory=dict)
+    configuration: configuration_state.ConfigurationState = attrs.field(
+        factory=configuration_state.ConfigurationState
+    )
     placement: dict[str, str] = attrs.field(factory=dict)
     endpoint_queues: dict[str, queues.EndpointQueue] = attrs.field(factory=dict)
     connections: dict[str, records.ConnectionRecord] = attrs.field(factory=dict)
@@ -259,9 +265,13 @@
     confirmations: confirmation.ConfirmationState = attrs.field(
         factory=confirmation.ConfirmationState
     )
-    failover: state.FailoverState = attrs.field(factory=state.FailoverState)
+    failover: failover_state.FailoverState = attrs.field(
+        factory=failover_state.FailoverState
+    )
     usage: shares.UsageState = attrs.field(factory=shares.UsageState)
     admission: limits.LimitState = attrs.field(factory=limits.LimitState)
+    retry_budget: budgets.RetryBudget = attrs.field(factory=budgets.RetryBudget)
+    bills: billing.BillingState = attrs.field(factory=billing.BillingState)
 
     actions: list[base.Action] = attrs.field(factory=list)
     counters: dict[str, float] = attrs.field(factory=dict)
--- a/hyssopshelf/consistency/routing.py
+++ b/hyssopshelf/consistency/routing.py
@@ -44,6 +44,8 @@
         replica = _choose_replica(board, database, request, required, now)
         if replica is not None:
             return Route(endpoint=replica, reason="replica")
+    if not reading and now < database.held_until:
+        return None
     if database.primary in board.endpoints:
         return Route(endpoint=database.primary, reason="primary")
     if not database.endpoints:
