--- /dev/null
+++ b/benchmarks/bench_replica_reads.py
@@ -0,0 +1,146 @@
+"""Share of reads served by replicas at several replica lags, and stale reads.
+
+Runs the real core on the virtual clock of the fault runs, without faults. Six
+nodes in three places with 12 ms between the places serve two databases. The
+baseline sends every session read to the primary. Run it with
+``python -m benchmarks.bench_replica_reads --seed N --json``.
+"""
+
+import argparse
+import json
+import statistics
+from unittest import mock
+
+from benchmarks.faults import callers, world
+from hyssopshelf import messages
+from hyssopshelf.consistency import reads
+
+LAGS_SECONDS = (0.0, 0.1, 1.0, 10.0)
+RUN_SECONDS = 10.0
+WARM_UP_SECONDS = 3.0
+"""Reads do not count before all nodes have polled their endpoints and before the
+data that was there at the start is twice as old as the lag."""
+
+KINDS = (
+    callers.Kind(name="order", staleness_seconds=0.5, acknowledge="majority"),
+    callers.Kind(name="page", staleness_seconds=5.0, acknowledge="confirmed"),
+    callers.Kind(name="report", staleness_seconds=60.0, acknowledge="confirmed"),
+)
+GOAL_SHARE = 0.95
+
+
+class Reader(callers.Caller):
+    """A caller that only reads, with data as old as its kind allows."""
+
+    def _run(self):
+        while self._loop.now < self.stop_at:
+            if self._session_left <= 0:
+                self._start_session()
+            self._session_left -= 1
+            yield from self._ask(
+                messages.Operation.GET,
+                key=f"a{self.random.randrange(4)}",
+                consistency=messages.Consistency.BOUNDED,
+            )
+            yield self.random.uniform(0.0, self.think_seconds)
+
+
+class MixedWorld(world.World):
+    """A fleet in which half of the callers of each kind only read."""
+
+    def _make_caller(self, name: str, kind: callers.Kind) -> callers.Caller:
+        made = super()._make_caller(name, kind)
+        if not name.startswith("c") or int(name[1:]) % 2:
+            return made
+        fields = ("name", "pool", "partner", "databases", "kind", "random", "around")
+        return Reader(**{field: getattr(made, field) for field in fields})
+
+
+def run_lag(seed: int, lag: float) -> dict:
+    """Run one lag and return the shares, latencies and stale reads."""
+    options = world.Options(
+        seed=seed,
+        seconds=RUN_SECONDS,
+        with_faults=False,
+        kinds=KINDS,
+        apply_delay_seconds=lag,
+        callers=18,
+    )
+    outcome = MixedWorld(options).run()
+    groups: dict[str, list] = {}
+    for request in outcome.history.requests:
+        if (
+            request.operation is not messages.Operation.GET
+            or request.transaction
+            or not request.succeeded
+            or not request.session.startswith("c")
+            or request.invoked_at < WARM_UP_SECONDS + 2 * lag
+        ):
+            continue
+        number = int(request.session[1:].partition(":")[0])
+        role = "writer" if number % 2 else "reader"
+        name = f"{request.kind}.{role}.{request.consistency.value}"
+        groups.setdefault(name, []).append(request)
+    table = {name: summarize(rows) for name, rows in sorted(groups.items())}
+    return {
+        "reads": table,
+        "violations": [str(v) for v in outcome.violations],
+    }
+
+
+def summarize(rows: list) -> dict:
+    """Return the share of replica reads and the median latency."""
+    latencies = [row.answered_at - row.invoked_at for row in rows]
+    return {
+        "count": len(rows),
+        "replica_share": round(sum(r.from_replica for r in rows) / len(rows), 3),
+        "median_ms": round(1000 * statistics.median(latencies), 1),
+    }
+
+
+def needs_primary_always(consistency, required) -> bool:
+    """Return whether a read goes to the primary in the baseline."""
+    return consistency is not messages.Consistency.BOUNDED
+
+
+def run(seed: int) -> dict:
+    """Run all lags and the baseline."""
+    report = {"seed": seed, "lags": {}, "baseline": {}}
+    for lag in LAGS_SECONDS:
+        report["lags"][str(lag)] = run_lag(seed, lag)
+    with mock.patch.object(reads, "needs_primary", needs_primary_always):
+        report["baseline"]["0.1"] = run_lag(seed, 0.1)
+    tolerant = [
+        row["replica_share"]
+        for lag in LAGS_SECONDS
+        for kind in KINDS
+        for row in [
+            report["lags"][str(lag)]["reads"].get(f"{kind.name}.reader.bounded")
+        ]
+        if row and lag < kind.staleness_seconds
+    ]
+    report["lowest_tolerant_share"] = min(tolerant)
+    report["goal_share"] = GOAL_SHARE
+    report["violations"] = sum(
+        len(row["violations"]) for row in report["lags"].values()
+    )
+    return report
+
+
+def main() -> None:
+    """Run the benchmark."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--json", action="store_true")
+    values = parser.parse_args()
+    report = run(values.seed)
+    if not values.json:
+        for lag, row in report["lags"].items():
+            print(f"lag {lag} s")
+            for name, cell in row["reads"].items():
+                print(f"  {name:<22} {cell}")
+    print(json.dumps(report))
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/faults/world.py
+++ b/benchmarks/faults/world.py
@@ -64,13 +64,19 @@
         Virtual time with faults.
     hosts, callers : int
         Size of the fleet and of the load.
+    kinds : tuple of callers.Kind
+        Kinds of work, most urgent first.
+    apply_delay_seconds : float
+        Time between the arrival of an entry at a replica and its visibility.
     """
 
     seed: int
     seconds: float = 30.0
     hosts: int = 6
-    callers: int = 9
     with_faults: bool = True
+    kinds: tuple[callers.Kind, ...] = KINDS
+    callers: int = 9
+    apply_delay_seconds: float = 0.0
     trace: Callable[[str], None] | None = None
 
 
@@ -85,7 +91,7 @@
     store_calls: int
 
 
-def make_document() -> resources.Document:
+def make_document(kinds: tuple[callers.Kind, ...] = KINDS) -> resources.Document:
     """Return the first document of the pool."""
     specs = {
         (resources.ResourceKind.POOL, POOL): resources.PoolSpec(
@@ -108,7 +114,7 @@
             connections=CONNECTIONS,
         ),
     }
-    for order, kind in enumerate(KINDS):
+    for order, kind in enumerate(kinds):
         specs[resources.ResourceKind.RANK, f"rank-{kind.name}"] = resources.RankSpec(
             order=order,
             floor=(0.5, 0.2, 0.1)[order],
@@ -123,7 +129,7 @@
                     rank=f"rank-{kind.name}",
                     staleness_seconds=kind.staleness_seconds,
                 )
-                for kind in KINDS
+                for kind in kinds
             )
         )
     even = dict.fromkeys(PARTNERS, 0.5)
@@ -160,7 +166,7 @@
                 network=net,
                 random=self._fork(),
                 history=self.history,
-                read_document=lambda data: make_document(),
+                read_document=lambda data: make_document(options.kinds),
             ),
             host_list=store.FakeHostList(loop=self.loop, network=net),
             trace=self._trace if options.trace else None,
@@ -169,7 +175,7 @@
         self._build_endpoints()
         self._build_nodes()
         self.callers = [
-            self._make_caller(f"c{n}", KINDS[n % len(KINDS)])
+            self._make_caller(f"c{n}", options.kinds[n % len(options.kinds)])
             for n in range(options.callers)
         ]
         self.injector = plan.Injector(
@@ -248,7 +254,11 @@
                     network=self.around.network,
                     random=self._fork(),
                     history=self.history,
-                    instance=database.Instance(name=full, connection_limit=CONNECTIONS),
+                    instance=database.Instance(
+                        name=full,
+                        connection_limit=CONNECTIONS,
+                        apply_delay_seconds=self.options.apply_delay_seconds,
+                    ),
                     peers=group,
                 )
             primary, *replicas = group.values()
@@ -285,7 +295,9 @@
                 place=other.place,
                 region=other.region,
             )
-        application.apply_document(board, make_document(), process.clock.read())
+        application.apply_document(
+            board, make_document(self.options.kinds), process.clock.read()
+        )
         board.configuration_ready = True
 
     def _make_caller(self, name: str, kind: callers.Kind) -> callers.Caller:
@@ -304,7 +316,7 @@
     def _flood(self, seconds: float) -> None:
         for number in range(20):
             name = f"f{self.loop.now:.3f}-{number}"
-            caller = self._make_caller(name, KINDS[-1])
+            caller = self._make_caller(name, self.options.kinds[-1])
             caller.think_seconds = 0.01
             caller.stop_at = self.loop.now + seconds
             caller.start()
@@ -360,7 +372,9 @@
         missing = set(DATABASES)
         for _ in range(20):
             for name in sorted(missing):
-                caller = self._make_caller(f"p{self.loop.now:.0f}{name}", KINDS[0])
+                caller = self._make_caller(
+                    f"p{self.loop.now:.0f}{name}", self.options.kinds[0]
+                )
                 caller.probe(name)
             self.loop.run_until(self.loop.now + 1.0)
             for request in reversed(self.history.requests):
