--- a/hyssopshelf/blackboard.py
+++ b/hyssopshelf/blackboard.py
@@ -11,11 +11,13 @@
 
 from hyssopshelf import base, logs, messages
 from hyssopshelf.configuration import resources, views
+from hyssopshelf.configuration import state as configuration_state
 from hyssopshelf.connections import records
 from hyssopshelf.failover import confirmation, tickets
+from hyssopshelf.failover import state as failover_state
 from hyssopshelf.membership import protocol as membership_protocol
 from hyssopshelf.membership import records as host_records
-from hyssopshelf.scheduling import queues, work
+from hyssopshelf.scheduling import billing, budgets, limits, queues, shares, work
 
 HostState = host_records.HostState
 HostRecord = host_records.HostRecord
@@ -92,6 +94,8 @@
         Endpoint that is primary in that term, empty if unknown.
     fenced_term : int
         Highest term known to be proposed; may exceed ``term`` in a failover.
+    held_until : float
+        New writes wait until this time or a new term, for a planned change.
     """
 
     name: str
@@ -100,6 +104,7 @@
     term: int = 0
     primary: str = ""
     fenced_term: int = 0
+    held_until: float = float("-inf")
 
 
 @attrs.define(kw_only=True)
@@ -132,6 +137,7 @@
     retry_at: float = 0.0
     sent_at: float = 0.0
     primary_only: bool = False
+    admitted: bool = False
     answer: messages.ServedAnswer | None = None
 
 
@@ -233,6 +239,9 @@
     databases: dict[str, DatabaseRecord] = attrs.field(factory=dict)
     documents: dict[str, resources.Document] = attrs.field(factory=dict)
     pools: dict[str, views.PoolView] = attrs.field(factory=dict)
+    configuration: configuration_state.ConfigurationState = attrs.field(
+        factory=configuration_state.ConfigurationState
+    )
     placement: dict[str, str] = attrs.field(factory=dict)
     endpoint_queues: dict[str, queues.EndpointQueue] = attrs.field(factory=dict)
     connections: dict[str, records.ConnectionRecord] = attrs.field(factory=dict)
@@ -256,6 +265,13 @@
     confirmations: confirmation.ConfirmationState = attrs.field(
         factory=confirmation.ConfirmationState
     )
+    failover: failover_state.FailoverState = attrs.field(
+        factory=failover_state.FailoverState
+    )
+    usage: shares.UsageState = attrs.field(factory=shares.UsageState)
+    admission: limits.LimitState = attrs.field(factory=limits.LimitState)
+    retry_budget: budgets.RetryBudget = attrs.field(factory=budgets.RetryBudget)
+    bills: billing.BillingState = attrs.field(factory=billing.BillingState)
 
     actions: list[base.Action] = attrs.field(factory=list)
     counters: dict[str, float] = attrs.field(factory=dict)
@@ -263,7 +279,8 @@
     ticked_at: float | None = None
     pause_seconds: float = 0.0
     draining: bool = False
-    drain_deadline: float | None = None
+    drained_at: float = float("-inf")
+    forwarded_at: float = float("-inf")
     configuration_ready: bool = False
     _sequence: int = 0
 
