--- a/hyssopshelf/blackboard.py
+++ b/hyssopshelf/blackboard.py
@@ -10,7 +10,7 @@
 import attrs
 
 from hyssopshelf import base, logs, messages
-from hyssopshelf.configuration import resources, state, views
+from hyssopshelf.configuration import progress, resources, views
 from hyssopshelf.connections import records
 from hyssopshelf.failover import confirmation, state, tickets
 from hyssopshelf.membership import protocol as membership_protocol
@@ -237,8 +237,8 @@
     databases: dict[str, DatabaseRecord] = attrs.field(factory=dict)
     documents: dict[str, resources.Document] = attrs.field(factory=dict)
     pools: dict[str, views.PoolView] = attrs.field(factory=dict)
-    configuration: state.ConfigurationState = attrs.field(
-        factory=state.ConfigurationState
+    configuration: progress.ConfigurationState = attrs.field(
+        factory=progress.ConfigurationState
     )
     placement: dict[str, str] = attrs.field(factory=dict)
     endpoint_queues: dict[str, queues.EndpointQueue] = attrs.field(factory=dict)
--- a/hyssopshelf/configuration/api.py
+++ b/hyssopshelf/configuration/api.py
@@ -13,9 +13,9 @@
     declarations,
     dissemination,
     documents,
+    progress,
     requests,
     resources,
-    state,
     status,
     validation,
 )
@@ -72,9 +72,9 @@
         _HANDLERS[type(request)](board, event.caller, request, now)
 
 
-def _open_operation(board, caller: str, request, now: float) -> state.ApiOperation:
+def _open_operation(board, caller: str, request, now: float) -> progress.ApiOperation:
     seconds = min(request.remaining_seconds, MAXIMUM_WAIT_SECONDS)
-    operation = state.ApiOperation(
+    operation = progress.ApiOperation(
         id=board.next_id(), caller=caller, request=request, deadline=now + seconds
     )
     board.configuration.operations[operation.id] = operation
@@ -95,14 +95,14 @@
     _read(board, _open_operation(board, caller, request, now), now)
 
 
-def _read(board, operation: state.ApiOperation, now: float) -> None:
+def _read(board, operation: progress.ApiOperation, now: float) -> None:
     """Read the document from the store."""
     operation.candidate = None
     get = platform.Get(key=documents.key_of(operation.request.pool))
     _call(board, operation, get, now)
 
 
-def _call(board, operation: state.ApiOperation, call, now: float) -> None:
+def _call(board, operation: progress.ApiOperation, call, now: float) -> None:
     operation.call_id = board.next_id()
     operation.call_deadline = now + CALL_TIMEOUT_SECONDS
     board.act(base.CallStore(call_id=operation.call_id, operation=call))
@@ -130,7 +130,7 @@
     return True
 
 
-def _settle_failure(operation: state.ApiOperation, board, now: float) -> None:
+def _settle_failure(operation: progress.ApiOperation, board, now: float) -> None:
     """Plan to read the document back after a call with an unknown outcome."""
     operation.call_id = ""
     if operation.candidate is not None:
@@ -275,7 +275,7 @@
     )
 
 
-def _close_late(board, operation: state.ApiOperation) -> None:
+def _close_late(board, operation: progress.ApiOperation) -> None:
     """Answer a change at its deadline."""
     if operation.candidate is not None:
         operation.unsure_revision = operation.revision
@@ -283,7 +283,7 @@
     _close_refused(board, operation, ErrorKind.UNAVAILABLE, message)
 
 
-def _close_unknown(board, operation: state.ApiOperation) -> None:
+def _close_unknown(board, operation: progress.ApiOperation) -> None:
     """Answer that the change may or may not have been made."""
     del board.configuration.operations[operation.id]
     request = operation.request
@@ -367,7 +367,7 @@
     _answer_watch(board, operation, now)
 
 
-def _answer_watch(board, operation: state.ApiOperation, now: float) -> None:
+def _answer_watch(board, operation: progress.ApiOperation, now: float) -> None:
     """Answer a watch that has something new or whose time is over."""
     request = operation.request
     document = board.documents.get(request.pool)
@@ -396,7 +396,7 @@
     _answer_status(board, operation)
 
 
-def _answer_status(board, operation: state.ApiOperation) -> None:
+def _answer_status(board, operation: progress.ApiOperation) -> None:
     """Answer a status request once all nodes have answered or were given up."""
     queries = board.configuration.queries.values()
     query = next((item for item in queries if item.operation == operation.id), None)
@@ -438,7 +438,7 @@
             _step_change(board, operation, now)
 
 
-def _step_change(board, operation: state.ApiOperation, now: float) -> None:
+def _step_change(board, operation: progress.ApiOperation, now: float) -> None:
     if now >= operation.deadline:
         _close_late(board, operation)
     elif operation.call_id:
--- a/hyssopshelf/configuration/dissemination.py
+++ b/hyssopshelf/configuration/dissemination.py
@@ -15,8 +15,8 @@
     declarations,
     documents,
     peers,
+    progress,
     resources,
-    state,
     validation,
     versions,
 )
@@ -150,7 +150,7 @@
     board.configuration.table.update(summarize(document))
     board.count("configuration_applied_total")
     if board.configuration_ready:
-        board.configuration.pushes[document.pool] = state.Push(
+        board.configuration.pushes[document.pool] = progress.Push(
             rounds=OFFER_ROUNDS if fresh else 1,
             next_at=now,
             informed={source},
@@ -227,7 +227,7 @@
         if pull.summary == summary and host != pull.host and host not in pull.others:
             pull.others.append(host)
         return
-    board.configuration.pulls[summary.pool] = state.Pull(
+    board.configuration.pulls[summary.pool] = progress.Pull(
         summary=summary, host=host, deadline=now + PULL_TIMEOUT_SECONDS, fresh=fresh
     )
     send(board, host, PullRequest(pool=summary.pool))
@@ -297,7 +297,7 @@
     )
 
 
-def _ask_next(board, pull: state.Pull, pool: str, now: float) -> None:
+def _ask_next(board, pull: progress.Pull, pool: str, now: float) -> None:
     """Ask for the next part of a document."""
     pull.deadline = now + PULL_TIMEOUT_SECONDS
     send(board, pull.host, PullRequest(pool=pool, offset=len(pull.parts)))
--- a/hyssopshelf/configuration/peers.py
+++ b/hyssopshelf/configuration/peers.py
@@ -1,10 +1,9 @@
 """Choice of the hosts that a node exchanges configuration with."""
 
-import functools
-import hashlib
-import heapq
 from collections.abc import Collection
 
+from hyssopshelf.membership import hosts
+
 RECEIVING = frozenset({"alive", "suspect", "leaving"})
 """States of hosts that still run statements and need the configuration."""
 
@@ -16,13 +15,6 @@
 _TRIES_PER_PEER = 4
 
 
-@functools.lru_cache(maxsize=16_384)
-def weigh(key: str, host: str) -> int:
-    """Return the rendezvous weight of a host for a key; the lowest comes first."""
-    digest = hashlib.blake2b(f"{key}/{host}".encode(), digest_size=8).digest()
-    return int.from_bytes(digest, "big")
-
-
 def _is_usable(board, name: str, excluded: Collection[str]) -> bool:
     return (
         name != board.identity.host
@@ -67,12 +59,6 @@
 
 def watcher_index(board) -> int | None:
     """Return this node's position among the watchers, None if it is not one."""
-    names = {name for name, item in board.hosts.items() if item.state.value == "alive"}
-    names.discard(board.identity.host)
-    if not board.draining:
-        names.add(board.identity.host)
-    lowest = heapq.nsmallest(
-        WATCHERS, names, key=lambda name: (weigh(_WATCH_KEY, name), name)
-    )
+    lowest = hosts.rank_hosts(board, _WATCH_KEY, WATCHERS)
     host = board.identity.host
     return lowest.index(host) if host in lowest else None
--- a/hyssopshelf/configuration/status.py
+++ b/hyssopshelf/configuration/status.py
@@ -8,7 +8,7 @@
 import attrs
 
 from hyssopshelf import base, messages
-from hyssopshelf.configuration import dissemination, peers, state
+from hyssopshelf.configuration import dissemination, peers, progress
 
 FAN_OUT = 8
 """Hosts that one node asks; 5,100 nodes are reached in five levels."""
@@ -94,7 +94,7 @@
 ) -> None:
     summary = board.configuration.table.summaries.get(pool)
     held = summary.version if summary is not None and board.configuration_ready else 0
-    query = state.StatusQuery(
+    query = progress.StatusQuery(
         id=query_id,
         parent=parent,
         operation=operation,
@@ -113,7 +113,9 @@
     _finish_if_complete(board, query)
 
 
-def _ask(board, query: state.StatusQuery, hosts: tuple[str, ...], now: float) -> None:
+def _ask(
+    board, query: progress.StatusQuery, hosts: tuple[str, ...], now: float
+) -> None:
     """Give each of a few hosts its part of the list."""
     remaining = (query.retry_at - now) * REMAINING_SHARE
     for index in range(min(FAN_OUT, len(hosts))):
@@ -156,7 +158,7 @@
             _pass_over(board, query, now)
 
 
-def _pass_over(board, query: state.StatusQuery, now: float) -> None:
+def _pass_over(board, query: progress.StatusQuery, now: float) -> None:
     """Ask the hosts behind silent ones by way of others.
 
     A host that only leads a slow part answers for nobody any more: its late
@@ -173,19 +175,19 @@
         _ask(board, query, rest, now)
 
 
-def _count_silent(query: state.StatusQuery, hosts: tuple[str, ...]) -> None:
+def _count_silent(query: progress.StatusQuery, hosts: tuple[str, ...]) -> None:
     query.silent_count += len(hosts)
     query.silent.extend(hosts[: max(0, MAXIMUM_NAMES - len(query.silent))])
 
 
-def _give_up(query: state.StatusQuery) -> None:
+def _give_up(query: progress.StatusQuery) -> None:
     """Count all hosts that have not answered."""
     for host, rest in query.waiting.items():
         _count_silent(query, (host, *rest))
     query.waiting.clear()
 
 
-def _finish_if_complete(board, query: state.StatusQuery) -> None:
+def _finish_if_complete(board, query: progress.StatusQuery) -> None:
     """Answer the parent once all hosts have answered or were given up.
 
     The answer to an operator is picked up by the API controller.
--- a/hyssopshelf/configuration/watching.py
+++ b/hyssopshelf/configuration/watching.py
@@ -13,8 +13,8 @@
     dissemination,
     documents,
     peers,
+    progress,
     resources,
-    state,
 )
 
 DECIDE_SECONDS = 1.0
@@ -79,7 +79,7 @@
     if index is None and isolated:
         index = peers.WATCHERS
     if index is None or own.watch.index is None:
-        own.watch = state.StoreWatch(decide_at=own.watch.decide_at)
+        own.watch = progress.StoreWatch(decide_at=own.watch.decide_at)
     own.watch.index = index
 
 
@@ -161,7 +161,7 @@
 def _plan_repair(board, pool, revision, change_ids, now: float) -> None:
     watch = board.configuration.watch
     held = board.documents[pool].change_ids
-    watch.repairs[pool] = state.Repair(
+    watch.repairs[pool] = progress.Repair(
         due=now + REPAIR_SECONDS * (1 + watch.index),
         revision=revision,
         lost_change_ids=tuple(item for item in change_ids if item not in held),
