--- a/benchmarks/faults/checker.py
+++ b/benchmarks/faults/checker.py
@@ -20,6 +20,7 @@
     fleet.check_leaving,
     fleet.check_drains,
     fleet.check_configuration,
+    fleet.check_changes,
     fleet.check_run,
 )
 """All checks; each takes a case and yields violations."""
--- a/benchmarks/faults/fleet.py
+++ b/benchmarks/faults/fleet.py
@@ -3,8 +3,8 @@
 from collections import defaultdict
 from collections.abc import Iterator
 
-from benchmarks.faults import cases
-from hyssopshelf import messages
+from benchmarks.faults import cases, histories
+from hyssopshelf import exceptions, messages
 
 LEAVING_SECONDS = 3.0
 """Time after which a leaving endpoint gets no new work."""
@@ -133,6 +133,64 @@
     )
 
 
+def check_changes(case: cases.Case) -> Iterator[cases.Violation]:
+    """An operator's change is accepted once if and only if he was told so."""
+    first_held: dict[str, list[float]] = defaultdict(list)
+    previous: dict[str, tuple[str, ...]] = {}
+    for accepted in case.history.accepted:
+        before = previous.get(accepted.pool, ())
+        kept = before[-(len(accepted.change_ids) - 1) :] if before else ()
+        if not set(kept) <= set(accepted.change_ids):
+            yield cases.Violation(
+                guarantee=9,
+                rule="accepted_change_dropped",
+                subject=accepted.pool,
+                detail=f"version {accepted.version}",
+                at=accepted.at,
+            )
+        for change_id in set(accepted.change_ids) - set(before):
+            first_held[change_id.rpartition("-")[0]].append(accepted.at)
+        previous[accepted.pool] = accepted.change_ids
+    for change in case.history.changes:
+        times = first_held.get(change.id, [])
+        yield from _check_change(change, times, _was_in_force(case, change))
+
+
+def _was_in_force(case: cases.Case, change: histories.Change) -> bool:
+    """Return whether a change that altered nothing described an accepted state."""
+    if change.leaving is None:
+        return False
+    endpoint, leaving = change.leaving
+    return any(
+        (endpoint in accepted.leaving) == leaving
+        for accepted in case.history.accepted
+        if accepted.pool == change.pool
+    )
+
+
+def _check_change(
+    change: histories.Change, times: list[float], was_in_force: bool
+) -> Iterator[cases.Violation]:
+    def blame(guarantee: int, rule: str) -> cases.Violation:
+        return cases.Violation(
+            guarantee=guarantee, rule=rule, subject=change.id, at=change.invoked_at
+        )
+
+    if len(times) > 1:
+        yield blame(6, "change_accepted_twice")
+    told = [a for a in change.attempts if a.answered_at is not None and a.error is None]
+    if told and not times and not was_in_force:
+        yield blame(9, "acknowledged_change_not_accepted")
+    denied = all(
+        attempt.answered_at is not None
+        and attempt.error is not None
+        and exceptions.DISPOSITIONS[attempt.error].ran is exceptions.Ran.NO
+        for attempt in change.attempts
+    )
+    if times and denied:
+        yield blame(5, "denied_change_accepted")
+
+
 def check_run(case: cases.Case) -> Iterator[cases.Violation]:
     """The core raised nothing and every database serves again at the end."""
     for name in case.history.stalled:
--- a/benchmarks/faults/histories.py
+++ b/benchmarks/faults/histories.py
@@ -146,6 +146,34 @@
     version: int
     at: float
     leaving: frozenset[str] = frozenset()
+    change_ids: tuple[str, ...] = ()
+
+
+@attrs.define(kw_only=True)
+class Attempt:
+    """One request of an operator; without an answer its outcome is unknown."""
+
+    sent_at: float
+    answered_at: float | None = None
+    error: exceptions.ErrorKind | None = None
+
+
+@attrs.define(kw_only=True)
+class Change:
+    """A change that an operator sent, possibly more than once.
+
+    Attributes
+    ----------
+    leaving : (str, bool) or None
+        Endpoint and whether it leaves, if that is the change. Such a change
+        may alter nothing.
+    """
+
+    id: str
+    pool: str
+    invoked_at: float
+    leaving: tuple[str, bool] | None = None
+    attempts: list[Attempt] = attrs.field(factory=list)
 
 
 @attrs.frozen(kw_only=True)
@@ -204,6 +232,7 @@
     executions: list[Execution] = attrs.field(factory=list)
     promotions: list[Promotion] = attrs.field(factory=list)
     accepted: list[ConfigurationAccepted] = attrs.field(factory=list)
+    changes: list[Change] = attrs.field(factory=list)
     in_force: list[ConfigurationInForce] = attrs.field(factory=list)
     unreachable: list[Unreachable] = attrs.field(factory=list)
     stopped: list[Stopped] = attrs.field(factory=list)
--- a/benchmarks/faults/nodes.py
+++ b/benchmarks/faults/nodes.py
@@ -8,6 +8,7 @@
 
 from benchmarks.faults import clocks, endpoints, histories, network, store
 from hyssopshelf import base, blackboard, messages, node, platform
+from hyssopshelf.membership import hosts
 
 OPEN_SECONDS = 0.010
 """Time that an endpoint takes to open a connection."""
@@ -16,7 +17,10 @@
 """Time after which a status probe, control call or opening has failed."""
 
 HOST_LIST_SECONDS = 1.0
-"""Period at which a node reads the host list."""
+"""Period at which a node reads the host list if it is one of its readers."""
+
+HOST_LIST_KEY = "hosts"
+"""Key whose rendezvous order chooses the readers of the host list."""
 
 REPLACE_SECONDS = 2.0
 """Time after which a drained process is replaced by a new one."""
@@ -24,11 +28,6 @@
 TOKEN_KEYS = (("k1", b"secret of the fault run"),)
 
 
-def is_handled(event_class: type) -> bool:
-    """Return whether a controller of the core handles an event class."""
-    return base.handle.dispatch(event_class) is not base.handle.dispatch(object)
-
-
 @attrs.define(kw_only=True)
 class Surroundings:
     """What the adapters of all nodes talk to.
@@ -104,8 +103,7 @@
         self.core = node.Node(identity=identity, seed=seed, token_keys=TOKEN_KEYS)
         self.prepare(self)
         self._schedule(node.TICK_SECONDS * self.random.random(), self._tick)
-        if is_handled(base.HostListReceived):
-            self._schedule(0.0, self._read_host_list)
+        self._schedule(0.0, self._read_host_list)
 
     def kill(self) -> None:
         """End the process at once; its connections break."""
@@ -217,9 +215,11 @@
 
     def _read_host_list(self) -> None:
         self._schedule(HOST_LIST_SECONDS, self._read_host_list)
-        if not self.paused:
+        board = self.core.board
+        reads = len(board.hosts) <= 1 or hosts.is_reader(board, HOST_LIST_KEY)
+        if reads and not self.paused:
             receive = self._in_this_life(
-                lambda hosts: self.handle(base.HostListReceived(hosts=hosts))
+                lambda rows: self.handle(base.HostListReceived(hosts=rows))
             )
             self.around.host_list.read(self.host, receive)
 
@@ -291,9 +291,6 @@
         peer = self.around.nodes.get(action.host)
         unsent = base.PeerUnsent(host=action.host, message=action.message)
         report_unsent = self._in_this_life(lambda: self.handle(unsent))
-        if action.host not in self.core.board.hosts:
-            self.around.loop.call_later(0.0, report_unsent)
-            return
         if peer is None or not peer.alive:
             if self.random.random() < 0.5:
                 self.around.loop.call_later(0.001, report_unsent)
--- /dev/null
+++ b/benchmarks/faults/operators.py
@@ -0,0 +1,149 @@
+"""Operators who edit the split and take endpoints out of service, often at once."""
+
+import itertools
+import random
+from collections.abc import Callable
+
+import attrs
+
+from benchmarks.faults import histories, nodes
+from hyssopshelf import base, exceptions
+from hyssopshelf.configuration import declarations, documents, requests, resources
+
+ATTEMPTS = 5
+"""Number of times that an operator sends one change."""
+
+WAIT_SECONDS = 5.5
+"""Time that an operator waits for an answer."""
+
+RETRY_SECONDS = 1.0
+
+
+@attrs.define(kw_only=True)
+class Operators:
+    """Operators of one pool; each change keeps its id when it is repeated."""
+
+    pool: str
+    partners: tuple[str, ...]
+    random: random.Random
+    around: nodes.Surroundings
+    _numbers: itertools.count = attrs.field(factory=itertools.count, init=False)
+
+    def edit(self) -> None:
+        """Let two or three operators change the split at the same time."""
+        for _ in range(self.random.randint(2, 3)):
+            # Equal shares would make the second edit one that alters nothing.
+            share = self.random.uniform(0.1, 0.9)
+            shares = dict(zip(self.partners, (share, 1.0 - share), strict=True))
+            spec = resources.SplitSpec(capacity=shares, bill=shares)
+            delay = self.random.uniform(0.0, 0.1)
+
+            def make_spec(old, spec=spec):
+                return spec
+
+            self.around.loop.call_later(
+                delay, self._start, resources.ResourceKind.SPLIT, "split", make_spec
+            )
+
+    def set_leaving(self, endpoint: str, leaving: bool) -> None:
+        """Declare that an endpoint leaves or stays."""
+        _, database, name = endpoint.split("/")
+
+        def make_spec(old: resources.PoolSpec) -> resources.PoolSpec:
+            changed = tuple(
+                attrs.evolve(
+                    spec,
+                    endpoints=tuple(
+                        attrs.evolve(item, leaving=leaving)
+                        if item.name == name
+                        else item
+                        for item in spec.endpoints
+                    ),
+                )
+                if spec.name == database
+                else spec
+                for spec in old.databases
+            )
+            return attrs.evolve(old, databases=changed)
+
+        self._start(
+            resources.ResourceKind.POOL, self.pool, make_spec, (endpoint, leaving)
+        )
+
+    def _start(
+        self,
+        kind: resources.ResourceKind,
+        name: str,
+        make_spec: Callable,
+        leaving: tuple[str, bool] | None = None,
+    ) -> None:
+        change = histories.Change(
+            id=f"change{next(self._numbers)}",
+            pool=self.pool,
+            invoked_at=self.around.loop.now,
+            leaving=leaving,
+        )
+        self.around.history.changes.append(change)
+        held = self._read(kind, name)
+        resource = attrs.evolve(held, spec=make_spec(held.spec))
+        self._send(change, resource, ATTEMPTS)
+
+    def _read(self, kind: resources.ResourceKind, name: str) -> resources.Resource:
+        """Return a resource as the operator's working copy has it."""
+        entry = self.around.store.entries[documents.key_of(self.pool)]
+        document = declarations.decode_document(entry.value)
+        return next(
+            item
+            for item in document.resources
+            if (item.kind, item.name) == (kind, name)
+        )
+
+    def _send(
+        self, change: histories.Change, resource: resources.Resource, attempts: int
+    ) -> None:
+        hosts = sorted(
+            name
+            for name, process in self.around.nodes.items()
+            if process.alive and process.core.board.configuration_ready
+        )
+        if not hosts or not attempts:
+            return
+        process = self.around.nodes[self.random.choice(hosts)]
+        caller = f"operator{next(self._numbers)}"
+        attempt = histories.Attempt(sent_at=self.around.loop.now)
+        change.attempts.append(attempt)
+
+        def receive(answer: requests.ApiAnswer | None) -> None:
+            if self.around.replies.pop(caller, None) is None:
+                return
+            if answer is not None:
+                attempt.answered_at = self.around.loop.now
+                attempt.error = answer.error
+            if _may_repeat(answer):
+                self.around.loop.call_later(
+                    RETRY_SECONDS, self._send, change, resource, attempts - 1
+                )
+
+        self.around.replies[caller] = receive
+        request = requests.Apply(
+            pool=self.pool, change_id=change.id, resources=(resource,)
+        )
+        event = base.ResourceRequested(caller=caller, request=request)
+        incarnation = process.incarnation
+
+        def deliver() -> None:
+            if process.incarnation == incarnation:
+                process.handle(event)
+
+        self.around.loop.call_later(0.003, deliver)
+        self.around.loop.call_later(WAIT_SECONDS, receive, None)
+
+
+def _may_repeat(answer: requests.ApiAnswer | None) -> bool:
+    """Return whether a change is sent again after an answer or none."""
+    if answer is None:
+        return True
+    if answer.error is None:
+        return False
+    disposition = exceptions.DISPOSITIONS[answer.error]
+    return disposition.repeatable or disposition.ran is exceptions.Ran.UNKNOWN
--- a/benchmarks/faults/plan.py
+++ b/benchmarks/faults/plan.py
@@ -20,20 +20,20 @@
 
     Attributes
     ----------
-    leave : callable or None
-        Declares an endpoint as leaving or not, None without operators.
-    edit : callable or None
-        Makes operators edit the split at the same time.
     flood : callable
         Starts a flood of a duration in seconds.
+    edit : callable
+        Makes operators edit the split at the same time.
+    leave : callable
+        Declares an endpoint as leaving or not.
     """
 
     around: nodes.Surroundings
     random: random.Random
     callers: tuple[str, ...]
     flood: Callable[[float], None]
-    edit: Callable[[], None] | None = None
-    leave: Callable[[str, bool], None] | None = None
+    edit: Callable[[], None]
+    leave: Callable[[str, bool], None]
     counts: dict[str, int] = attrs.field(factory=dict)
 
     def run(self, start: float, end: float) -> None:
@@ -50,7 +50,7 @@
                 self.around.loop.call_at(begin, self._start, kind, end)
 
     def _list_kinds(self) -> list[Callable]:
-        kinds = [
+        return [
             self._cut_pair,
             self._cut_one_way,
             self._isolate,
@@ -71,12 +71,10 @@
             self._flood,
             self._disturb_messages,
             self._break_connections,
+            self._edit,
+            self._edit,
+            self._leave,
         ]
-        if self.edit is not None:
-            kinds.extend((self._edit, self._edit))
-        if self.leave is not None:
-            kinds.append(self._leave)
-        return kinds
 
     def _start(self, kind: Callable, end: float) -> None:
         now = self.around.loop.now
--- a/benchmarks/faults/store.py
+++ b/benchmarks/faults/store.py
@@ -8,7 +8,7 @@
 
 from benchmarks.faults import clocks, histories, network
 from hyssopshelf import platform
-from hyssopshelf.configuration import resources
+from hyssopshelf.configuration import declarations, resources
 
 NAME = "store"
 """Party name of the store in the network."""
@@ -29,8 +29,6 @@
 
     Attributes
     ----------
-    read_document : callable
-        Decodes the value of a configuration key.
     down : bool
         Calls are neither carried out nor answered.
     slow_seconds : float
@@ -43,7 +41,6 @@
     network: network.Network
     random: random.Random
     history: histories.History
-    read_document: Callable[[bytes], resources.Document]
     down: bool = False
     slow_seconds: float = 0.0
     lost_rate: float = 0.0
@@ -101,7 +98,7 @@
     def _record(self, key: str, value: bytes) -> None:
         if not key.startswith("configuration/"):
             return
-        document = self.read_document(value)
+        document = declarations.decode_document(value)
         leaving = set()
         for resource in document.resources:
             if resource.kind is resources.ResourceKind.POOL:
@@ -117,6 +114,7 @@
                 version=document.version,
                 at=self.loop.now,
                 leaving=frozenset(leaving),
+                change_ids=document.change_ids,
             )
         )
 
--- a/benchmarks/faults/tests/test_checker.py
+++ b/benchmarks/faults/tests/test_checker.py
@@ -343,9 +343,13 @@
     b.read("w1", session="reader", consistency=messages.Consistency.STRONG)
 
 
-def _declare(b, version, *leaving):
+def _declare(b, version, *leaving, change_ids=()):
     change = histories.ConfigurationAccepted(
-        pool="pool", version=version, at=b.tick(), leaving=frozenset(leaving)
+        pool="pool",
+        version=version,
+        at=b.tick(),
+        leaving=frozenset(leaving),
+        change_ids=change_ids,
     )
     b.history.accepted.append(change)
 
@@ -397,6 +401,36 @@
     _declare(b, 1)
 
 
+def _change(b, error=None):
+    change = histories.Change(id="edit", pool="pool", invoked_at=b.tick())
+    attempt = histories.Attempt(sent_at=b.now, answered_at=b.tick(), error=error)
+    change.attempts.append(attempt)
+    b.history.changes.append(change)
+
+
+def build_lost_change(b):
+    _declare(b, 1)
+    _change(b)
+
+
+def build_denied_change(b):
+    _declare(b, 1)
+    _declare(b, 2, change_ids=("edit-1",))
+    _change(b, ErrorKind.CONFLICT)
+
+
+def build_doubled_change(b):
+    _declare(b, 1, change_ids=("edit-1",))
+    _declare(b, 2)
+    _declare(b, 3, change_ids=("edit-1",))
+    _change(b)
+
+
+def build_dropped_change(b):
+    _declare(b, 1, change_ids=("edit-1",))
+    _declare(b, 2, change_ids=("other-1",))
+
+
 def build_stalled(b):
     b.history.stalled.append(DATABASE)
 
@@ -447,6 +481,10 @@
     build_late_configuration: "configuration_late",
     build_reverted_configuration: "configuration_reverted",
     build_reverted_store: "store_reverted",
+    build_lost_change: "acknowledged_change_not_accepted",
+    build_denied_change: "denied_change_accepted",
+    build_doubled_change: "change_accepted_twice",
+    build_dropped_change: "accepted_change_dropped",
     build_stalled: "no_recovery",
     build_crash: "core_raised",
 }
--- a/benchmarks/faults/world.py
+++ b/benchmarks/faults/world.py
@@ -14,11 +14,12 @@
     histories,
     network,
     nodes,
+    operators,
     plan,
     store,
 )
 from hyssopshelf import blackboard, messages
-from hyssopshelf.configuration import application, resources
+from hyssopshelf.configuration import declarations, documents, resources
 from hyssopshelf.consistency import positions
 from hyssopshelf.standins import database
 
@@ -160,7 +161,6 @@
                 network=net,
                 random=self._fork(),
                 history=self.history,
-                read_document=lambda data: make_document(),
             ),
             host_list=store.FakeHostList(loop=self.loop, network=net),
             trace=self._trace if options.trace else None,
@@ -172,11 +172,16 @@
             self._make_caller(f"c{n}", KINDS[n % len(KINDS)])
             for n in range(options.callers)
         ]
+        staff = operators.Operators(
+            pool=POOL, partners=PARTNERS, random=self._fork(), around=self.around
+        )
         self.injector = plan.Injector(
             around=self.around,
             random=self._fork(),
             callers=tuple(caller.name for caller in self.callers),
             flood=self._flood,
+            edit=staff.edit,
+            leave=staff.set_leaving,
         )
 
     def run(self) -> Outcome:
@@ -193,9 +198,11 @@
 
     def start(self) -> None:
         """Start all processes and the load."""
+        data = declarations.encode_document(make_document())
+        self.around.store.write(documents.key_of(POOL), data)
+        self._publish_hosts()
         for process in self.around.nodes.values():
             process.start()
-        self._publish_hosts()
         for caller in self.callers:
             caller.start()
         self._sample()
@@ -276,17 +283,20 @@
             )
 
     def _prepare(self, process: nodes.NodeProcess) -> None:
-        """Give a new core what the platform tells a process at its start."""
+        """Give a new core what its settings tell: itself and two hosts to join."""
         board = process.core.board
-        for other in self.around.nodes.values():
-            board.hosts[other.host] = blackboard.HostRecord(
-                name=other.host,
-                address=other.host,
-                place=other.place,
-                region=other.region,
+        others = [name for name in self.around.nodes if name != process.host]
+        for name in process.random.sample(others, 2):
+            board.hosts[name] = blackboard.HostRecord(
+                name=name, address=name, place="", region=""
             )
-        application.apply_document(board, make_document(), process.clock.read())
-        board.configuration_ready = True
+        board.hosts[process.host] = blackboard.HostRecord(
+            name=process.host,
+            address=process.host,
+            place=process.place,
+            region=process.region,
+            incarnation=process.incarnation,
+        )
 
     def _make_caller(self, name: str, kind: callers.Kind) -> callers.Caller:
         return callers.Caller(
