--- a/hyssopshelf/runtime/daemon.py
+++ b/hyssopshelf/runtime/daemon.py
@@ -10,7 +10,7 @@
 
 from hyssopshelf import base, blackboard, exceptions, logs, node
 from hyssopshelf.runtime import engine as engines
-from hyssopshelf.runtime import hostlist, server, settings, store
+from hyssopshelf.runtime import hostlist, resources, server, settings, store
 
 EXIT_SETTINGS = 2
 """Exit status for a setting that is not allowed."""
@@ -72,7 +72,9 @@
 async def run_node(values: settings.Settings) -> int:
     """Serve until SIGTERM or SIGINT, then drain; return the exit status."""
     engine = make_engine(values)
-    application = server.make_application(engine)
+    application = server.make_application(
+        engine, tuple(resources.make_handlers(engine.submit))
+    )
     http = tornado.httpserver.HTTPServer(application)
     address, _, port = values.listen.rpartition(":")
     http.listen(int(port), address.strip("[]"))
@@ -81,7 +83,8 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    await stopping.wait()
+    while not (stopping.is_set() or engine.core.board.draining):
+        await asyncio.sleep(DRAIN_CHECK_SECONDS)
     drained = await drain(engine, loop.time() + values.drain_seconds)
     http.stop()
     engine.stop()
