--- a/hyssopshelf/base.py
+++ b/hyssopshelf/base.py
@@ -159,7 +159,10 @@
 
 @attrs.frozen(kw_only=True)
 class SendPeer(Action):
-    """Send a message to the node on another host."""
+    """Send a message to the node on another host.
+
+    ``host`` is its name, or its address while the name is not known.
+    """
 
     host: str
     message: Any
--- a/hyssopshelf/blackboard.py
+++ b/hyssopshelf/blackboard.py
@@ -93,6 +93,10 @@
         Endpoint that is primary in that term, empty if unknown.
     fenced_term : int
         Highest term known to be proposed; may exceed ``term`` in a failover.
+    served_at : float
+        Time of the last successful answer that this entry node received.
+    trial_at : float
+        Earliest time at which a parked statement is routed without news.
     held_until : float
         New writes wait until this time or a new term, for a planned change.
     """
@@ -103,6 +107,8 @@
     term: int = 0
     primary: str = ""
     fenced_term: int = 0
+    served_at: float = float("-inf")
+    trial_at: float = float("-inf")
     held_until: float = float("-inf")
 
 
@@ -133,7 +139,7 @@
     attempts: int = 0
     parked: bool = False
     parked_term: int = 0
-    retry_at: float = 0.0
+    parked_at: float = 0.0
     sent_at: float = 0.0
     primary_only: bool = False
     admitted: bool = False
--- a/hyssopshelf/runtime/engine.py
+++ b/hyssopshelf/runtime/engine.py
@@ -143,11 +143,13 @@
 @carry_out.register
 def _(action: base.SendPeer, engine: Engine) -> None:
     record = engine.core.board.hosts.get(action.host)
-    if record is None:
+    # A joining node knows only the addresses of the host list or its settings.
+    address = record.address if record is not None else action.host
+    if ":" not in address:
         event = base.PeerUnsent(host=action.host, message=action.message)
         tornado.ioloop.IOLoop.current().add_callback(engine.emit, event)
         return
-    engine.peers.send(action.host, record.address, action.message)
+    engine.peers.send(action.host, address, action.message)
 
 
 @carry_out.register
--- a/hyssopshelf/standins/endpoint.py
+++ b/hyssopshelf/standins/endpoint.py
@@ -5,13 +5,14 @@
 
 import attrs
 import tornado.escape
+import tornado.httpclient
 import tornado.httpserver
 import tornado.iostream
 import tornado.netutil
 import tornado.web
 import tornado.websocket
 
-from hyssopshelf import messages
+from hyssopshelf import exceptions, messages
 from hyssopshelf.runtime import wire
 from hyssopshelf.standins import database
 
@@ -259,6 +260,8 @@
 
 
 _CLIENT_ERRORS = (
+    exceptions.CodecError,
+    tornado.httpclient.HTTPError,
     tornado.websocket.WebSocketError,
     tornado.websocket.WebSocketClosedError,
     tornado.iostream.StreamClosedError,
--- a/hyssopshelf/statements/answers.py
+++ b/hyssopshelf/statements/answers.py
@@ -14,6 +14,8 @@
     statement = request.statement
     database = f"{statement.pool}/{statement.database}"
     terms.learn_primary(board, database, message.term, message.primary)
+    if message.error is None and database in board.databases:
+        board.databases[database].served_at = board.now
     if request.admitted:
         limits.record_answer(
             board,
--- a/hyssopshelf/statements/entry.py
+++ b/hyssopshelf/statements/entry.py
@@ -9,8 +9,16 @@
 GRACE_SECONDS = 0.05
 """Time after the deadline for which the serving node's answer is awaited."""
 
-RETRY_SECONDS = 0.25
-"""Pause before a parked statement is routed again without news, in seconds."""
+SENT_SECONDS = 1.2
+"""Time after which a message was either sent or reported as not sent."""
+
+TRIAL_SECONDS = 0.25
+"""Time between two trials of a database, in seconds.
+
+Without news only one parked statement of a database is routed again; when it
+succeeds the others follow. So an outage costs a few messages a second, however
+many statements wait, and none of them starves.
+"""
 
 
 @base.handle.register
@@ -140,7 +148,7 @@
     request.endpoint = request.host = ""
     request.parked = True
     request.parked_term = term
-    request.retry_at = now + RETRY_SECONDS
+    request.parked_at = now
     board.requests[request.id] = request
     board.log(logs.LogEvent.STATEMENT_PARKED, request=request.id, reason=reason)
 
@@ -161,7 +169,7 @@
         elif now >= request.deadline + GRACE_SECONDS:
             del board.requests[request.id]
             answers.reply_lost(board, request, "no answer before the deadline")
-        elif _is_host_dead(board, request.host):
+        elif _is_lost(board, request, now):
             del board.requests[request.id]
             _finish_dead_host(board, request, now)
 
@@ -253,22 +261,30 @@
     database = board.databases.get(f"{statement.pool}/{statement.database}")
     if database is None:
         return
-    news = request.parked_term and database.term > request.parked_term
-    due = now >= request.retry_at
-    if due and not news:
-        request.retry_at = now + RETRY_SECONDS
-    if news or (due and board.retry_budget.spend(now)):
+    learned = request.parked_term and database.term > request.parked_term
+    due = now >= database.trial_at
+    if learned or database.served_at > request.parked_at or due:
+        if due:
+            database.trial_at = now + TRIAL_SECONDS
         del board.requests[request.id]
         dispatch(board, request, now)
 
 
-def _is_host_dead(board, host: str) -> bool:
-    record = board.hosts.get(host)
-    return record is not None and record.state is blackboard.HostState.DEAD
+def _is_lost(board, request, now: float) -> bool:
+    """Return whether no answer will come because the serving host is dead.
+
+    Until the time to send has passed, the statement may turn out not to have
+    been sent at all.
+    """
+    record = board.hosts.get(request.host)
+    if record is None or record.state is not blackboard.HostState.DEAD:
+        return False
+    return now >= request.sent_at + SENT_SECONDS
 
 
 def _finish_dead_host(board, request, now: float) -> None:
-    if request.statement.operation is messages.Operation.GET and _may_move(request):
+    reading = request.statement.operation is messages.Operation.GET
+    if reading and _may_move(request) and board.retry_budget.spend(now):
         park(board, request, "the serving host is dead", now)
         return
     answers.reply_lost(board, request, "the serving host is dead")
--- a/hyssopshelf/statements/serving.py
+++ b/hyssopshelf/statements/serving.py
@@ -167,12 +167,20 @@
 
 def _is_known_replica(board, served, now) -> bool:
     """Return whether a statement needs the primary and this is not it."""
-    statement = served.statement
     record = board.endpoints[served.endpoint]
     if record.status is None or record.status.role is messages.Role.PRIMARY:
         return False
     if now - record.status_asked_at > KNOWN_ROLE_SECONDS:
         return False
+    database = board.databases[record.database]
+    if database.primary == record.name and record.status.term <= database.term:
+        # The status is older than the promotion that this node has learned of.
+        return False
+    return _needs_primary(served)
+
+
+def _needs_primary(served) -> bool:
+    statement = served.statement
     return statement.operation is not messages.Operation.GET or reads.needs_primary(
         statement.consistency, served.required
     )
@@ -290,6 +298,8 @@
     for served in list(board.served.values()):
         if now >= served.deadline:
             completion.expire_request(board, served, now)
+        elif served.state is blackboard.ServedState.QUEUED:
+            _step_queued(board, served, now)
 
 
 def receive_status(board, endpoint: str, now: float) -> None:
@@ -314,6 +324,30 @@
         polling.poll_endpoint(board, served.endpoint, polling.URGENT_POLL_SECONDS, now)
 
 
+def _step_queued(board, served, now) -> None:
+    """Give back work that another endpoint has to run, or can run sooner."""
+    if served.statement.transaction:
+        return
+    endpoint = board.endpoints.get(served.endpoint)
+    database = board.databases.get(endpoint.database) if endpoint else None
+    if database is None:
+        return
+    elsewhere = database.primary and database.primary != served.endpoint
+    if not elsewhere:
+        return
+    if _needs_primary(served):
+        board.endpoint_queues[served.endpoint].discard(served.id)
+        completion.finish_error(
+            board,
+            served,
+            exceptions.ErrorKind.NOT_RUN,
+            "another endpoint became the primary",
+        )
+    elif now < endpoint.open_after and not board.endpoint_connections[endpoint.name]:
+        board.endpoint_queues[served.endpoint].discard(served.id)
+        completion.finish_behind(board, served)
+
+
 def _expire_queued(board, item) -> None:
     served = board.served.get(item.id)
     if served is None:
