Place endpoints by bounded rendezvous hash and move hot ones

Cause: placement was computed for all endpoints and hosts on each tick, and the hash alone puts up to 3.3 times the mean load on one node at 800 nodes.

Change: tables per place keep the six best hosts of each endpoint and follow single changes; the bound on endpoints per host is 1.25 times the mean; a busy host gives an endpoint to its next choice and announces that in its row of membership. The seeds of the settings are addresses to join through, instead of records of hosts that nobody has heard. bench_placement compares the forms.

--- a/hyssopshelf/blackboard.py
+++ b/hyssopshelf/blackboard.py
@@ -14,6 +14,8 @@
 from hyssopshelf.connections import records
 from hyssopshelf.failover import confirmation, tickets
 from hyssopshelf.failover import state as failover_state
+from hyssopshelf.membership import balancing
+from hyssopshelf.membership import placement as placing
 from hyssopshelf.membership import protocol as membership_protocol
 from hyssopshelf.membership import records as host_records
 from hyssopshelf.scheduling import billing, budgets, limits, queues, shares, work
@@ -242,6 +244,8 @@
         factory=progress.ConfigurationState
     )
     placement: dict[str, str] = attrs.field(factory=dict)
+    balance: balancing.Balance = attrs.field(factory=balancing.Balance)
+    placement_state: placing.Placement = attrs.field(factory=placing.Placement)
     endpoint_queues: dict[str, queues.EndpointQueue] = attrs.field(factory=dict)
     connections: dict[str, records.ConnectionRecord] = attrs.field(factory=dict)
     endpoint_connections: dict[str, dict[str, records.ConnectionRecord]] = attrs.field(
--- a/hyssopshelf/membership/gossip.py
+++ b/hyssopshelf/membership/gossip.py
@@ -10,12 +10,13 @@
 ALIVE, LEAVING, SUSPECT, DEAD = range(4)
 """Codes of the states in a row."""
 
-Row = tuple[str, int, int, int, str, str, str]
-"""Name, incarnation, refutation, state code, address, place and region.
+Row = tuple[str, int, int, int, str, str, str, tuple[str, ...]]
+"""Name, incarnation, refutation, state code, address, place, region and the ids
+of endpoints that the host gave to their next choice.
 
 Rows are tuples without field names because they are most of the traffic of
-membership. Address, place and region are empty in rows of suspect and dead
-hosts, which the receivers know already.
+membership. The last four are empty in rows of suspect and dead hosts, which the
+receivers know already.
 """
 
 BUCKETS = 16
@@ -49,8 +50,8 @@
     code = get_code(record)
     known = (record.name, record.incarnation, record.refutation, code)
     if code >= SUSPECT:
-        return (*known, "", "", "")
-    return (*known, record.address, record.place, record.region)
+        return (*known, "", "", "", ())
+    return (*known, record.address, record.place, record.region, record.moved)
 
 
 def is_newer(row: Row, record: records.HostRecord) -> bool:
--- a/hyssopshelf/membership/hosts.py
+++ b/hyssopshelf/membership/hosts.py
@@ -272,18 +272,23 @@
 
 
 def _find_readers(board, key: str) -> frozenset[str]:
+    """Return the readers of a key; a change of a host drops what it may affect."""
     state = board.membership
-    version, readers = state.readers.get(key, (-1, frozenset()))
-    if version != state.version:
-        readers = frozenset(rank_hosts(board, key, READERS))
-        state.readers[key] = (state.version, readers)
-    return readers
+    if key not in state.readers:
+        names = rank_hosts(board, key, READERS) or [board.identity.host]
+        complete = len(names) == READERS
+        seeds = (rendezvous.make_seed(key), rendezvous.make_seed(names[-1]))
+        state.readers[key] = protocol.Readers(
+            names=frozenset(names),
+            worst=rendezvous.mix(*seeds) if complete else rendezvous.MASK,
+        )
+    return state.readers[key].names
 
 
 def rank_hosts(board, key: str, count: int) -> list[str]:
     """Return the live hosts that are lowest in the rendezvous order of a key.
 
-    The cost is linear in the number of hosts, about 1 ms at the target size.
+    The cost is linear in the number of hosts, 6 ms at the target size.
 
     Parameters
     ----------
--- a/hyssopshelf/membership/placement.py
+++ b/hyssopshelf/membership/placement.py
@@ -1,38 +1,439 @@
-"""Which host serves which endpoint: rendezvous hash among the usable hosts."""
+"""Which host serves which endpoint.
 
-import hashlib
+A rendezvous hash among the usable hosts of the endpoint's place, with a bound
+on the endpoints of one host. Each node computes the same result from the same
+hosts and endpoints. The first choices of each endpoint are kept, so that a
+change of one host costs one score per endpoint of its place.
+
+References
+----------
+.. [1] Mirrokni, Thorup, Zadimoghaddam, "Consistent Hashing with Bounded Loads",
+   SODA 2018.
+"""
+
+import collections
+import math
+
+import attrs
 
 from hyssopshelf import logs
+from hyssopshelf.membership import records, rendezvous
+
+LOAD_FACTOR = 1.25
+"""Greatest number of endpoints of a host over the mean of its place.
+
+bench_placement compares it with no bound: a lower factor balances better and
+moves more endpoints when a host comes or goes.
+"""
+
+CHOICES = 6
+"""Hosts that are kept for each endpoint, in the order of their scores."""
+
+CHOICES_LEFT = 3
+"""With fewer choices left after hosts went, an endpoint is ranked anew."""
+
+SCORES_PER_TICK = 20_000
+"""Scores that one tick computes at most, about 8 ms; the rest waits.
+
+At the target size a starting node ranks its own place within 2 s and all places
+within 25 s, instead of stopping for 6 s.
+"""
+
+REVIEW_SECONDS = 30.0
+"""Time after which all hosts and endpoints are compared even if nothing told of
+a change. At the target size this takes 10 to 16 ms."""
+
+
+NOWHERE: tuple[str, tuple[str, ...]] = ("", ())
+"""Description of a host that is not usable."""
+
+
+@attrs.define(kw_only=True)
+class PlaceTable:
+    """Hosts that serve the endpoints of a place, and the endpoints' choices.
+
+    Attributes
+    ----------
+    hosts : dict of str to int
+        Seeds of the usable hosts by name.
+    choices : dict of str to tuple of str
+        First hosts of each endpoint, best one first; empty until it is ranked.
+    moved : dict of str to tuple of str
+        Ids of the endpoints that a host gave to their next choice.
+    unranked : dict of str to None
+        Endpoints that have to be ranked.
+    dirty : bool
+        Whether the endpoints have to be assigned again.
+    """
+
+    hosts: dict[str, int] = attrs.field(factory=dict)
+    choices: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
+    moved: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
+    unranked: dict[str, None] = attrs.field(factory=dict)
+    dirty: bool = True
+    ordered: list[str] | None = None
+
+
+@attrs.define(kw_only=True)
+class Placement:
+    """State of placement.
+
+    Attributes
+    ----------
+    tables : dict of str to PlaceTable
+        Tables by place, for places with usable hosts.
+    seen : dict of str to tuple of (str, tuple of str)
+        Place of each usable host and the endpoints that it moved.
+    homes : dict of str to tuple of (str, str)
+        Declared place of each endpoint and the place that serves it.
+    regions : dict of str to str
+        Regions of all places that were ever seen.
+    served : set of str
+        Endpoints that this host serves.
+    """
 
+    tables: dict[str, PlaceTable] = attrs.field(factory=dict)
+    seen: dict[str, tuple[str, tuple[str, ...]]] = attrs.field(factory=dict)
+    homes: dict[str, tuple[str, str]] = attrs.field(factory=dict)
+    regions: dict[str, str] = attrs.field(factory=dict)
+    served: set[str] = attrs.field(factory=set)
+    hosts_key: tuple = ()
+    endpoints_key: tuple = ()
+    reviewed_at: float = float("-inf")
 
-def compute_weight(endpoint: str, host: str) -> int:
-    """Return the rendezvous weight of a host for an endpoint."""
-    digest = hashlib.blake2b(f"{endpoint}\0{host}".encode(), digest_size=8).digest()
-    return int.from_bytes(digest, "big")
+
+def compute_weight(key: str, host: str) -> int:
+    """Return the score of a host for a key; all nodes compute the same."""
+    return rendezvous.mix(rendezvous.make_seed(key), rendezvous.make_seed(host))
+
+
+def make_id(endpoint: str) -> str:
+    """Return the short id under which hosts announce a moved endpoint."""
+    return f"{rendezvous.make_seed(endpoint) >> 32:08x}"
+
+
+def step(board, now: float) -> None:
+    """Follow changes of hosts and endpoints."""
+    state = board.placement_state
+    if now - state.reviewed_at >= REVIEW_SECONDS:
+        _refresh(board, now)
+    else:
+        _follow_changes(board, now)
+    _advance(board, SCORES_PER_TICK)
+
+
+def assign(board, now: float) -> None:
+    """Place all endpoints at once, whatever it costs."""
+    _refresh(board, now)
+    _advance(board, None)
 
 
 def locate(board, endpoint: str, now: float) -> str:
-    """Return the serving host of an endpoint, empty if there is none."""
-    record = board.endpoints.get(endpoint)
-    if record is None:
+    """Return the serving host of an endpoint, empty if there is none.
+
+    Parameters
+    ----------
+    board : blackboard.Blackboard
+        State of the node.
+    endpoint : str
+        Full name, ``pool/database/endpoint``.
+    now : float
+        Time on the node's monotonic clock, in seconds.
+    """
+    if endpoint not in board.endpoints:
         return ""
-    usable = [h for h in board.hosts.values() if h.state.value in ("alive", "suspect")]
-    near = [h for h in usable if h.place == record.place] or usable
-    if not near:
+    state = board.placement_state
+    if _make_hosts_key(board) != state.hosts_key or (endpoint not in state.homes):
+        step(board, now)
+    host = board.placement.get(endpoint, "")
+    if host:
+        return host
+    # Until the endpoints of the place are ranked, the best host serves.
+    place = state.homes.get(endpoint, ("", ""))[1]
+    table = state.tables.get(place)
+    if table is None:
         return ""
-    chosen = max(near, key=lambda h: compute_weight(endpoint, h.name)).name
-    if board.placement.get(endpoint) != chosen:
-        board.placement[endpoint] = chosen
+    return (table.choices.get(endpoint) or _rank(table, endpoint))[0]
+
+
+def find_next(board, endpoint: str) -> str:
+    """Return the choice of an endpoint after its present host, empty if unknown."""
+    state = board.placement_state
+    table = state.tables.get(state.homes.get(endpoint, ("", ""))[1])
+    host = board.placement.get(endpoint, "")
+    choices = table.choices.get(endpoint, ()) if table is not None else ()
+    return get_next(choices, host) if host in choices else ""
+
+
+def _make_hosts_key(board) -> tuple[int, int]:
+    return (board.membership.version, len(board.hosts))
+
+
+def _make_endpoints_key(board) -> tuple:
+    versions = tuple(view.version for view in board.pools.values())
+    return (len(board.endpoints), versions)
+
+
+def _refresh(board, now: float) -> None:
+    """Compare all hosts and endpoints with the tables."""
+    board.placement_state.reviewed_at = now
+    changed = _follow_hosts(board, [*board.placement_state.seen, *board.hosts], now)
+    _follow_endpoints(board, everything=changed)
+
+
+def _follow_changes(board, now: float) -> None:
+    """Follow the hosts that changed and, if the pools did, the endpoints."""
+    state, membership = board.placement_state, board.membership
+    changed = False
+    if state.hosts_key != _make_hosts_key(board):
+        # Hosts that came or went without a version are found by comparison.
+        unseen = len(board.hosts) != state.hosts_key[1]
+        names = [*state.seen, *board.hosts] if unseen else list(membership.touched)
+        changed = _follow_hosts(board, names, now)
+    if changed or state.endpoints_key != _make_endpoints_key(board):
+        _follow_endpoints(board, everything=changed)
+
+
+def _follow_hosts(board, names: list[str], now: float) -> bool:
+    """Bring the tables in line with some hosts.
+
+    Returns
+    -------
+    bool
+        Whether a place got its first usable host or lost its last one.
+    """
+    state = board.placement_state
+    state.hosts_key = _make_hosts_key(board)
+    board.membership.touched.clear()
+    before = frozenset(state.tables)
+    come: dict[str, set[str]] = collections.defaultdict(set)
+    gone: dict[str, set[str]] = collections.defaultdict(set)
+    for name in names:
+        old, new = state.seen.get(name, NOWHERE), _describe(board, name, now)
+        if new == old:
+            continue
+        if new[0] != old[0]:
+            gone[old[0]].add(name)
+            come[new[0]].add(name)
+        _note_host(state, name, old[0], new)
+    for place in (come.keys() | gone.keys()) - {""}:
+        _change_table(state.tables[place], come[place], gone[place])
+        if not state.tables[place].hosts:
+            del state.tables[place]
+    return before != state.tables.keys()
+
+
+def _describe(board, name: str, now: float) -> tuple[str, tuple[str, ...]]:
+    """Return the place that a host serves and the endpoints that it moved."""
+    record = board.hosts.get(name)
+    if record is None:
+        return NOWHERE
+    board.placement_state.regions[record.place] = record.region
+    return (record.place, record.moved) if records.is_usable(record, now) else NOWHERE
+
+
+def _note_host(state: Placement, name: str, old_place: str, new: tuple) -> None:
+    place, moved = new
+    if place:
+        state.seen[name] = new
+        state.tables.setdefault(place, PlaceTable())
+    else:
+        del state.seen[name]
+    for table in filter(None, map(state.tables.get, {place, old_place})):
+        table.dirty = True
+        table.moved.pop(name, None)
+    if moved:
+        state.tables[place].moved[name] = moved
+
+
+def _change_table(table: PlaceTable, come: set[str], gone: set[str]) -> None:
+    """Take hosts out of a table and into it."""
+    for name in gone:
+        table.hosts.pop(name, None)
+    for name in come:
+        table.hosts[name] = rendezvous.make_seed(name)
+    if len(come) > CHOICES:
+        table.unranked.update(dict.fromkeys(table.choices))
+        come = set()
+    least = min(CHOICES_LEFT, len(table.hosts))
+    for endpoint, choices in table.choices.items():
+        kept = choices
+        if gone and not gone.isdisjoint(kept):
+            kept = tuple(name for name in kept if name not in gone)
+        if come and kept:
+            kept = _insert(table, endpoint, kept, come)
+        if kept is not choices:
+            table.choices[endpoint] = kept
+        if len(kept) < least:
+            table.unranked[endpoint] = None
+
+
+def _insert(table: PlaceTable, endpoint: str, choices: tuple, come) -> tuple:
+    """Return the choices with new hosts that score better than the last one.
+
+    A host that scores worse is added only if the choices were all hosts of the
+    place; otherwise hosts that are not kept may lie between.
+    """
+    key, hosts = rendezvous.make_seed(endpoint), table.hosts
+    last = rendezvous.mix(key, hosts[choices[-1]])
+    complete = len(choices) + len(come) == len(hosts)
+    better = [n for n in come if complete or rendezvous.mix(key, hosts[n]) < last]
+    if not better:
+        return choices
+    names = sorted((*choices, *better), key=lambda n: rendezvous.mix(key, hosts[n]))
+    return tuple(names[:CHOICES])
+
+
+def _follow_endpoints(board, *, everything: bool) -> None:
+    """Give new and changed endpoints to the place that serves them."""
+    state = board.placement_state
+    state.endpoints_key = _make_endpoints_key(board)
+    for name in [name for name in state.homes if name not in board.endpoints]:
+        _remove(state, name)
+        board.placement.pop(name, None)
+        state.served.discard(name)
+    for name, record in board.endpoints.items():
+        home = state.homes.get(name)
+        if home is not None and home[0] == record.place and not everything:
+            continue
+        place = _choose_place(state, name, record.place)
+        if home == (record.place, place) and name in _get_choices(state, place):
+            continue
+        _remove(state, name)
+        state.homes[name] = (record.place, place)
+        if not place:
+            # No host is usable anywhere; the endpoint keeps its last one.
+            continue
+        table = state.tables[place]
+        table.choices[name] = ()
+        table.dirty, table.ordered = True, None
+        table.unranked[name] = None
+
+
+def _get_choices(state: Placement, place: str) -> dict:
+    table = state.tables.get(place)
+    return table.choices if table is not None else {}
+
+
+def _remove(state: Placement, endpoint: str) -> None:
+    _, place = state.homes.pop(endpoint, ("", ""))
+    table = state.tables.get(place)
+    if table is not None and table.choices.pop(endpoint, None) is not None:
+        table.unranked.pop(endpoint, None)
+        table.dirty, table.ordered = True, None
+
+
+def _choose_place(state: Placement, endpoint: str, place: str) -> str:
+    """Return the place that serves an endpoint.
+
+    Its own place if that has usable hosts, otherwise one of the same region,
+    otherwise any. The choice of another place differs between endpoints, so
+    that their load spreads.
+    """
+    if place in state.tables or not state.tables:
+        return place if state.tables else ""
+    region = state.regions.get(place)
+    near = [name for name in state.tables if state.regions[name] == region]
+    key = rendezvous.make_seed(endpoint)
+    seeds = [(rendezvous.make_seed(name), name) for name in near or state.tables]
+    return rendezvous.rank(key, seeds, 1)[0]
+
+
+def _rank(table: PlaceTable, endpoint: str) -> tuple[str, ...]:
+    seeds = [(seed, name) for name, seed in table.hosts.items()]
+    key = rendezvous.make_seed(endpoint)
+    choices = tuple(rendezvous.rank(key, seeds, CHOICES))
+    table.choices[endpoint] = choices
+    table.unranked.pop(endpoint, None)
+    return choices
+
+
+def _advance(board, budget: int | None) -> None:
+    """Rank endpoints within a budget of scores; assign places that are ranked.
+
+    The node's own place comes first, because the node serves endpoints of it.
+    """
+    tables = board.placement_state.tables
+    dirty = [place for place, table in tables.items() if table.dirty or table.unranked]
+    for place in sorted(dirty, key=lambda name: name != board.identity.place):
+        table = tables[place]
+        while table.unranked and (budget is None or budget > 0):
+            _rank(table, next(iter(table.unranked)))
+            budget = None if budget is None else budget - len(table.hosts)
+        if not table.unranked:
+            table.dirty = False
+            _assign(board, place, table)
+
+
+def _assign(board, place: str, table: PlaceTable) -> None:
+    """Place the endpoints of a table and log what changed."""
+    if table.ordered is None:
+        table.ordered = sorted(table.choices, key=rendezvous.make_seed)
+    changed = 0
+    for endpoint, host, reason in spread(table):
+        old = board.placement.get(endpoint)
+        if old == host:
+            continue
+        changed += 1
+        _put(board, endpoint, host)
+        if old is not None:
+            board.log(
+                logs.LogEvent.ENDPOINT_PLACED,
+                endpoint=endpoint,
+                host=host,
+                previous=old,
+                reason=reason,
+            )
+    if changed:
         board.log(
-            logs.LogEvent.ENDPOINT_PLACED,
-            endpoint=endpoint,
-            host=chosen,
-            reason="rendezvous hash",
+            logs.LogEvent.PLACE_ASSIGNED,
+            place=place,
+            hosts=len(table.hosts),
+            endpoints=len(table.ordered),
+            changed=changed,
         )
-    return chosen
 
 
-def step(board, now: float) -> None:
-    """Recompute the placement of all endpoints."""
-    for endpoint in board.endpoints:
-        locate(board, endpoint, now)
+def _put(board, endpoint: str, host: str) -> None:
+    board.placement[endpoint] = host
+    if host == board.identity.host:
+        board.placement_state.served.add(endpoint)
+    else:
+        board.placement_state.served.discard(endpoint)
+
+
+def compute_bound(endpoints: int, hosts: int) -> int:
+    """Return the greatest number of endpoints that the hash gives to a host."""
+    return max(1, math.ceil(LOAD_FACTOR * endpoints / hosts))
+
+
+def spread(table: PlaceTable):
+    """Yield each endpoint of a table with its host and the reason.
+
+    The endpoints choose in the order of their seeds. If all kept choices of an
+    endpoint are full, it goes to the one with the fewest endpoints.
+    """
+    bound = compute_bound(len(table.choices), len(table.hosts))
+    counts = dict.fromkeys(table.hosts, 0)
+    for endpoint in table.ordered:
+        choices = table.choices[endpoint]
+        index = 0
+        for index, host in enumerate(choices):  # noqa: B007
+            if counts[host] < bound:
+                break
+        else:
+            host = min(choices, key=counts.__getitem__)
+            index = choices.index(host)
+        counts[host] += 1
+        reason = "rendezvous hash" if index == 0 else "bounded load"
+        given = table.moved.get(host)
+        if given is not None and make_id(endpoint) in given:
+            host, reason = get_next(choices, host), "moved by its host"
+        yield endpoint, host, reason
+
+
+def get_next(choices: tuple[str, ...], host: str) -> str:
+    """Return the choice after a host, or the host if there is no other one."""
+    index = choices.index(host) + 1
+    others = choices[index:] or choices[: index - 1]
+    return others[0] if others else host
--- a/hyssopshelf/membership/protocol.py
+++ b/hyssopshelf/membership/protocol.py
@@ -26,6 +26,14 @@
     expires_at: float
 
 
+@attrs.frozen(kw_only=True)
+class Readers:
+    """The readers of a key and the score of the last one."""
+
+    names: frozenset[str]
+    worst: int
+
+
 @attrs.define(kw_only=True)
 class Membership:
     """State of the failure detection.
@@ -35,7 +43,9 @@
     seeds : tuple of str
         Addresses from the settings to join through.
     version : int
-        Raised when the set of usable hosts changes.
+        Raised when the set of usable hosts or what they moved changes.
+    touched : set of str
+        Hosts concerned by such changes that placement has not seen yet.
     peers : int
         Number of other hosts that are not dead.
     heard_at : float or None
@@ -55,6 +65,7 @@
 
     seeds: tuple[str, ...] = ()
     version: int = 0
+    touched: set[str] = attrs.field(factory=set)
     peers: int = 0
     heard_at: float | None = None
     isolated_at: float | None = None
@@ -80,7 +91,7 @@
     join_at: float = 0.0
     pull_at: float = 0.0
     mismatches: list[int] = attrs.field(factory=lambda: [0] * gossip.BUCKETS)
-    readers: dict[str, tuple[int, frozenset[str]]] = attrs.field(factory=dict)
+    readers: dict[str, Readers] = attrs.field(factory=dict)
 
 
 @messages.register("membership.probe")
--- a/hyssopshelf/membership/records.py
+++ b/hyssopshelf/membership/records.py
@@ -28,6 +28,8 @@
     leaving : bool
         Whether the host last announced that it is leaving; it also holds while
         the host is suspected.
+    moved : tuple of str
+        Ids of endpoints that the host gave to their next choice.
     failed_at : float
         Time of the last failure, for the detection of flapping.
     flaps : int
@@ -44,6 +46,7 @@
     incarnation: int = 0
     refutation: int = 0
     leaving: bool = False
+    moved: tuple[str, ...] = ()
     failed_at: float = float("-inf")
     flaps: int = 0
     usable_from: float = float("-inf")
--- a/hyssopshelf/membership/rendezvous.py
+++ b/hyssopshelf/membership/rendezvous.py
@@ -48,9 +48,11 @@
     count : int
         Number of names to return.
     """
+    names = []
     scores = []
     for seed, name in seeds:
         # The function mix is written out: this loop is the cost of placement.
         value = ((key ^ seed) * _FIRST) & MASK
-        scores.append((((value ^ (value >> 29)) * _SECOND) & MASK, name))
-    return [name for _, name in heapq.nsmallest(count, scores)]
+        scores.append(((value ^ (value >> 29)) * _SECOND) & MASK)
+        names.append(name)
+    return [name for _, name in heapq.nsmallest(count, zip(scores, names, strict=True))]
--- a/hyssopshelf/membership/transitions.py
+++ b/hyssopshelf/membership/transitions.py
@@ -5,7 +5,7 @@
 """
 
 from hyssopshelf import logs
-from hyssopshelf.membership import gossip, records
+from hyssopshelf.membership import gossip, records, rendezvous
 
 SUSPICION_SECONDS = 2.0
 """Time in which a host that this node suspects itself can refute, in seconds."""
@@ -66,12 +66,23 @@
     state.peers = len(board.hosts) - dead - 1
 
 
+def _touch(board, name: str) -> None:
+    """Note that a host may have become usable or unusable, or moved endpoints."""
+    state = board.membership
+    state.version += 1
+    state.touched.add(name)
+    for key, order in list(state.readers.items()):
+        score = rendezvous.mix(rendezvous.make_seed(key), rendezvous.make_seed(name))
+        if score <= order.worst:
+            del state.readers[key]
+
+
 def _add(board, record: records.HostRecord) -> None:
     state = board.membership
     board.hosts[record.name] = record
     state.digests.toggle(record)
     state.outbox.add(record.name)
-    state.version += 1
+    _touch(board, record.name)
     if record.name != board.identity.host:
         state.peers += 1
 
@@ -90,15 +101,46 @@
         state.peers += was_dead - is_dead
 
 
-def announce(board, *, leaving: bool, now: float, refutation: int = 0) -> None:
-    """Spread a new state of this host that overrides older news about it."""
+def announce(
+    board,
+    *,
+    now: float,
+    leaving: bool | None = None,
+    moved: tuple[str, ...] | None = None,
+    refutation: int = 0,
+) -> None:
+    """Spread a new state of this host that overrides older news about it.
+
+    Parameters
+    ----------
+    board : blackboard.Blackboard
+        State of the node.
+    now : float
+        Time on the node's monotonic clock, in seconds.
+    leaving : bool or None
+        Whether the host leaves; None for no change.
+    moved : tuple of str or None
+        Ids of endpoints given to their next choice; None for no change.
+    refutation : int
+        Number that the announcement must exceed.
+    """
     record = find_own(board, now)
+    leaving = record.leaving if leaving is None else leaving
+    moved = record.moved if moved is None else moved
     state = records.HostState.LEAVING if leaving else records.HostState.ALIVE
+    if (leaving, moved) != (record.leaving, record.moved):
+        _touch(board, record.name)
     if leaving != record.leaving:
-        board.membership.version += 1
         board.log(logs.LogEvent.HOST_LEAVING, host=record.name, leaving=leaving)
     refutation = max(refutation, record.refutation) + 1
-    _change(board, record, state=state, leaving=leaving, refutation=refutation)
+    _change(
+        board,
+        record,
+        state=state,
+        leaving=leaving,
+        moved=moved,
+        refutation=refutation,
+    )
 
 
 def apply_row(board, row: gossip.Row, now: float) -> None:
@@ -128,11 +170,11 @@
     if current and code >= gossip.SUSPECT:
         board.count("membership_refutations")
         board.log(logs.LogEvent.SUSPICION_REFUTED, host=own.name)
-        announce(board, leaving=own.leaving, now=now, refutation=refutation)
+        announce(board, now=now, refutation=refutation)
 
 
 def _apply_unknown(board, row: gossip.Row) -> None:
-    name, incarnation, refutation, code, address, place, region = row
+    name, incarnation, refutation, code, address, place, region, moved = row
     if code >= gossip.SUSPECT or not address:
         return
     leaving = code == gossip.LEAVING
@@ -145,6 +187,7 @@
         incarnation=incarnation,
         refutation=refutation,
         leaving=leaving,
+        moved=moved,
     )
     _add(board, record)
     board.membership.candidates.pop(name, None)
@@ -190,7 +233,7 @@
     state.suspects.pop(record.name, None)
     if record.state is not records.HostState.DEAD:
         _note_failure(record, now)
-        state.version += 1
+        _touch(board, record.name)
         state.dead[record.name] = now + FORGET_SECONDS
         board.count("membership_deaths")
         board.log(logs.LogEvent.HOST_DEAD, host=record.name, flaps=record.flaps)
@@ -205,7 +248,7 @@
 
 def _mark_live(board, record, row: gossip.Row, now: float) -> None:
     """Apply the news of a host about itself."""
-    _, incarnation, refutation, code, address, place, region = row
+    _, incarnation, refutation, code, address, place, region, moved = row
     state = board.membership
     state.suspects.pop(record.name, None)
     leaving = code == gossip.LEAVING
@@ -215,8 +258,8 @@
         _note_failure(record, now)
     if restarted or was_dead:
         _note_return(board, record, now)
-    if leaving != record.leaving or place != record.place:
-        state.version += 1
+    if (leaving, place, moved) != (record.leaving, record.place, record.moved):
+        _touch(board, record.name)
     if leaving and not record.leaving:
         board.log(logs.LogEvent.HOST_LEAVING, host=record.name, leaving=True)
     _change(
@@ -229,6 +272,7 @@
         address=address,
         place=place,
         region=region,
+        moved=moved,
     )
     if restarted or was_dead:
         _log_alive(board, record)
@@ -244,7 +288,7 @@
     """Hold a host that flapped back until it has been stable."""
     state = board.membership
     state.dead.pop(record.name, None)
-    state.version += 1
+    _touch(board, record.name)
     if record.flaps == 0:
         return
     seconds = min(STABLE_SECONDS * 2 ** (record.flaps - 1), MAXIMUM_STABLE_SECONDS)
@@ -275,7 +319,7 @@
     state = board.membership
     for name in [name for name, end in state.held.items() if end <= now]:
         del state.held[name]
-        state.version += 1
+        _touch(board, name)
 
 
 def forget_dead(board, now: float) -> None:
--- a/hyssopshelf/node.py
+++ b/hyssopshelf/node.py
@@ -6,7 +6,7 @@
 from hyssopshelf.configuration import controller
 from hyssopshelf.connections import pool
 from hyssopshelf.failover import confirmation, detection, leases, promotion
-from hyssopshelf.membership import hosts, placement
+from hyssopshelf.membership import balancing, hosts, placement
 from hyssopshelf.scheduling import billing, limits, shares
 from hyssopshelf.statements import (
     completion,
@@ -31,6 +31,7 @@
     hosts.step,
     controller.step,
     placement.step,
+    balancing.step,
     polling.step,
     detection.step,
     promotion.step,
--- a/hyssopshelf/runtime/daemon.py
+++ b/hyssopshelf/runtime/daemon.py
@@ -47,10 +47,7 @@
     )
     seed = int.from_bytes(os.urandom(8), "big")
     core = node.Node(identity=identity, seed=seed, token_keys=values.token_keys)
-    for host, address in values.seeds:
-        core.board.hosts[host] = blackboard.HostRecord(
-            name=host, address=address, place="", region=""
-        )
+    core.board.membership.seeds = tuple(address for _, address in values.seeds)
     core.board.hosts[values.host] = blackboard.HostRecord(
         name=values.host,
         address=values.peer_listen,
--- a/hyssopshelf/statements/serving.py
+++ b/hyssopshelf/statements/serving.py
@@ -3,6 +3,7 @@
 from hyssopshelf import base, blackboard, exceptions, logs, messages
 from hyssopshelf.connections import pool
 from hyssopshelf.consistency import reads
+from hyssopshelf.membership import balancing
 from hyssopshelf.scheduling import queues, work
 from hyssopshelf.statements import completion, polling, replay, transactions
 
@@ -257,6 +258,7 @@
         term = board.transactions[statement.transaction].term
     served.state = blackboard.ServedState.RUNNING
     served.sent_at = now
+    balancing.count_served(board, served.endpoint)
     board.act(
         base.Execute(
             connection=served.connection,
