Remember every planned change, and test promotions by state machine

Cause: a node remembered only the last planned change of a database. The hold messages of two changes at the same time were then new to each other without end, and nodes sent them around as fast as they could.

Change: remember the last 64 changes with whether their hold has ended. Add a hypothesis state machine over promotions with lost and reordered messages, two promoters, paused and restarted nodes and writes at both levels.

Conclusion: a hold message is passed on once by each node.

--- a/hyssopshelf/failover/terms.py
+++ b/hyssopshelf/failover/terms.py
@@ -16,6 +16,9 @@
 REPEAT_INTERVAL_SECONDS = 1.0
 """Time between two repetitions."""
 
+KEPT_CHANGES = 64
+"""Planned changes of a database that a node remembers."""
+
 
 @messages.register("failover.term")
 @attrs.frozen(kw_only=True)
@@ -56,12 +59,12 @@
     ----------
     recent : dict of str to float
         Time until which the primary of a database is repeated.
-    changes : dict of str to (str, bool)
-        Last planned change of a database and whether its hold was ended.
+    changes : dict of str to dict of str to bool
+        Last planned changes of a database and whether their holds were ended.
     """
 
     recent: dict[str, float] = attrs.field(factory=dict)
-    changes: dict[str, tuple[str, bool]] = attrs.field(factory=dict)
+    changes: dict[str, dict[str, bool]] = attrs.field(factory=dict)
     repeat_at: float = float("-inf")
 
 
@@ -159,14 +162,16 @@
 def _apply_hold(board, message: WritesHeld, now: float) -> bool:
     """Apply a hold or its end; return whether it was new."""
     record = board.databases[message.database]
-    change_id, ended = board.failover.spreading.changes.get(
-        message.database, ("", True)
-    )
+    changes = board.failover.spreading.changes.setdefault(message.database, {})
     ends = message.remaining_seconds <= 0
-    known = message.change_id == change_id
-    if ends != known or (known and ended) or message.term < record.term:
+    # Every change is remembered: with only the last one, the messages of two
+    # changes at the same time would be new to each other without end.
+    ended = changes.get(message.change_id)
+    if ended or ends != (ended is False) or message.term < record.term:
         return False
-    board.failover.spreading.changes[message.database] = (message.change_id, ends)
+    changes[message.change_id] = ends
+    while len(changes) > KEPT_CHANGES:
+        del changes[next(iter(changes))]
     record.held_until = now + message.remaining_seconds if not ends else float("-inf")
     return True
 
--- /dev/null
+++ b/hyssopshelf/failover/tests/test_promotion.py
@@ -0,0 +1,226 @@
+"""Tests of promotion: safety under loss, and progress when faults end."""
+
+import hypothesis
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from hyssopshelf import messages
+from hyssopshelf.failover import promotion, terms, tickets
+from hyssopshelf.failover.tests import group
+
+FRESH_SECONDS = 0.2
+"""Time within which a TERM acknowledgement leaves, from the design page."""
+
+HOSTS = st.sampled_from(["h0", "h1", "h2"])
+NAMES = st.sampled_from([f"{group.DATABASE}/{name}" for name in "abc"])
+LEVELS = st.sampled_from(list(tickets.ConfirmationLevel))
+POSITIONS = st.integers(min_value=0, max_value=10**6)
+
+
+class Promotions(stateful.RuleBasedStateMachine):
+    """Promoters, lost and reordered messages, pauses, restarts and writes."""
+
+    def __init__(self):
+        super().__init__()
+        self.group = group.Group()
+        self.primaries = {}
+        self.waiting = []
+        self.acknowledged = []
+
+    @stateful.initialize()
+    def bring_up(self):
+        """Start from a working group; single steps rarely produce one."""
+        self.group.run(3.0)
+
+    @stateful.rule(seconds=st.sampled_from([0.05, 0.3, 0.6, 2.5]))
+    def pass_time(self, seconds):
+        self.group.now += seconds
+        for host in self.group.boards:
+            if host not in self.group.stopped:
+                self.group.tick(host)
+
+    @stateful.rule(seconds=st.sampled_from([0.1, 0.6, 3.0]))
+    def run_promptly(self, seconds):
+        self.group.run(seconds)
+
+    @stateful.rule(
+        picks=st.lists(POSITIONS, min_size=1, max_size=8), lost=st.booleans()
+    )
+    def deliver_or_lose(self, picks, lost):
+        for pick in picks:
+            if self.group.pending and lost:
+                self.group.pending.pop(pick % len(self.group.pending))
+            elif self.group.pending:
+                self.group.deliver(pick % len(self.group.pending))
+
+    @stateful.rule(host=HOSTS, excluded=st.booleans())
+    def start_promotion(self, host, excluded):
+        board = self.group.boards[host]
+        board.failover.promotions.not_before.clear()
+        old = board.databases[group.DATABASE].primary if excluded else ""
+        reason = promotion.Reason.LEADERLESS
+        promotion.start(board, group.DATABASE, reason, old, self.group.now)
+        self.group.collect(host)
+
+    @stateful.rule(host=HOSTS, name=NAMES)
+    def request_change(self, host, name):
+        board = self.group.boards[host]
+        promotion.request_change(board, group.DATABASE, name, self.group.now)
+        self.group.collect(host)
+
+    @stateful.rule(name=NAMES, kind=st.sampled_from(["silent", "cut", "heal"]))
+    def break_or_heal(self, name, kind):
+        self.group.silent.discard(name)
+        self.group.cut.discard(name)
+        if kind != "heal":
+            getattr(self.group, kind).add(name)
+
+    @stateful.rule(host=HOSTS, kind=st.sampled_from(["restart", "pause", "resume"]))
+    def disturb_host(self, host, kind):
+        self.group.stopped.discard(host)
+        if kind == "restart":
+            self.group.start_host(host)
+        elif kind == "pause":
+            self.group.stopped.add(host)
+
+    @stateful.rule(name=NAMES)
+    def replicate(self, name):
+        self.group.replicate(name)
+
+    @stateful.rule(name=NAMES, host=HOSTS, level=LEVELS)
+    def write(self, name, host, level):
+        written = self.group.write(name)
+        if written is not None and host not in self.group.stopped:
+            ticket = self.group.file_ticket(host, written[0], level)
+            self.waiting.append((ticket, written[1]))
+
+    @stateful.invariant()
+    def note_acknowledgements(self):
+        confirmed = tickets.ConfirmationOutcome.CONFIRMED
+        for ticket, value in list(self.waiting):
+            if ticket.outcome is None:
+                continue
+            self.waiting.remove((ticket, value))
+            if ticket.outcome is not confirmed:
+                continue
+            if ticket.level is tickets.ConfirmationLevel.LOG:
+                self.acknowledged.append((ticket.position, value))
+            elif self.group.now <= ticket.confirmed_from + FRESH_SECONDS:
+                newest = max(self.group.promoted)
+                assert newest <= ticket.position.term, "replaced primary acknowledged"
+
+    @stateful.invariant()
+    def have_one_primary_per_term(self):
+        for instance in self.group.instances.values():
+            if instance.role is messages.Role.PRIMARY:
+                known = self.primaries.setdefault(instance.term, instance.name)
+                assert known == instance.name, "two primaries in one term"
+
+    @stateful.invariant()
+    def keep_acknowledged_writes(self):
+        for instance in self.group.instances.values():
+            if instance.role is not messages.Role.PRIMARY:
+                continue
+            for position, value in self.acknowledged:
+                if position.term <= instance.term:
+                    entry = instance.log[position.index - 1]
+                    assert entry.changes[0].value == value, "acknowledged write lost"
+
+    def teardown(self):
+        """Guards against a group that stays without a primary once faults end."""
+        self.group.silent.clear()
+        self.group.cut.clear()
+        self.group.stopped.clear()
+        self.group.run(20.0)
+        primary = self.group.find_primary()
+        followers = [i for i in self.group.instances.values() if i.name != primary]
+        assert primary
+        assert all(i.primary == primary for i in followers), "no common primary"
+
+
+TestPromotions = Promotions.TestCase
+TestPromotions.settings = hypothesis.settings(
+    max_examples=60,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+
+
+@pytest.mark.parametrize("seconds", [0.0, 0.03, 0.3, 0.55, 0.65])
+def test_successor_finishes_after_a_promoter_dies(seconds):
+    """Guards against a promotion that stays half done with its promoter."""
+    fleet = group.Group()
+    fleet.run(4.0)
+    fleet.dead.add(fleet.find_primary())
+    while not any(event == "PROMOTION_STARTED" for *_, event, _ in fleet.logs[-3:]):
+        fleet.run(0.05)
+    promoter = next(h for _, h, event, _ in reversed(fleet.logs) if "START" in event)
+    fleet.run(seconds)
+    fleet.stopped.add(promoter)
+    fleet.run(5.0)
+    assert fleet.find_primary() not in fleet.dead
+
+
+def test_old_primary_follows_and_its_discarded_writes_are_counted():
+    """Guards against a returning primary that keeps or silently drops writes."""
+    fleet = group.Group()
+    fleet.run(4.0)
+    old = fleet.find_primary()
+    fleet.silent.add(old)
+    fleet.write(old), fleet.write(old)
+    fleet.run(4.0)
+    fleet.silent.clear()
+    fleet.run(3.0)
+    assert fleet.instances[old].primary == fleet.find_primary() != old
+    discarded = [fields for *_, event, fields in fleet.logs if "DISCARD" in event]
+    assert discarded and discarded[0]["discarded"] == 2
+
+
+def test_planned_change_that_cannot_finish_ends_the_hold():
+    """Guards against writes that wait for a target which never catches up."""
+    fleet = group.Group()
+    fleet.run(4.0)
+    primary = fleet.find_primary()
+    target = next(name for name in fleet.names if name != primary)
+    fleet.cut.add(target)
+    fleet.write(primary)
+    board = fleet.boards["h0"]
+    assert promotion.request_change(board, group.DATABASE, target, fleet.now)
+    fleet.run(0.5)
+    records = [b.databases[group.DATABASE] for b in fleet.boards.values()]
+    assert all(record.held_until > fleet.now for record in records)
+    fleet.run(2.0)
+    assert all(record.held_until < fleet.now for record in records)
+    assert fleet.find_primary() == primary
+
+
+def test_planned_change_moves_without_losing_a_write():
+    """Guards against a planned change that drops the end of the log."""
+    fleet = group.Group()
+    fleet.run(4.0)
+    primary = fleet.find_primary()
+    target = next(name for name in fleet.names if name != primary)
+    written = fleet.write(primary)
+    promotion.request_change(fleet.boards["h1"], group.DATABASE, target, fleet.now)
+    fleet.run(0.5)
+    assert fleet.find_primary() == target
+    assert fleet.instances[target].read_value("k") == written[1]
+
+
+def test_late_hold_of_an_ended_change_is_ignored():
+    """Guards against a duplicated message that stops writes again."""
+    fleet = group.Group()
+    board = fleet.boards["h0"]
+    hold = terms.WritesHeld(
+        database=group.DATABASE, change_id="c", term=0, remaining_seconds=3.0
+    )
+    end = terms.WritesHeld(
+        database=group.DATABASE, change_id="c", term=0, remaining_seconds=0.0
+    )
+    for message in (hold, end, hold):
+        terms.base.receive(message, board, "h1", fleet.now)
+    assert board.databases[group.DATABASE].held_until < fleet.now
