--- /dev/null
+++ b/benchmarks/faults/freshness.py
@@ -0,0 +1,157 @@
+"""Checks of reads: sessions, staleness bounds and strong reads."""
+
+import bisect
+from collections import defaultdict
+from collections.abc import Iterator
+
+from benchmarks.faults import cases, histories, logtree
+from hyssopshelf import messages
+
+Position = messages.Position
+
+
+def check_sessions(case: cases.Case) -> Iterator[cases.Violation]:
+    """A session reads its writes and never goes back, on any node.
+
+    The floors of a session are the entries that it wrote or saw. They lie on
+    one branch of the log unless a change of primary discarded one of them and
+    the session wrote again before it was told. No log holds all of them then,
+    so every later read has to be refused.
+    """
+    floors: dict[tuple[str, str], list[Position]] = defaultdict(list)
+    for request in sorted(case.history.requests, key=lambda r: r.invoked_at):
+        held = floors[request.session, request.database]
+        tree = case.find_tree(request.database)
+        if request.succeeded and cases.is_write(request):
+            _raise_floors(tree, held, _find_written(case, request))
+        elif cases.is_plain_read(request):
+            candidates = case.find_read_entries(request)
+            if candidates is None:
+                continue
+            seen = [
+                entry
+                for entry in candidates
+                if not request.had_token
+                or all(_is_seen(tree, request.key, entry, floor) for floor in held)
+            ]
+            if seen:
+                _raise_floors(tree, held, seen)
+            else:
+                yield cases.blame(
+                    1, "session_went_back", request, f"read {candidates} floors {held}"
+                )
+
+
+def _is_seen(
+    tree: logtree.LogTree, key: str, entry: Position | None, floor: Position
+) -> bool:
+    """Return whether a log that holds ``floor`` may end with ``entry`` for a key."""
+    if entry is not None and tree.contains(entry, floor):
+        return True
+    return entry == tree.find_last_write(key, floor)
+
+
+def _find_written(case: cases.Case, request: histories.Request) -> list[Position]:
+    """Return the entries that an acknowledged write may have made.
+
+    A repeat with an idempotency key may have an entry on a discarded branch and
+    one on a later branch. With majority acknowledgement it is the surviving one.
+    """
+    tree = case.find_tree(request.database)
+    labels = case.find_labels(request)
+    entries = [entry for label in labels for entry in tree.find(label)]
+    if len(set(entries)) > 1 and request.acknowledge == "majority":
+        survivor = case.history.survivors.get(request.database)
+        entries = [entry for entry in entries if tree.contains(survivor, entry)]
+    return entries
+
+
+def _raise_floors(
+    tree: logtree.LogTree, held: list[Position], entries: list[Position | None]
+) -> None:
+    """Add the entry that a session wrote or saw to its floors.
+
+    Nothing is added if several entries may be the one, as it is not known then
+    on which branch the session is.
+    """
+    entry = entries[0] if len(set(entries)) == 1 else None
+    if entry is None or any(tree.contains(floor, entry) for floor in held):
+        return
+    held[:] = [floor for floor in held if not tree.contains(entry, floor)]
+    held.append(entry)
+
+
+def check_bounded_reads(case: cases.Case) -> Iterator[cases.Violation]:
+    """A bounded read sees every surviving write older than its bound."""
+    for request in case.history.requests:
+        bounded = request.consistency is messages.Consistency.BOUNDED
+        if not (cases.is_plain_read(request) and bounded):
+            continue
+        bound = request.staleness_seconds / case.history.slowest_rate
+        missing = _find_missing(case, request, request.invoked_at - bound - 1e-9)
+        if missing is not None:
+            yield cases.blame(1, "read_older_than_bound", request, f"misses {missing}")
+
+
+def _find_missing(
+    case: cases.Case, request: histories.Request, before: float
+) -> Position | None:
+    """Return a surviving write before a time that a read did not see."""
+    tree = case.find_tree(request.database)
+    survivor = case.history.survivors.get(request.database)
+    writes = tree.find_writes(request.key, survivor)
+    number = bisect.bisect_left(
+        writes, before, key=lambda position: tree.entries[position].executed_at
+    )
+    if not number:
+        return None
+    candidates = case.find_read_entries(request)
+    if candidates is None:
+        return None
+    last = writes[number - 1]
+    if any(entry and tree.contains(entry, last) for entry in candidates):
+        return None
+    return last
+
+
+def check_strong_reads(case: cases.Case) -> Iterator[cases.Violation]:
+    """A strong read sees every write acknowledged before it began."""
+    acknowledged = _find_acknowledged(case)
+    for request in case.history.requests:
+        strong = request.consistency is messages.Consistency.STRONG
+        if not (cases.is_plain_read(request) and strong):
+            continue
+        tree = case.find_tree(request.database)
+        candidates = case.find_read_entries(request)
+        if candidates is None:
+            continue
+        missed = [
+            position
+            for at, position in acknowledged[request.database, request.key]
+            if at < request.invoked_at
+            and not any(
+                entry and tree.contains(entry, position) for entry in candidates
+            )
+        ]
+        if missed:
+            yield cases.blame(1, "strong_read_missed_write", request, f"{missed[-1]}")
+
+
+def _find_acknowledged(
+    case: cases.Case,
+) -> dict[tuple[str, str], list[tuple[float, Position]]]:
+    """Return the surviving acknowledged writes of each key with their times."""
+    found = defaultdict(list)
+    for request in case.history.requests:
+        if not (request.succeeded and cases.is_write(request)):
+            continue
+        tree = case.find_tree(request.database)
+        survivor = case.history.survivors.get(request.database)
+        for label in case.find_labels(request):
+            for position in tree.find(label):
+                if not tree.contains(survivor, position):
+                    continue
+                found[request.database, case.by_label[label][0].key].append(
+                    (request.answered_at, position)
+                )
+    return found
--- a/hyssopshelf/blackboard.py
+++ b/hyssopshelf/blackboard.py
@@ -10,19 +10,16 @@
 import attrs
 
 from hyssopshelf import base, logs, messages
-from hyssopshelf.configuration import resources, views
+from hyssopshelf.configuration import progress, resources, views
 from hyssopshelf.connections import records
-from hyssopshelf.failover import confirmation, state, tickets
-from hyssopshelf.scheduling import queues, work
+from hyssopshelf.failover import confirmation, tickets
+from hyssopshelf.failover import state as failover_state
+from hyssopshelf.membership import protocol as membership_protocol
+from hyssopshelf.membership import records as host_records
+from hyssopshelf.scheduling import billing, budgets, limits, queues, shares, work
 
-
-class HostState(enum.Enum):
-    """What this node believes of a host."""
-
-    ALIVE = "alive"
-    SUSPECT = "suspect"
-    DEAD = "dead"
-    LEAVING = "leaving"
+HostState = host_records.HostState
+HostRecord = host_records.HostRecord
 
 
 @attrs.frozen(kw_only=True)
@@ -48,18 +45,6 @@
     incarnation: int = 0
 
 
-@attrs.define(kw_only=True)
-class HostRecord:
-    """A host as this node sees it."""
-
-    name: str
-    address: str
-    place: str
-    region: str = ""
-    state: HostState = HostState.ALIVE
-    incarnation: int = 0
-
-
 @attrs.define(kw_only=True)
 class EndpointRecord:
     """An endpoint as this node sees it.
@@ -151,6 +136,7 @@
     retry_at: float = 0.0
     sent_at: float = 0.0
     primary_only: bool = False
+    admitted: bool = False
     answer: messages.ServedAnswer | None = None
 
 
@@ -245,10 +231,16 @@
     token_keys: tuple[tuple[str, bytes], ...] = ()
 
     hosts: dict[str, HostRecord] = attrs.field(factory=dict)
+    membership: membership_protocol.Membership = attrs.field(
+        factory=membership_protocol.Membership
+    )
     endpoints: dict[str, EndpointRecord] = attrs.field(factory=dict)
     databases: dict[str, DatabaseRecord] = attrs.field(factory=dict)
     documents: dict[str, resources.Document] = attrs.field(factory=dict)
     pools: dict[str, views.PoolView] = attrs.field(factory=dict)
+    configuration: progress.ConfigurationState = attrs.field(
+        factory=progress.ConfigurationState
+    )
     placement: dict[str, str] = attrs.field(factory=dict)
     endpoint_queues: dict[str, queues.EndpointQueue] = attrs.field(factory=dict)
     connections: dict[str, records.ConnectionRecord] = attrs.field(factory=dict)
@@ -272,7 +264,13 @@
     confirmations: confirmation.ConfirmationState = attrs.field(
         factory=confirmation.ConfirmationState
     )
-    failover: state.FailoverState = attrs.field(factory=state.FailoverState)
+    failover: failover_state.FailoverState = attrs.field(
+        factory=failover_state.FailoverState
+    )
+    usage: shares.UsageState = attrs.field(factory=shares.UsageState)
+    admission: limits.LimitState = attrs.field(factory=limits.LimitState)
+    retry_budget: budgets.RetryBudget = attrs.field(factory=budgets.RetryBudget)
+    bills: billing.BillingState = attrs.field(factory=billing.BillingState)
 
     actions: list[base.Action] = attrs.field(factory=list)
     counters: dict[str, float] = attrs.field(factory=dict)
@@ -280,7 +278,8 @@
     ticked_at: float | None = None
     pause_seconds: float = 0.0
     draining: bool = False
-    drain_deadline: float | None = None
+    drained_at: float = float("-inf")
+    forwarded_at: float = float("-inf")
     configuration_ready: bool = False
     _sequence: int = 0
 
--- a/hyssopshelf/statements/completion.py
+++ b/hyssopshelf/statements/completion.py
@@ -5,7 +5,7 @@
 from hyssopshelf.connections import pool
 from hyssopshelf.consistency import positions, reads
 from hyssopshelf.failover import terms
-from hyssopshelf.scheduling import work
+from hyssopshelf.scheduling import billing, work
 from hyssopshelf.statements import polling, transactions
 
 FRESHNESS_SECONDS = 0.2
@@ -159,7 +159,9 @@
 def _free_slot(board, served, now: float) -> None:
     queue = board.endpoint_queues.get(served.endpoint)
     if queue is not None:
-        queue.finish(served.id, now)
+        seconds = queue.finish(served.id, now)
+        item = served.work
+        billing.account(board, queue.pool, item.partner, item.rank, seconds)
     board.ready_endpoints.add(served.endpoint)
 
 
@@ -310,9 +312,10 @@
         and served.required is not None
         and positions.is_discarded(answer.status.history, served.required)
     ):
-        # The token keeps the discarded position, so that the session's next
-        # read tells it that a change of primary discarded what it had seen.
-        seen = None
+        # No log holds both what the session had seen and what it now wrote. The
+        # next read has to tell it, also on a replica that still holds the
+        # discarded branch.
+        seen = positions.mark_discarded(served.required)
     transaction = served.statement.transaction
     if served.statement.operation is messages.Operation.BEGIN:
         transaction = board.connections[served.connection].transaction
