--- a/hyssopshelf/configuration/api.py
+++ b/hyssopshelf/configuration/api.py
@@ -22,11 +22,11 @@
 
 ErrorKind = exceptions.ErrorKind
 
-CALL_TIMEOUT_SECONDS = 1.5
+CALL_TIMEOUT_SECONDS = 3.0
 """Time after which a store call is settled by reading back.
 
-The store answers in milliseconds; the request's deadline is 5 s by default,
-which leaves time for three attempts.
+It is longer than the store adapter's own limit of 2 s. A shorter time would
+drop every answer of a slow store, and no change would be accepted.
 """
 
 FIRST_RETRY_SECONDS = 0.1
--- a/hyssopshelf/configuration/dissemination.py
+++ b/hyssopshelf/configuration/dissemination.py
@@ -38,7 +38,11 @@
 """Buckets listed in one exchange, about 13 KB at 2,900 pools."""
 
 REPEATED_DIGEST_SECONDS = 0.2
-"""Time to the next digest when more buckets differ than were listed."""
+"""Time to the next digest of a node that knows or suspects that it is behind:
+more buckets differ than were listed, or no peer was heard."""
+
+ALONE_SECONDS = 2.5
+"""Time without a message of a peer after which digests are sent more often."""
 
 PULL_TIMEOUT_SECONDS = 0.4
 """Time for one part. The longest round trip is about 25 ms."""
@@ -396,8 +400,12 @@
 
 def _compare_digest(board, now: float) -> None:
     """Send the digest to one random peer."""
+    own = board.configuration
+    heard_at = now if own.peer_heard_at is None else own.peer_heard_at
+    alone = now - heard_at >= ALONE_SECONDS
+    seconds = REPEATED_DIGEST_SECONDS if alone else DIGEST_SECONDS
     # The random part keeps nodes that started together from acting in step.
-    board.configuration.digest_at = now + DIGEST_SECONDS * board.random.uniform(0.8, 1)
+    own.digest_at = now + seconds * board.random.uniform(0.8, 1)
     for host in peers.choose_any(board):
         send(board, host, Digest(root=board.configuration.table.root))
 
--- a/hyssopshelf/configuration/peers.py
+++ b/hyssopshelf/configuration/peers.py
@@ -58,7 +58,15 @@
 
 
 def watcher_index(board) -> int | None:
-    """Return this node's position among the watchers, None if it is not one."""
-    lowest = hosts.rank_hosts(board, _WATCH_KEY, WATCHERS)
+    """Return this node's position among the watchers, None if it is not one.
+
+    Ranking all hosts takes about a millisecond per 1,000 hosts, so the result
+    is kept until the membership changes.
+    """
+    version, lowest = board.configuration.watchers
+    if version != board.membership.version:
+        version = board.membership.version
+        lowest = tuple(hosts.rank_hosts(board, _WATCH_KEY, WATCHERS))
+        board.configuration.watchers = (version, lowest)
     host = board.identity.host
     return lowest.index(host) if host in lowest else None
--- a/hyssopshelf/configuration/progress.py
+++ b/hyssopshelf/configuration/progress.py
@@ -209,6 +209,9 @@
         Versions and checksums of the documents in force.
     encoded : dict
         Compressed form of the documents that were sent last, by pool.
+    watchers : tuple of (int, tuple of str)
+        The hosts that watch the store, with the version of the membership for
+        which they were found.
     heard_at : float
         Time at which a peer or the store was last reached.
     reported_old : bool
@@ -223,6 +226,7 @@
     watch: StoreWatch = attrs.field(factory=StoreWatch)
     queries: dict[str, StatusQuery] = attrs.field(factory=dict)
     operations: dict[str, ApiOperation] = attrs.field(factory=dict)
+    watchers: tuple[int, tuple[str, ...]] = (-1, ())
     digest_at: float = UNKNOWN_TIME
     heard_at: float | None = None
     peer_heard_at: float | None = None
--- a/hyssopshelf/configuration/tests/test_dissemination.py
+++ b/hyssopshelf/configuration/tests/test_dissemination.py
@@ -68,6 +68,25 @@
     assert nodes.reversions == 0
 
 
+def test_store_is_watched_after_all_watchers_have_died():
+    """Guards against a duty that stays with hosts that are gone."""
+    nodes = start_fleet(12)
+    watchers = [
+        host
+        for host, member in nodes.members.items()
+        if member.board.configuration.watch.index is not None
+    ]
+    assert len(watchers) == 3
+    for host in watchers:
+        nodes.kill(host)
+    nodes.run(6)
+    accepting = next(host for host in nodes.hosts if host not in watchers)
+    change_split(nodes, accepting, 0.7, 1)
+    assert nodes.run(2, lambda: commits(nodes))
+    nodes.kill(accepting)
+    assert nodes.run(GOAL_SECONDS, lambda: all_have(nodes, 2))
+
+
 def test_node_that_was_cut_off_catches_up_and_reports_its_age():
     """Guards against an old split kept after contact, and silence about it."""
     nodes = start_fleet(12)
