--- a/hyssopshelf/blackboard.py
+++ b/hyssopshelf/blackboard.py
@@ -12,10 +12,11 @@
 from hyssopshelf import base, logs, messages
 from hyssopshelf.configuration import progress, resources, views
 from hyssopshelf.connections import records
-from hyssopshelf.failover import confirmation, state, tickets
+from hyssopshelf.failover import confirmation, tickets
+from hyssopshelf.failover import state as failover_state
 from hyssopshelf.membership import protocol as membership_protocol
 from hyssopshelf.membership import records as host_records
-from hyssopshelf.scheduling import budgets, limits, queues, shares, work
+from hyssopshelf.scheduling import billing, budgets, limits, queues, shares, work
 
 HostState = host_records.HostState
 HostRecord = host_records.HostRecord
@@ -263,10 +264,13 @@
     confirmations: confirmation.ConfirmationState = attrs.field(
         factory=confirmation.ConfirmationState
     )
-    failover: state.FailoverState = attrs.field(factory=state.FailoverState)
+    failover: failover_state.FailoverState = attrs.field(
+        factory=failover_state.FailoverState
+    )
     usage: shares.UsageState = attrs.field(factory=shares.UsageState)
     admission: limits.LimitState = attrs.field(factory=limits.LimitState)
     retry_budget: budgets.RetryBudget = attrs.field(factory=budgets.RetryBudget)
+    bills: billing.BillingState = attrs.field(factory=billing.BillingState)
 
     actions: list[base.Action] = attrs.field(factory=list)
     counters: dict[str, float] = attrs.field(factory=dict)
--- a/hyssopshelf/node.py
+++ b/hyssopshelf/node.py
@@ -3,10 +3,11 @@
 import random
 
 from hyssopshelf import base, blackboard, logs
+from hyssopshelf.configuration import controller
 from hyssopshelf.connections import pool
 from hyssopshelf.failover import confirmation, detection, leases, promotion
 from hyssopshelf.membership import hosts, placement
-from hyssopshelf.scheduling import limits, shares
+from hyssopshelf.scheduling import billing, limits, shares
 from hyssopshelf.statements import (
     completion,
     entry,
@@ -28,6 +29,7 @@
 STEPS = (
     replay.step,
     hosts.step,
+    controller.step,
     placement.step,
     polling.step,
     detection.step,
@@ -37,6 +39,7 @@
     entry.step,
     limits.step,
     shares.step,
+    billing.step,
 )
 """Periodic work of the controllers, in the order in which it runs."""
 
@@ -124,6 +127,12 @@
     base.receive(event.message, board, event.host, now)
 
 
+@base.handle.register
+def handle_refused(event: base.MessageRefused, board, now) -> None:
+    """Log a message that could not be decoded."""
+    board.log(logs.LogEvent.MESSAGE_DROPPED, reason=event.reason)
+
+
 @base.handle.register
 def handle_opened(event: base.ConnectionOpened, board, now) -> None:
     """Use a connection that is ready."""
@@ -168,7 +177,11 @@
 @base.handle.register
 def handle_store(event: base.StoreAnswered, board, now) -> None:
     """Pass the end of a store call to the controller that made it."""
-    leases.receive_store(board, event.call_id, event.result, now)
+    if leases.receive_store(board, event.call_id, event.result, now):
+        return
+    if controller.take_store_answer(event, board, now):
+        return
+    billing.store_answered(event, board, now)
 
 
 @base.handle.register
