Apply thousands of documents at a start in less time

Cause: at the target size a starting node applies about 2,930 documents. Each one looked at all records of the node, found its type hints anew and encoded the document twice to check it. Change: application looks at the pool's own names only; declarations keep the form of each class; a received document is checked by the bytes that came.

--- a/hyssopshelf/configuration/application.py
+++ b/hyssopshelf/configuration/application.py
@@ -22,7 +22,7 @@
     """
     board.documents[document.pool] = document
     view = views.build_view(document)
-    _remove_missing(board, document.pool, view)
+    _remove_missing(board, document.pool, board.pools.get(document.pool), view)
     if view is None:
         board.pools.pop(document.pool, None)
     else:
@@ -71,17 +71,29 @@
         record.leaving_at = now
 
 
-def _remove_missing(board, pool: str, view: views.PoolView | None) -> None:
+def _remove_missing(
+    board, pool: str, old: views.PoolView | None, new: views.PoolView | None
+) -> None:
+    """Remove the records that the old view has and the new one lacks.
+
+    Only the pool's own names are looked at: a starting node applies thousands
+    of documents, and the tables then hold tens of thousands of records.
+    """
+    old_databases, old_endpoints = _list_names(pool, old)
+    new_databases, new_endpoints = _list_names(pool, new)
+    for name in old_databases - new_databases:
+        board.databases.pop(name, None)
+    for name in old_endpoints - new_endpoints:
+        board.endpoints.pop(name, None)
+        board.placement.pop(name, None)
+
+
+def _list_names(pool: str, view: views.PoolView | None) -> tuple[set[str], set[str]]:
+    """Return the full names of the databases and endpoints of a view."""
     databases = set()
     endpoints = set()
     if view is not None:
         for spec in view.databases.values():
             databases.add(f"{pool}/{spec.name}")
             endpoints.update(f"{pool}/{spec.name}/{e.name}" for e in spec.endpoints)
-    for name in [n for n, r in board.databases.items() if r.pool == pool]:
-        if name not in databases:
-            del board.databases[name]
-    for name in [n for n, r in board.endpoints.items() if r.pool == pool]:
-        if name not in endpoints:
-            del board.endpoints[name]
-            board.placement.pop(name, None)
+    return databases, endpoints
--- a/hyssopshelf/configuration/declarations.py
+++ b/hyssopshelf/configuration/declarations.py
@@ -5,6 +5,7 @@
 only, ``status``.
 """
 
+import functools
 import json
 import math
 import typing
@@ -38,6 +39,7 @@
         return super().construct_mapping(node, deep)
 
 
+@functools.cache
 def camel_case(name: str) -> str:
     """Return the declared form of an attribute name."""
     first, *rest = name.split("_")
@@ -156,7 +158,10 @@
 
 
 def check_fields(
-    plain: object, allowed: typing.Collection[str], required: set[str], path: str
+    plain: object,
+    allowed: typing.Collection[str],
+    required: typing.Collection[str],
+    path: str,
 ) -> None:
     """Raise ValidationError unless a mapping has only known and all needed fields."""
     if not isinstance(plain, dict):
@@ -164,7 +169,7 @@
     for name in plain:
         if name not in allowed:
             raise exceptions.ValidationError(f"{path}.{name}", "is an unknown field")
-    for name in sorted(required - set(plain)):
+    for name in sorted(set(required) - set(plain)):
         raise exceptions.ValidationError(f"{path}.{name}", "is missing")
 
 
@@ -198,30 +203,44 @@
     return plain
 
 
-def _parse_object(plain: object, target: type, path: str) -> typing.Any:
-    """Build an attrs object from a mapping with names in camelCase."""
-    fields = {camel_case(field.name): field for field in attrs.fields(target)}
-    required = {
-        name for name, field in fields.items() if field.default is attrs.NOTHING
-    }
-    check_fields(plain, fields, required, path)
+@attrs.frozen(kw_only=True)
+class _Form:
+    """Attributes and types of a class by declared name, and the needed names."""
+
+    fields: dict[str, tuple[str, typing.Any]]
+    required: frozenset[str]
+
+
+@functools.cache
+def _find_form(target: type) -> _Form:
+    """Return the form of a class; finding it anew takes most of a parse."""
     hints = typing.get_type_hints(target)
-    return target(
-        **{
-            fields[name].name: _parse_value(
-                value, hints[fields[name].name], f"{path}.{name}"
-            )
-            for name, value in plain.items()
-        }
+    found = attrs.fields(target)
+    return _Form(
+        fields={camel_case(item.name): (item.name, hints[item.name]) for item in found},
+        required=frozenset(
+            camel_case(item.name) for item in found if item.default is attrs.NOTHING
+        ),
     )
 
 
+def _parse_object(plain: object, target: type, path: str) -> typing.Any:
+    """Build an attrs object from a mapping with names in camelCase."""
+    form = _find_form(target)
+    check_fields(plain, form.fields, form.required, path)
+    values = {}
+    for name, value in plain.items():
+        attribute, hint = form.fields[name]
+        values[attribute] = _parse_value(value, hint, f"{path}.{name}")
+    return target(**values)
+
+
 def to_plain(value: typing.Any) -> typing.Any:
     """Return the plain data of a spec, with names in camelCase."""
     if attrs.has(type(value)):
         return {
-            camel_case(field.name): to_plain(getattr(value, field.name))
-            for field in attrs.fields(type(value))
+            name: to_plain(getattr(value, attribute))
+            for name, (attribute, _) in _find_form(type(value)).fields.items()
         }
     if isinstance(value, tuple):
         return [to_plain(item) for item in value]
--- a/hyssopshelf/configuration/dissemination.py
+++ b/hyssopshelf/configuration/dissemination.py
@@ -123,7 +123,12 @@
 
 
 def adopt(
-    board, document: resources.Document, now: float, source: str, fresh: bool = True
+    board,
+    document: resources.Document,
+    now: float,
+    source: str,
+    fresh: bool = True,
+    summary: versions.Summary | None = None,
 ) -> bool:
     """Put a document in force if it is newer than the one held.
 
@@ -139,6 +144,8 @@
         Where it came from, for the log.
     fresh : bool
         Offer it in full; otherwise one round, since most peers have it.
+    summary : Summary or None
+        Summary of the document, None if it has to be computed.
 
     Returns
     -------
@@ -151,7 +158,7 @@
     if not documents.supersedes(document, held):
         return False
     application.apply_document(board, document, now, source)
-    board.configuration.table.update(summarize(document))
+    board.configuration.table.update(summary or summarize(document))
     board.count("configuration_applied_total")
     if board.configuration_ready:
         board.configuration.pushes[document.pool] = progress.Push(
@@ -211,9 +218,11 @@
         text = decompressor.decompress(data, 2 * validation.MAXIMUM_DOCUMENT_BYTES)
     except zlib.error as error:
         raise exceptions.CodecError(f"damaged document: {error}") from error
-    document = declarations.decode_document(text)
-    if summarize(document) != summary:
+    if documents.checksum_data(text) != summary.checksum:
         raise exceptions.CodecError("document differs from its checksum")
+    document = declarations.decode_document(text)
+    if (document.pool, document.version) != (summary.pool, summary.version):
+        raise exceptions.CodecError("document differs from its summary")
     return document
 
 
@@ -290,7 +299,7 @@
     except exceptions.CodecError as error:
         report_damage(board, pool, host, error)
         return
-    adopt(board, document, now, source=host, fresh=pull.fresh)
+    adopt(board, document, now, host, fresh=pull.fresh, summary=pull.summary)
 
 
 def report_damage(board, pool: str, source: str, error: Exception) -> None:
--- a/hyssopshelf/configuration/documents.py
+++ b/hyssopshelf/configuration/documents.py
@@ -112,7 +112,11 @@
 
 def checksum(document: resources.Document) -> int:
     """Return a checksum of a document's whole content."""
-    data = declarations.encode_document(document)
+    return checksum_data(declarations.encode_document(document))
+
+
+def checksum_data(data: bytes) -> int:
+    """Return the checksum of an encoded document."""
     digest = hashlib.blake2b(data, digest_size=_CHECKSUM_BYTES).digest()
     return int.from_bytes(digest, "big")
 
--- a/hyssopshelf/configuration/snapshots.py
+++ b/hyssopshelf/configuration/snapshots.py
@@ -184,7 +184,9 @@
     except exceptions.CodecError as error:
         dissemination.report_damage(board, entry.summary.pool, host, error)
         return
-    dissemination.adopt(board, document, now, source=host, fresh=False)
+    dissemination.adopt(
+        board, document, now, source=host, fresh=False, summary=entry.summary
+    )
 
 
 def _ask_peer(board, host: str, now: float) -> None:
--- a/hyssopshelf/configuration/tests/test_api.py
+++ b/hyssopshelf/configuration/tests/test_api.py
@@ -94,6 +94,18 @@
     assert nodes.store.calls["CompareAndSwap"] == 2
 
 
+def test_change_whose_answer_was_lost_is_found_below_later_changes(nodes):
+    """Guards against a conflict reported for a change that was accepted."""
+    nodes.store.lost_answers = 1
+    first = nodes.request("h001", apply_request("a", [make_split(0.7, 1)]))
+    nodes.run(0.5)
+    second = nodes.request("h002", apply_request("b", [make_split(0.6, 2)]))
+    nodes.run(4)
+    assert nodes.answers[second].body["version"] == 3
+    assert nodes.answers[first].error is None
+    assert nodes.store.calls["CompareAndSwap"] == 3
+
+
 def test_write_that_arrives_late_is_not_made_twice(nodes):
     """Guards against a second write while the first is still on its way."""
     nodes.store.delay_seconds = 0.1
--- a/hyssopshelf/configuration/tests/test_dissemination.py
+++ b/hyssopshelf/configuration/tests/test_dissemination.py
@@ -131,17 +131,39 @@
     assert nodes.members["h003"].board.pools[POOL].slots == 2
 
 
-def test_starting_node_passes_over_an_outdated_peer():
-    """Guards against a restart that takes a node back to an older version."""
-    for seed in range(5):
-        nodes = start_fleet(6, seed)
-        nodes.members["h003"].cut = True
-        change_split(nodes, "h001", 0.7, 1)
-        nodes.run(10)
-        nodes.members["h003"].cut = False
-        nodes.restart("h001")
-        assert nodes.run(3, lambda nodes=nodes: nodes.ready())
-        assert nodes.versions(POOL)["h001"] == 2
+@pytest.mark.parametrize("seed", range(8))
+def test_starting_node_is_not_taken_back_by_a_peer_that_lags(seed):
+    """Guards against a restart that takes a node back to an older version.
+
+    The peer was cut off too briefly to know that it may be behind, so only
+    the comparison with a second peer can tell.
+    """
+    nodes = start_fleet(3, seed)
+    nodes.members["h002"].cut = True
+    change_split(nodes, "h001", 0.7, 1)
+    assert nodes.run(2, lambda: nodes.versions(POOL)["h000"] == 2)
+    nodes.members["h002"].cut = False
+    nodes.restart("h001")
+    board = nodes.members["h001"].board
+    assert nodes.run(3, lambda: board.configuration_ready)
+    assert nodes.versions(POOL)["h001"] == 2
+
+
+def test_starting_node_passes_over_a_peer_that_may_be_old():
+    """Guards against a snapshot of a node that was cut off for a long time."""
+    nodes = start_fleet(3)
+    nodes.restart("h001")
+    board = nodes.members["h001"].board
+    snapshots.step(board, nodes.now)
+    part = snapshots.SnapshotPart(after="", ready=True, old=True, last=True)
+    base.receive(part, board, board.configuration.snapshot.host, nodes.now)
+    assert not board.configuration.snapshot.loaded
+    old = nodes.members["h002"]
+    old.cut = True
+    nodes.run(10)
+    request = snapshots.SnapshotRequest()
+    base.receive(request, old.board, "h001", nodes.now)
+    assert old.board.actions[-1].message.old
 
 
 def test_store_that_lost_data_is_repaired():
@@ -225,6 +247,21 @@
     assert nodes.message_counts["SnapshotPart"] >= 101 / snapshots.PART_DOCUMENTS
 
 
+def test_silent_peer_is_replaced_by_another_that_offered():
+    """Guards against a pull that waits for a peer that has died."""
+    nodes = start_fleet(3)
+    board = nodes.members["h000"].board
+    summary = versions.Summary(version=9, checksum=1, pool=POOL)
+    for host in ("h001", "h002"):
+        offer = dissemination.Offer(summaries=(summary,), fresh=True)
+        base.receive(offer, board, host, nodes.now)
+    board.actions.clear()
+    dissemination.step(board, nodes.now + dissemination.PULL_TIMEOUT_SECONDS)
+    asked = [item.host for item in board.actions if hasattr(item, "message")]
+    assert "h002" in asked
+    assert board.configuration.pulls[POOL].host == "h002"
+
+
 def test_damaged_document_is_not_applied():
     """Guards against a document put in force that is not what was accepted."""
     nodes = start_fleet(3)
