Keep a draining node until repeated confirmations have ended

Cause: a write whose acknowledgement is confirmed again at its entry node is in entry_confirmations only, which is_idle left out. Change: is_idle looks at them.

--- a/hyssopshelf/node.py
+++ b/hyssopshelf/node.py
@@ -199,6 +199,8 @@
     Peers may forward statements until they have learned that the host leaves,
     so the node also waits until none has come for a while.
     """
-    if board.requests or board.served or board.transactions:
+    if board.requests or board.entry_confirmations:
+        return False
+    if board.served or board.transactions:
         return False
     return now - max(board.drained_at, board.forwarded_at) >= QUIET_SECONDS
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -227,3 +227,12 @@
         consistency=messages.Consistency.BOUNDED,
     )
     assert (answer.error, answer.from_replica) == (None, True)
+
+
+def test_repeated_confirmation_keeps_a_draining_node():
+    """Guards against a stop while an acknowledgement waits to be confirmed again."""
+    identity = blackboard.Identity(host="h1", address="h1", place=PLACES[0])
+    board = node.Node(identity=identity, seed=1, token_keys=KEYS).board
+    assert node.is_idle(board, 100.0)
+    board.entry_confirmations["entry:h1.0.1"] = None
+    assert not node.is_idle(board, 100.0)
