Count the age of a replaced primary's data from its first fetch

Cause: follow and fence set the freshness of a former primary to now, although another primary may have written for a long time. Change: the stand-in leaves the time of its last full fetch as it is.

--- a/hyssopshelf/standins/database.py
+++ b/hyssopshelf/standins/database.py
@@ -195,8 +195,6 @@
             repeated and self.role is messages.Role.FENCED
         )
         if granted and not repeated:
-            if self.role is messages.Role.PRIMARY:
-                self._fresh_at = self._heard_at = now
             self.term = order.term
             self.promoter = order.promoter
             self.role = messages.Role.FENCED
@@ -225,8 +223,6 @@
         reigning = self.role is messages.Role.PRIMARY and self.term == order.term
         granted = order.term >= self.term and not reigning
         if granted:
-            if self.role is messages.Role.PRIMARY:
-                self._fresh_at = self._heard_at = now
             if order.term > self.term:
                 self.promoter = ""
             self.term = order.term
