--- a/benchmarks/faults/world.py
+++ b/benchmarks/faults/world.py
@@ -65,13 +65,19 @@
         Virtual time with faults.
     hosts, callers : int
         Size of the fleet and of the load.
+    kinds : tuple of callers.Kind
+        Kinds of work, most urgent first.
+    apply_delay_seconds : float
+        Time between the arrival of an entry at a replica and its visibility.
     """
 
     seed: int
     seconds: float = 30.0
     hosts: int = 6
-    callers: int = 9
     with_faults: bool = True
+    kinds: tuple[callers.Kind, ...] = KINDS
+    callers: int = 9
+    apply_delay_seconds: float = 0.0
     trace: Callable[[str], None] | None = None
 
 
@@ -86,7 +92,7 @@
     store_calls: int
 
 
-def make_document() -> resources.Document:
+def make_document(kinds: tuple[callers.Kind, ...] = KINDS) -> resources.Document:
     """Return the first document of the pool."""
     specs = {
         (resources.ResourceKind.POOL, POOL): resources.PoolSpec(
@@ -109,7 +115,7 @@
             connections=CONNECTIONS,
         ),
     }
-    for order, kind in enumerate(KINDS):
+    for order, kind in enumerate(kinds):
         specs[resources.ResourceKind.RANK, f"rank-{kind.name}"] = resources.RankSpec(
             order=order,
             floor=(0.5, 0.2, 0.1)[order],
@@ -124,7 +130,7 @@
                     rank=f"rank-{kind.name}",
                     staleness_seconds=kind.staleness_seconds,
                 )
-                for kind in KINDS
+                for kind in kinds
             )
         )
     even = dict.fromkeys(PARTNERS, 0.5)
@@ -169,7 +175,7 @@
         self._build_endpoints()
         self._build_nodes()
         self.callers = [
-            self._make_caller(f"c{n}", KINDS[n % len(KINDS)])
+            self._make_caller(f"c{n}", options.kinds[n % len(options.kinds)])
             for n in range(options.callers)
         ]
         staff = operators.Operators(
@@ -198,7 +204,7 @@
 
     def start(self) -> None:
         """Start all processes and the load."""
-        data = declarations.encode_document(make_document())
+        data = declarations.encode_document(make_document(self.options.kinds))
         self.around.store.write(documents.key_of(POOL), data)
         self._publish_hosts()
         for process in self.around.nodes.values():
@@ -255,7 +261,11 @@
                     network=self.around.network,
                     random=self._fork(),
                     history=self.history,
-                    instance=database.Instance(name=full, connection_limit=CONNECTIONS),
+                    instance=database.Instance(
+                        name=full,
+                        connection_limit=CONNECTIONS,
+                        apply_delay_seconds=self.options.apply_delay_seconds,
+                    ),
                     peers=group,
                 )
             primary, *replicas = group.values()
@@ -314,7 +324,7 @@
     def _flood(self, seconds: float) -> None:
         for number in range(20):
             name = f"f{self.loop.now:.3f}-{number}"
-            caller = self._make_caller(name, KINDS[-1])
+            caller = self._make_caller(name, self.options.kinds[-1])
             caller.think_seconds = 0.01
             caller.stop_at = self.loop.now + seconds
             caller.start()
@@ -370,7 +380,9 @@
         missing = set(DATABASES)
         for _ in range(20):
             for name in sorted(missing):
-                caller = self._make_caller(f"p{self.loop.now:.0f}{name}", KINDS[0])
+                caller = self._make_caller(
+                    f"p{self.loop.now:.0f}{name}", self.options.kinds[0]
+                )
                 caller.probe(name)
             self.loop.run_until(self.loop.now + 1.0)
             for request in reversed(self.history.requests):
--- a/hyssopshelf/blackboard.py
+++ b/hyssopshelf/blackboard.py
@@ -10,8 +10,7 @@
 import attrs
 
 from hyssopshelf import base, logs, messages
-from hyssopshelf.configuration import resources, views
-from hyssopshelf.configuration import state as configuration_state
+from hyssopshelf.configuration import progress, resources, views
 from hyssopshelf.connections import records
 from hyssopshelf.failover import confirmation, tickets
 from hyssopshelf.failover import state as failover_state
@@ -239,8 +238,8 @@
     databases: dict[str, DatabaseRecord] = attrs.field(factory=dict)
     documents: dict[str, resources.Document] = attrs.field(factory=dict)
     pools: dict[str, views.PoolView] = attrs.field(factory=dict)
-    configuration: configuration_state.ConfigurationState = attrs.field(
-        factory=configuration_state.ConfigurationState
+    configuration: progress.ConfigurationState = attrs.field(
+        factory=progress.ConfigurationState
     )
     placement: dict[str, str] = attrs.field(factory=dict)
     endpoint_queues: dict[str, queues.EndpointQueue] = attrs.field(factory=dict)
