Close connections after their opening in the fault run and drain only when asked

Change: the endpoint closes after the time of an opening; a node ends only when its core drains. Also adds faults to choose from and variants of failover and configuration.

--- a/benchmarks/bench_faults.py
+++ b/benchmarks/bench_faults.py
@@ -23,6 +23,9 @@
     parser.add_argument(
         "--variant", choices=sorted(variants.VARIANTS), help="a broken core to run"
     )
+    parser.add_argument(
+        "--faults", default="", help="names of the faults to choose from, by commas"
+    )
     parser.add_argument("--trace", action="store_true", help="print each event")
     parser.add_argument("--json", action="store_true", help="print only the result")
     return parser.parse_args(arguments)
@@ -39,6 +42,7 @@
     options = world.Options(
         seed=seed,
         seconds=arguments.seconds,
+        faults=tuple(filter(None, arguments.faults.split(","))),
         trace=print if arguments.trace else None,
     )
     if arguments.variant is None:
--- a/benchmarks/faults/nodes.py
+++ b/benchmarks/faults/nodes.py
@@ -177,7 +177,11 @@
             self._stop_when_idle()
 
     def _stop_when_idle(self) -> None:
-        if self.paused or not node.is_idle(self.core.board, self.clock.read()):
+        if (
+            self.paused
+            or not self.core.board.draining
+            or not node.is_idle(self.core.board, self.clock.read())
+        ):
             return
         stopped = histories.Stopped(
             host=self.host,
@@ -360,15 +364,13 @@
         connection: endpoints.DataConnection,
         endpoint: endpoints.FakeEndpoint,
     ) -> None:
-        # An opening takes the endpoint some time, so its close is sent later.
-        loop = self.around.loop
+        # The endpoint closes after an opening that may still be under way there.
         connection.down.close()
         connection.receive = connection.report_closed = _ignore
-        close = connection.up.send
-        loop.call_later(
-            2 * OPEN_SECONDS,
-            close,
-            lambda: endpoint.run(lambda: endpoint.close(connection)),
+        connection.up.send(
+            lambda: endpoint.run_later(
+                2 * OPEN_SECONDS, lambda: endpoint.close(connection)
+            )
         )
 
     def _report_closed(self, connection: endpoints.DataConnection) -> None:
--- a/benchmarks/faults/plan.py
+++ b/benchmarks/faults/plan.py
@@ -20,6 +20,8 @@
 
     Attributes
     ----------
+    only : tuple of str
+        Names of the faults to choose from, empty for all.
     flood : callable
         Starts a flood of a duration in seconds.
     edit : callable
@@ -34,16 +36,22 @@
     flood: Callable[[float], None]
     edit: Callable[[], None]
     leave: Callable[[str, bool], None]
+    only: tuple[str, ...] = ()
     counts: dict[str, int] = attrs.field(factory=dict)
 
     def run(self, start: float, end: float) -> None:
         """Schedule faults between two times; all end by ``end``."""
+        kinds = [
+            kind
+            for kind in self._list_kinds()
+            if not self.only or _get_name(kind) in self.only
+        ]
         time = start
         while True:
             time += self.random.expovariate(1.0 / GAP_SECONDS)
             if time >= end:
                 return
-            kind = self.random.choice(self._list_kinds())
+            kind = self.random.choice(kinds)
             times = 2 if self.random.random() < REPEAT_RATE else 1
             for number in range(times):
                 begin = time + number * self.random.uniform(0.0, 1.0)
@@ -83,7 +91,7 @@
         short = self.random.random() < 0.5
         seconds = self.random.uniform(0.05, 1.0) if short else self.random.uniform(1, 9)
         seconds = min(seconds, end - now)
-        name = kind.__name__.removeprefix("_")
+        name = _get_name(kind)
         self.counts[name] = self.counts.get(name, 0) + 1
         undo = kind(seconds)
         if undo is not None:
@@ -307,8 +315,14 @@
         self._trace("operators edit the split")
         self.edit()
 
-    def _leave(self, seconds: float) -> Callable:
-        name = self.random.choice(sorted(self.around.endpoints))
+    def _leave(self, seconds: float) -> None:
+        """Declare an endpoint as leaving, mostly for longer than 3 s."""
+        name = self._choose_endpoint().name
+        seconds += self.random.choice((0.0, 4.0, 4.0))
         self._trace(f"{name} is leaving for {seconds:.3f} s")
         self.leave(name, True)
-        return lambda: self.leave(name, False)
+        self.around.loop.call_later(seconds, self.leave, name, False)
+
+
+def _get_name(kind: Callable) -> str:
+    return kind.__name__.removeprefix("_")
--- a/benchmarks/faults/variants.py
+++ b/benchmarks/faults/variants.py
@@ -11,9 +11,10 @@
 import attrs
 
 from hyssopshelf import exceptions, node
+from hyssopshelf.configuration import documents
 from hyssopshelf.connections import pool, records
 from hyssopshelf.consistency import positions, reads
-from hyssopshelf.failover import confirmation
+from hyssopshelf.failover import confirmation, promotion
 from hyssopshelf.statements import answers, completion, entry, replay, serving
 
 
@@ -124,27 +125,44 @@
 
 @add_variant(
     pool,
-    "hold_connection",
+    "claim_connection",
     "transactions_share_connection",
     "begin_inside_transaction",
+    "acknowledged_but_not_written",
 )
-def share_connection_of_transaction(board, record, transaction):
+def share_connection_of_transaction(board, endpoint, work_id):
     """Let other work use a connection between a transaction's statements."""
-    pool.release_connection(board, record, board.now)
-    record.transaction = transaction
-    record.state = records.ConnectionState.IDLE
+    for record in pool.find_connections(board, endpoint):
+        held = record.state is records.ConnectionState.IN_TRANSACTION
+        if held and not record.work_id:
+            record.work_id = work_id
+            return record
+    return _claim_connection(board, endpoint, work_id)
 
 
-def _match_any(message, board, host, now):
-    """Give an answer to the oldest request that waits for this host."""
-    for request in board.requests.values():
-        if request.host == host and not request.parked:
-            wrong = attrs.evolve(message, request_id=request.id)
-            return _receive_answer(wrong, board, host, now)
-    return _receive_answer(message, board, host, now)
+_claim_connection = pool.claim_connection
 
 
-_receive_answer = entry.receive_answer
+@add_variant(
+    answers,
+    "reply",
+    "value_of_other_request",
+    "acknowledged_but_not_written",
+    "session_went_back",
+)
+def match_wrong_request(board, request, message):
+    """Give an answer to another request that waits at the same node."""
+    statement = request.statement
+    for other in list(board.requests.values()):
+        asked = other.statement
+        if asked.operation is statement.operation and asked.key != statement.key:
+            del board.requests[other.id]
+            _reply(board, other, message)
+            return
+    _reply(board, request, message)
+
+
+_reply = answers.reply
 
 # Reads.
 
@@ -175,6 +193,54 @@
     return False
 
 
+# Changes of primary.
+
+VARIANTS["promote_without_hold"] = Variant(
+    target=promotion,
+    name="HOLD_SECONDS",
+    replacement=0.0,
+    rules=("acknowledged_by_replaced_primary",),
+)
+
+
+@add_variant(
+    promotion,
+    "_note_fence",
+    "majority_write_lost",
+    "two_primaries_in_one_term",
+    "two_logs_in_one_term",
+    "acknowledged_by_replaced_primary",
+)
+def promote_without_majority(board, attempt, endpoint, answer, now):
+    """Promote as soon as one endpoint granted the fence."""
+    if answer.granted and answer.status.term == attempt.term:
+        attempt.grants[endpoint] = answer.status
+        if endpoint != attempt.excluded:
+            attempt.fenced_at = now - promotion.HOLD_SECONDS
+    promotion._promote_if_ready(board, attempt, now)
+
+
+@add_variant(promotion, "choose_log", "majority_write_lost")
+def promote_shortest_log(grants, target, avoided):
+    """Promote the least advanced log of the fenced endpoints."""
+    return min(grants, key=lambda name: promotion._get_end(grants[name]))
+
+
+# Configuration.
+
+
+@add_variant(documents, "supersedes", "configuration_reverted")
+def apply_any_version(new, held):
+    """Apply every document that differs from the one held."""
+    return new != held
+
+
+@add_variant(documents, "contains_change", "change_accepted_twice")
+def forget_change_ids(document, changes):
+    """Repeat a change whose answer was lost."""
+    return False
+
+
 # Endpoints and nodes.
 
 VARIANTS["keep_leaving_endpoint"] = Variant(
--- a/benchmarks/faults/world.py
+++ b/benchmarks/faults/world.py
@@ -36,9 +36,6 @@
 START_SECONDS = 3.0
 """Time without faults at the start of a run."""
 
-SETTLE_SECONDS = 20.0
-"""Time after the last fault in which the fleet has to recover under load."""
-
 QUIET_SECONDS = 6.0
 """Time after the load in which all replicas catch up."""
 
@@ -74,7 +71,8 @@
     seed: int
     seconds: float = 30.0
     hosts: int = 6
-    with_faults: bool = True
+    faults: tuple[str, ...] = ()
+    settle_seconds: float = 20.0
     kinds: tuple[callers.Kind, ...] = KINDS
     callers: int = 9
     apply_delay_seconds: float = 0.0
@@ -185,6 +183,7 @@
             around=self.around,
             random=self._fork(),
             callers=tuple(caller.name for caller in self.callers),
+            only=options.faults,
             flood=self._flood,
             edit=staff.edit,
             leave=staff.set_leaving,
@@ -194,9 +193,8 @@
         """Run to the end and check the history."""
         self.start()
         end_of_faults = START_SECONDS + self.options.seconds
-        if self.options.with_faults:
-            self.injector.run(START_SECONDS, end_of_faults)
-        end_of_load = end_of_faults + SETTLE_SECONDS
+        self.injector.run(START_SECONDS, end_of_faults)
+        end_of_load = end_of_faults + self.options.settle_seconds
         for caller in self.callers:
             caller.stop_at = end_of_load
         self.loop.run_until(end_of_load)
