Close idle connections to endpoints that another node serves

Cause: nothing called close_idle_connections, so that a former serving node kept its connections and the endpoint refused those of the new one. Change: pool.step closes them after 2 s where another node serves, and after 30 s above one a slot where this node does. Conclusion: an endpoint's few connections follow its serving node.

--- a/hyssopshelf/connections/pool.py
+++ b/hyssopshelf/connections/pool.py
@@ -13,6 +13,10 @@
 IDLE_SECONDS = 30.0
 """Time after which an unused connection above the slots is closed, in seconds."""
 
+UNSERVED_IDLE_SECONDS = 2.0
+"""Time after which an unused connection to an endpoint that another node serves
+is closed, in seconds."""
+
 
 def find_connections(board, endpoint: str) -> list:
     """Return the records of an endpoint's connections."""
@@ -105,11 +109,26 @@
         board.act(base.OpenConnection(endpoint=endpoint, connection=connection.id))
 
 
-def close_idle_connections(board, endpoint: str, kept: int, now: float) -> None:
-    """Close connections that were idle for long, keeping some open."""
+def step(board, now: float) -> None:
+    """Close connections that are not needed any more.
+
+    An endpoint accepts few connections. Those of a node that no longer serves
+    it would keep the serving node from opening its own.
+    """
+    for endpoint in list(board.idle_connections):
+        record = board.endpoints.get(endpoint)
+        view = board.pools.get(record.pool) if record is not None else None
+        if view is not None and board.placement.get(endpoint) == board.identity.host:
+            close_idle_connections(board, endpoint, view.slots, now - IDLE_SECONDS)
+        else:
+            close_idle_connections(board, endpoint, 0, now - UNSERVED_IDLE_SECONDS)
+
+
+def close_idle_connections(board, endpoint: str, kept: int, before: float) -> None:
+    """Close connections that became idle before a time, keeping some open."""
     idle = board.idle_connections.get(endpoint, [])
     for record in list(idle):
-        if len(idle) <= kept or record.idle_at + IDLE_SECONDS > now:
+        if len(idle) <= kept or record.idle_at > before:
             return
         discard_connection(board, record.id, "idle")
 
--- a/hyssopshelf/node.py
+++ b/hyssopshelf/node.py
@@ -35,6 +35,7 @@
     detection.step,
     promotion.step,
     transactions.step,
+    pool.step,
     serving.step,
     entry.step,
     limits.step,
