--- a/benchmarks/faults/cases.py
+++ b/benchmarks/faults/cases.py
@@ -58,6 +58,23 @@
             if other.label and other.succeeded
         ]
 
+    def find_discarding_terms(
+        self, database: str, position: Position, before: float = float("inf")
+    ) -> list[int]:
+        """Return the terms promoted before a time whose log lacks a position.
+
+        A later term may bring the position back, if its primary is promoted
+        from a log that still holds it.
+        """
+        tree = self.find_tree(database)
+        return [
+            promotion.term
+            for promotion in self.history.promotions
+            if promotion.database == database
+            and promotion.at < before
+            and tree.is_discarded(promotion.term, position)
+        ]
+
     def find_read_entries(
         self, request: histories.Request
     ) -> list[Position | None] | None:
--- a/benchmarks/faults/logtree.py
+++ b/benchmarks/faults/logtree.py
@@ -57,6 +57,16 @@
             and head.index >= position.index
         )
 
+    def is_discarded(self, term: int, position: Position) -> bool:
+        """Return whether a later term continued from a log without a position."""
+        known = term in self._parents and term > position.term
+        return known and not self.contains(self._parents[term], position)
+
+    def is_kept(self, term: int, position: Position) -> bool:
+        """Return whether a later term continued from a log with a position."""
+        known = term in self._parents and term > position.term
+        return known and self.contains(self._parents[term], position)
+
     def find_last_write(self, key: str, head: Position | None) -> Position | None:
         """Return the last write of a key in the log that ends at ``head``."""
         while head is not None:
--- a/benchmarks/faults/tests/test_checker.py
+++ b/benchmarks/faults/tests/test_checker.py
@@ -183,6 +183,27 @@
     b.write("w3", term=2, parent=first, session="other")
 
 
+def _promote(b, term):
+    b.history.promotions.append(
+        histories.Promotion(
+            database=DATABASE, endpoint=f"e{term}", term=term, at=b.tick()
+        )
+    )
+
+
+def build_returned_majority_write(b, acknowledge="majority"):
+    # Term 2 lacks the second write; term 3 starts from a log that still has it.
+    first = b.write("w1", session="writer")
+    second = b.write("w2", session="writer", acknowledge=acknowledge)
+    _promote(b, 2)
+    b.append("w3", key="j", term=2, parent=first)
+    b.tick(10)
+    for consistency in (messages.Consistency.STRONG, messages.Consistency.BOUNDED):
+        b.read("w1", session="reader", had_token=False, consistency=consistency)
+    _promote(b, 3)
+    b.append("w4", key="j", term=3, parent=second)
+
+
 def build_replaced_primary(b):
     first = b.write("w1")
     b.history.promotions.append(
@@ -450,6 +471,7 @@
     build_forged_token: "forged_token_accepted",
     build_refused_token: "genuine_token_refused",
     build_lost_majority_write: "majority_write_lost",
+    build_returned_majority_write: "majority_write_lost",
     build_replaced_primary: "acknowledged_by_replaced_primary",
     build_phantom_acknowledgement: "acknowledged_but_not_written",
     build_two_logs: "two_logs_in_one_term",
@@ -542,6 +564,13 @@
     assert builder.find_rules() == set()
 
 
+def test_read_may_lack_a_confirmed_write_that_its_term_discarded():
+    # Guards against blaming a read for a write that a later term brought back.
+    builder = Builder()
+    build_returned_majority_write(builder, acknowledge="confirmed")
+    assert builder.find_rules() == set()
+
+
 def test_unreachable_node_may_be_late():
     # Guards against blaming a node that was cut off.
     builder = Builder()
