--- a/hyssopshelf/base.py
+++ b/hyssopshelf/base.py
@@ -40,10 +40,18 @@
 
 @attrs.frozen(kw_only=True)
 class PeerReceived(Event):
-    """A message of another node arrived."""
+    """A message of another node arrived from its address."""
 
     host: str
     message: Any
+    address: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class MessageRefused(Event):
+    """A message of another node could not be decoded and was dropped."""
+
+    reason: str
 
 
 @attrs.frozen(kw_only=True)
@@ -151,7 +159,10 @@
 
 @attrs.frozen(kw_only=True)
 class SendPeer(Action):
-    """Send a message to the node on another host."""
+    """Send a message to the node on another host.
+
+    ``host`` is its name, or its address while the name is not known.
+    """
 
     host: str
     message: Any
--- a/hyssopshelf/blackboard.py
+++ b/hyssopshelf/blackboard.py
@@ -10,19 +10,18 @@
 import attrs
 
 from hyssopshelf import base, logs, messages
-from hyssopshelf.configuration import resources, views
+from hyssopshelf.configuration import progress, resources, views
 from hyssopshelf.connections import records
 from hyssopshelf.failover import confirmation, tickets
-from hyssopshelf.scheduling import billing, limits, queues, shares, work
+from hyssopshelf.failover import state as failover_state
+from hyssopshelf.membership import balancing
+from hyssopshelf.membership import placement as placing
+from hyssopshelf.membership import protocol as membership_protocol
+from hyssopshelf.membership import records as host_records
+from hyssopshelf.scheduling import billing, budgets, limits, queues, shares, work
 
-
-class HostState(enum.Enum):
-    """What this node believes of a host."""
-
-    ALIVE = "alive"
-    SUSPECT = "suspect"
-    DEAD = "dead"
-    LEAVING = "leaving"
+HostState = host_records.HostState
+HostRecord = host_records.HostRecord
 
 
 @attrs.frozen(kw_only=True)
@@ -48,18 +47,6 @@
     incarnation: int = 0
 
 
-@attrs.define(kw_only=True)
-class HostRecord:
-    """A host as this node sees it."""
-
-    name: str
-    address: str
-    place: str
-    region: str = ""
-    state: HostState = HostState.ALIVE
-    incarnation: int = 0
-
-
 @attrs.define(kw_only=True)
 class EndpointRecord:
     """An endpoint as this node sees it.
@@ -108,6 +95,12 @@
         Endpoint that is primary in that term, empty if unknown.
     fenced_term : int
         Highest term known to be proposed; may exceed ``term`` in a failover.
+    served_at : float
+        Time of the last successful answer that this entry node received.
+    trial_at : float
+        Earliest time at which a parked statement is routed without news.
+    held_until : float
+        New writes wait until this time or a new term, for a planned change.
     """
 
     name: str
@@ -116,6 +109,9 @@
     term: int = 0
     primary: str = ""
     fenced_term: int = 0
+    served_at: float = float("-inf")
+    trial_at: float = float("-inf")
+    held_until: float = float("-inf")
 
 
 @attrs.define(kw_only=True)
@@ -145,9 +141,10 @@
     attempts: int = 0
     parked: bool = False
     parked_term: int = 0
-    retry_at: float = 0.0
+    parked_at: float = 0.0
     sent_at: float = 0.0
     primary_only: bool = False
+    admitted: bool = False
     answer: messages.ServedAnswer | None = None
 
 
@@ -242,11 +239,19 @@
     token_keys: tuple[tuple[str, bytes], ...] = ()
 
     hosts: dict[str, HostRecord] = attrs.field(factory=dict)
+    membership: membership_protocol.Membership = attrs.field(
+        factory=membership_protocol.Membership
+    )
     endpoints: dict[str, EndpointRecord] = attrs.field(factory=dict)
     databases: dict[str, DatabaseRecord] = attrs.field(factory=dict)
     documents: dict[str, resources.Document] = attrs.field(factory=dict)
     pools: dict[str, views.PoolView] = attrs.field(factory=dict)
+    configuration: progress.ConfigurationState = attrs.field(
+        factory=progress.ConfigurationState
+    )
     placement: dict[str, str] = attrs.field(factory=dict)
+    balance: balancing.Balance = attrs.field(factory=balancing.Balance)
+    placement_state: placing.Placement = attrs.field(factory=placing.Placement)
     endpoint_queues: dict[str, queues.EndpointQueue] = attrs.field(factory=dict)
     connections: dict[str, records.ConnectionRecord] = attrs.field(factory=dict)
     endpoint_connections: dict[str, dict[str, records.ConnectionRecord]] = attrs.field(
@@ -269,8 +274,12 @@
     confirmations: confirmation.ConfirmationState = attrs.field(
         factory=confirmation.ConfirmationState
     )
+    failover: failover_state.FailoverState = attrs.field(
+        factory=failover_state.FailoverState
+    )
     usage: shares.UsageState = attrs.field(factory=shares.UsageState)
     admission: limits.LimitState = attrs.field(factory=limits.LimitState)
+    retry_budget: budgets.RetryBudget = attrs.field(factory=budgets.RetryBudget)
     bills: billing.BillingState = attrs.field(factory=billing.BillingState)
 
     actions: list[base.Action] = attrs.field(factory=list)
@@ -279,7 +288,8 @@
     ticked_at: float | None = None
     pause_seconds: float = 0.0
     draining: bool = False
-    drain_deadline: float | None = None
+    drained_at: float = float("-inf")
+    forwarded_at: float = float("-inf")
     configuration_ready: bool = False
     _sequence: int = 0
 
--- a/hyssopshelf/standins/database.py
+++ b/hyssopshelf/standins/database.py
@@ -9,6 +9,9 @@
 from hyssopshelf import messages
 from hyssopshelf.consistency import positions
 
+NEVER = -1e9
+"""Time before any event, in seconds. JSON has no infinity for the age since."""
+
 
 @attrs.frozen(kw_only=True)
 class Change:
@@ -109,8 +112,8 @@
     _outcomes: dict[str, int] = attrs.field(factory=dict)
     _arrivals: list[float] = attrs.field(factory=list)
     _markers: list[_Marker] = attrs.field(factory=list)
-    _fresh_at: float = float("-inf")
-    _heard_at: float = float("-inf")
+    _fresh_at: float = NEVER
+    _heard_at: float = NEVER
 
     @property
     def position(self) -> int:
@@ -192,8 +195,6 @@
             repeated and self.role is messages.Role.FENCED
         )
         if granted and not repeated:
-            if self.role is messages.Role.PRIMARY:
-                self._fresh_at = self._heard_at = now
             self.term = order.term
             self.promoter = order.promoter
             self.role = messages.Role.FENCED
@@ -222,8 +223,6 @@
         reigning = self.role is messages.Role.PRIMARY and self.term == order.term
         granted = order.term >= self.term and not reigning
         if granted:
-            if self.role is messages.Role.PRIMARY:
-                self._fresh_at = self._heard_at = now
             if order.term > self.term:
                 self.promoter = ""
             self.term = order.term
--- a/hyssopshelf/statements/entry.py
+++ b/hyssopshelf/statements/entry.py
@@ -3,13 +3,22 @@
 from hyssopshelf import base, blackboard, exceptions, logs, messages
 from hyssopshelf.consistency import routing, tokens
 from hyssopshelf.membership import placement
+from hyssopshelf.scheduling import limits
 from hyssopshelf.statements import answers, checks, serving, transactions
 
 GRACE_SECONDS = 0.05
 """Time after the deadline for which the serving node's answer is awaited."""
 
-RETRY_SECONDS = 0.25
-"""Pause before a parked statement is routed again without news, in seconds."""
+SENT_SECONDS = 1.2
+"""Time after which a message was either sent or reported as not sent."""
+
+TRIAL_SECONDS = 0.25
+"""Time between two trials of a database, in seconds.
+
+Without news only one parked statement of a database is routed again; when it
+succeeds the others follow. So an outage costs a few messages a second, however
+many statements wait, and none of them starves.
+"""
 
 
 @base.handle.register
@@ -40,7 +49,9 @@
         staleness_seconds=kind.staleness_seconds,
     )
     board.count(f"statements_{statement.operation.value}")
-    dispatch(board, request, now)
+    board.retry_budget.earn(now)
+    if _admit(board, request, now):
+        dispatch(board, request, now)
 
 
 @base.handle.register
@@ -50,6 +61,7 @@
         if request.caller != event.caller:
             continue
         del board.requests[request.id]
+        answers.release(board, request, now)
         if request.host and request.host != board.identity.host:
             cancel = messages.CancelStatement(request_id=request.id)
             board.act(base.SendPeer(host=request.host, message=cancel))
@@ -99,7 +111,14 @@
     """Choose the endpoint and serving node of a statement and send it there."""
     target = _choose_target(board, request, now)
     if target is None:
-        park(board, request, "no endpoint or serving node is known", now)
+        database = board.databases[
+            f"{request.statement.pool}/{request.statement.database}"
+        ]
+        held = now < database.held_until
+        reason = "no endpoint or serving node is known"
+        if held:
+            reason = "new writes wait for a planned change of primary"
+        park(board, request, reason, now, term=database.term if held else 0)
         return
     route, host = target
     request.parked = False
@@ -129,7 +148,7 @@
     request.endpoint = request.host = ""
     request.parked = True
     request.parked_term = term
-    request.retry_at = now + RETRY_SECONDS
+    request.parked_at = now
     board.requests[request.id] = request
     board.log(logs.LogEvent.STATEMENT_PARKED, request=request.id, reason=reason)
 
@@ -150,11 +169,38 @@
         elif now >= request.deadline + GRACE_SECONDS:
             del board.requests[request.id]
             answers.reply_lost(board, request, "no answer before the deadline")
-        elif _is_host_dead(board, request.host):
+        elif _is_lost(board, request, now):
             del board.requests[request.id]
             _finish_dead_host(board, request, now)
 
 
+def _admit(board, request, now: float) -> bool:
+    """Apply the limits; statements of an open transaction hold a connection."""
+    statement = request.statement
+    if statement.transaction:
+        return True
+    outcome = limits.admit(board, statement.pool, statement.partner, request.rank, now)
+    if outcome.is_ok():
+        request.admitted = True
+        return True
+    refusal = outcome.unwrap_err()
+    board.log(
+        logs.LogEvent.STATEMENT_REFUSED,
+        request=statement.id,
+        partner=statement.partner,
+        rank=request.rank,
+        reason=refusal.reason,
+    )
+    answers.reply_failure(
+        board,
+        request,
+        exceptions.ErrorKind.REFUSED,
+        refusal.reason,
+        refusal.retry_after_seconds,
+    )
+    return False
+
+
 def _choose_target(board, request, now):
     """Return the route of a statement and its serving host, None if unknown."""
     location = transactions.parse_id(request.statement.transaction)
@@ -215,19 +261,30 @@
     database = board.databases.get(f"{statement.pool}/{statement.database}")
     if database is None:
         return
-    news = request.parked_term and database.term > request.parked_term
-    if news or now >= request.retry_at:
+    learned = request.parked_term and database.term > request.parked_term
+    due = now >= database.trial_at
+    if learned or database.served_at > request.parked_at or due:
+        if due:
+            database.trial_at = now + TRIAL_SECONDS
         del board.requests[request.id]
         dispatch(board, request, now)
 
 
-def _is_host_dead(board, host: str) -> bool:
-    record = board.hosts.get(host)
-    return record is not None and record.state is blackboard.HostState.DEAD
+def _is_lost(board, request, now: float) -> bool:
+    """Return whether no answer will come because the serving host is dead.
+
+    Until the time to send has passed, the statement may turn out not to have
+    been sent at all.
+    """
+    record = board.hosts.get(request.host)
+    if record is None or record.state is not blackboard.HostState.DEAD:
+        return False
+    return now >= request.sent_at + SENT_SECONDS
 
 
 def _finish_dead_host(board, request, now: float) -> None:
-    if request.statement.operation is messages.Operation.GET and _may_move(request):
+    reading = request.statement.operation is messages.Operation.GET
+    if reading and _may_move(request) and board.retry_budget.spend(now):
         park(board, request, "the serving host is dead", now)
         return
     answers.reply_lost(board, request, "the serving host is dead")
