Keep refused work out of the average wait; read a bill from the store

Cause: a refused statement reports no time in the queue, and its 0 lowered the average that the entry limit compares with its target. A node that does not write a pool's bill knows only part of the accounts.

Change: only work that ran moves the average. bill_of_document returns the lines of the stored document on any node.

--- a/hyssopshelf/scheduling/billing.py
+++ b/hyssopshelf/scheduling/billing.py
@@ -119,9 +119,28 @@
 
 def bill(board, pool: str) -> tuple[BillLine, ...]:
     """Return the bill of a pool by partner and rank, as known here."""
+    return bill_of_amounts(board, pool, total(board, pool))
+
+
+def bill_of_document(board, pool: str, data: bytes) -> tuple[BillLine, ...]:
+    """Return the bill of a stored document; any node can read it.
+
+    Raises
+    ------
+    CodecError
+        If the data is not a bill document.
+    """
+    held = accounts.PoolAccounts()
+    held.adopt(accounts.decode_bill(data))
+    return bill_of_amounts(board, pool, held.total())
+
+
+def bill_of_amounts(
+    board, pool: str, amounts: accounts.Amounts
+) -> tuple[BillLine, ...]:
+    """Return the lines of a bill with the agreed shares of the split in force."""
     view = board.pools.get(pool)
     agreed = view.bill if view is not None else {}
-    amounts = total(board, pool)
     whole = sum(amounts.values())
     return tuple(
         BillLine(
--- a/hyssopshelf/scheduling/limits.py
+++ b/hyssopshelf/scheduling/limits.py
@@ -110,7 +110,9 @@
     if view is None or limit is None or rank not in view.ranks:
         return
     limit.used_at = now
-    limit.queueing_seconds += 0.1 * (queueing_seconds - limit.queueing_seconds)
+    if not refused:
+        # Refused work did not wait; its 0 would hide the wait of the rest.
+        limit.queueing_seconds += 0.1 * (queueing_seconds - limit.queueing_seconds)
     target = view.ranks[rank].target_seconds
     if not refused and limit.queueing_seconds <= target:
         if limit.outstanding * 2 >= limit.largest:
--- a/hyssopshelf/scheduling/tests/test_billing.py
+++ b/hyssopshelf/scheduling/tests/test_billing.py
@@ -110,6 +110,8 @@
     (line,) = billing.bill(writer, "p")
     assert line.slot_seconds == pytest.approx(fleet.served)
     assert (line.used_share, line.agreed_share) == (1.0, 0.7)
+    stored = fleet.store.entries["billing/p"].value
+    assert billing.bill_of_document(fleet.boards["h1"], "p", stored) == (line,)
 
 
 @pytest.mark.parametrize("seed", range(5))
