--- a/hyssopshelf/failover/tests/test_promotion.py
+++ b/hyssopshelf/failover/tests/test_promotion.py
@@ -224,3 +224,26 @@
     for message in (hold, end, hold):
         terms.base.receive(message, board, "h1", fleet.now)
     assert board.databases[group.DATABASE].held_until < fleet.now
+
+
+def test_unknown_primary_of_a_term_in_between_is_waited_out():
+    """Guards against skipping the hold while a newer primary can still acknowledge."""
+    fleet = group.Group()
+    fleet.run(4.0)
+    known = fleet.find_primary()
+    newer, follower = (name for name in fleet.names if name != known)
+    fence = messages.Fence(term=2, promoter="other")
+    for name in (newer, follower):
+        fleet.instances[name].fence(fence, fleet.now)
+    order = messages.Promote(term=2, promoter="other")
+    fleet.instances[newer].promote(order, fleet.now)
+    fleet.instances[follower].follow(messages.Follow(term=2, primary=newer), fleet.now)
+    fleet.silent.add(newer)
+    board = fleet.boards["h0"]
+    board.databases[group.DATABASE].fenced_term = 2
+    reason = promotion.Reason.LEADERLESS
+    assert promotion.start(board, group.DATABASE, reason, "", fleet.now)
+    fleet.run(promotion.HOLD_SECONDS - 0.1)
+    assert 3 not in fleet.promoted
+    fleet.run(0.3)
+    assert 3 in fleet.promoted
