--- a/hyssopshelf/configuration/dissemination.py
+++ b/hyssopshelf/configuration/dissemination.py
@@ -38,7 +38,11 @@
 """Buckets listed in one exchange, about 13 KB at 2,900 pools."""
 
 REPEATED_DIGEST_SECONDS = 0.2
-"""Time to the next digest when more buckets differ than were listed."""
+"""Time to the next digest of a node that knows or suspects that it is behind:
+more buckets differ than were listed, or no peer was heard."""
+
+ALONE_SECONDS = 2.5
+"""Time without a message of a peer after which digests are sent more often."""
 
 PULL_TIMEOUT_SECONDS = 0.4
 """Time for one part. The longest round trip is about 25 ms."""
@@ -119,7 +123,12 @@
 
 
 def adopt(
-    board, document: resources.Document, now: float, source: str, fresh: bool = True
+    board,
+    document: resources.Document,
+    now: float,
+    source: str,
+    fresh: bool = True,
+    summary: versions.Summary | None = None,
 ) -> bool:
     """Put a document in force if it is newer than the one held.
 
@@ -135,6 +144,8 @@
         Where it came from, for the log.
     fresh : bool
         Offer it in full; otherwise one round, since most peers have it.
+    summary : Summary or None
+        Summary of the document, None if it has to be computed.
 
     Returns
     -------
@@ -147,7 +158,7 @@
     if not documents.supersedes(document, held):
         return False
     application.apply_document(board, document, now, source)
-    board.configuration.table.update(summarize(document))
+    board.configuration.table.update(summary or summarize(document))
     board.count("configuration_applied_total")
     if board.configuration_ready:
         board.configuration.pushes[document.pool] = progress.Push(
@@ -207,9 +218,11 @@
         text = decompressor.decompress(data, 2 * validation.MAXIMUM_DOCUMENT_BYTES)
     except zlib.error as error:
         raise exceptions.CodecError(f"damaged document: {error}") from error
-    document = declarations.decode_document(text)
-    if summarize(document) != summary:
+    if documents.checksum_data(text) != summary.checksum:
         raise exceptions.CodecError("document differs from its checksum")
+    document = declarations.decode_document(text)
+    if (document.pool, document.version) != (summary.pool, summary.version):
+        raise exceptions.CodecError("document differs from its summary")
     return document
 
 
@@ -286,7 +299,7 @@
     except exceptions.CodecError as error:
         report_damage(board, pool, host, error)
         return
-    adopt(board, document, now, source=host, fresh=pull.fresh)
+    adopt(board, document, now, host, fresh=pull.fresh, summary=pull.summary)
 
 
 def report_damage(board, pool: str, source: str, error: Exception) -> None:
@@ -396,8 +409,12 @@
 
 def _compare_digest(board, now: float) -> None:
     """Send the digest to one random peer."""
+    own = board.configuration
+    heard_at = now if own.peer_heard_at is None else own.peer_heard_at
+    alone = now - heard_at >= ALONE_SECONDS
+    seconds = REPEATED_DIGEST_SECONDS if alone else DIGEST_SECONDS
     # The random part keeps nodes that started together from acting in step.
-    board.configuration.digest_at = now + DIGEST_SECONDS * board.random.uniform(0.8, 1)
+    own.digest_at = now + seconds * board.random.uniform(0.8, 1)
     for host in peers.choose_any(board):
         send(board, host, Digest(root=board.configuration.table.root))
 
