Judge a majority write by the terms since its acknowledgement

Change: each term that was the latest one since the acknowledgement must hold one of the entries. The excuse of a read is limited to terms that were the latest one during the read or its staleness bound.

--- a/benchmarks/faults/cases.py
+++ b/benchmarks/faults/cases.py
@@ -58,22 +58,12 @@
             if other.label and other.succeeded
         ]
 
-    def find_discarding_terms(
-        self, database: str, position: Position, before: float = float("inf")
-    ) -> list[int]:
-        """Return the terms promoted before a time whose log lacks a position.
-
-        A later term may bring the position back, if its primary is promoted
-        from a log that still holds it.
-        """
-        tree = self.find_tree(database)
-        return [
-            promotion.term
-            for promotion in self.history.promotions
-            if promotion.database == database
-            and promotion.at < before
-            and tree.is_discarded(promotion.term, position)
-        ]
+    def list_terms(self, database: str, start: float, end: float) -> list[int]:
+        """Return the terms that had the latest primary at a time in a span."""
+        promotions = [p for p in self.history.promotions if p.database == database]
+        before = [p.term for p in promotions if p.at < start]
+        within = [p.term for p in promotions if start <= p.at < end]
+        return ([max(before)] if before else []) + within
 
     def find_read_entries(
         self, request: histories.Request
--- a/benchmarks/faults/freshness.py
+++ b/benchmarks/faults/freshness.py
@@ -109,7 +109,7 @@
     for write in reversed(writes[:number]):
         if any(entry and tree.contains(entry, write) for entry in candidates):
             return None
-        if not _may_lack(case, request, write, candidates):
+        if not _may_lack(case, request, before, write, candidates):
             return write
     return None
 
@@ -117,19 +117,21 @@
 def _may_lack(
     case: cases.Case,
     request: histories.Request,
+    since: float,
     write: Position,
     candidates: list[Position | None],
 ) -> bool:
-    """Return whether a read may have run in a term that discarded a write.
+    """Return whether a read ran in a term that had discarded a write.
 
-    Such a write was not acknowledged by a majority, which check_acknowledgements
-    verifies, and a later term brought it back.
+    The term must have been the latest one at a time between ``since`` and the
+    answer. Such a write was not acknowledged by a majority before, which
+    ``check_acknowledgements`` verifies, and a later term brought it back.
     """
     tree = case.find_tree(request.database)
-    terms = case.find_discarding_terms(request.database, write, request.answered_at)
     return any(
-        entry is None or entry.term == term or tree.is_kept(term, entry)
-        for term in terms
+        tree.is_discarded(term, write)
+        and (entry is None or entry.term == term or tree.is_kept(term, entry))
+        for term in case.list_terms(request.database, since, request.answered_at)
         for entry in candidates
     )
 
@@ -152,7 +154,7 @@
             and not any(
                 entry and tree.contains(entry, position) for entry in candidates
             )
-            and not _may_lack(case, request, position, candidates)
+            and not _may_lack(case, request, request.invoked_at, position, candidates)
         ]
         if missed:
             yield cases.blame(1, "strong_read_missed_write", request, f"{missed[-1]}")
--- a/benchmarks/faults/outcomes.py
+++ b/benchmarks/faults/outcomes.py
@@ -130,12 +130,9 @@
                 continue
             survives = any(tree.contains(survivor, position) for position in positions)
             if request.acknowledge == "majority":
-                discarding = [
-                    case.find_discarding_terms(request.database, position)
-                    for position in positions
-                ]
-                if not survives or all(discarding):
-                    detail = f"{positions} lost in terms {discarding}"
+                lacking = _find_lacking_terms(case, request, positions)
+                if not survives or lacking:
+                    detail = f"{positions} not in terms {lacking}"
                     yield cases.blame(2, "majority_write_lost", request, detail)
             elif not survives and _was_replaced(case.history, request, positions):
                 yield cases.blame(
@@ -143,6 +140,24 @@
                 )
 
 
+def _find_lacking_terms(
+    case: cases.Case, request: histories.Request, positions: list[Position]
+) -> list[int]:
+    """Return the terms since an acknowledgement whose log lacks the write."""
+    at = case.history.acknowledged_at.get(request.id, request.answered_at)
+    tree = case.find_tree(request.database)
+    return [
+        term
+        for term in case.list_terms(request.database, at, float("inf"))
+        if not any(
+            position.term == term or not tree.is_discarded(term, position)
+            for position in positions
+            if position.term <= term
+        )
+        and any(position.term < term for position in positions)
+    ]
+
+
 def _was_replaced(
     history: histories.History,
     request: histories.Request,
