--- a/benchmarks/bench_faults.py
+++ b/benchmarks/bench_faults.py
@@ -26,6 +26,10 @@
     parser.add_argument(
         "--faults", default="", help="names of the faults to choose from, by commas"
     )
+    parser.add_argument("--callers", type=int, default=9, help="size of the load")
+    parser.add_argument(
+        "--settle", type=float, default=20.0, help="time after the last fault"
+    )
     parser.add_argument("--trace", action="store_true", help="print each event")
     parser.add_argument("--json", action="store_true", help="print only the result")
     return parser.parse_args(arguments)
@@ -42,6 +46,8 @@
     options = world.Options(
         seed=seed,
         seconds=arguments.seconds,
+        callers=arguments.callers,
+        settle_seconds=arguments.settle,
         faults=tuple(filter(None, arguments.faults.split(","))),
         trace=print if arguments.trace else None,
     )
--- a/benchmarks/faults/network.py
+++ b/benchmarks/faults/network.py
@@ -87,7 +87,8 @@
         for _ in range(copies):
             delay = self.draw_delay(sender, receiver)
             if self.random.random() < self.late_rate:
-                delay += self.random.uniform(0.0, self.late_seconds)
+                longest = self.random.choice((0.1, 1.0)) * self.late_seconds
+                delay += self.random.uniform(0.0, longest)
             self.loop.call_later(delay, self._arrive, sender, receiver, deliver)
 
     def _arrive(self, sender: str, receiver: str, deliver: Callable) -> None:
