--- a/hyssopshelf/blackboard.py
+++ b/hyssopshelf/blackboard.py
@@ -14,6 +14,8 @@
 from hyssopshelf.connections import records
 from hyssopshelf.failover import confirmation, tickets
 from hyssopshelf.failover import state as failover_state
+from hyssopshelf.membership import balancing
+from hyssopshelf.membership import placement as placing
 from hyssopshelf.membership import protocol as membership_protocol
 from hyssopshelf.membership import records as host_records
 from hyssopshelf.scheduling import billing, budgets, limits, queues, shares, work
@@ -93,6 +95,10 @@
         Endpoint that is primary in that term, empty if unknown.
     fenced_term : int
         Highest term known to be proposed; may exceed ``term`` in a failover.
+    served_at : float
+        Time of the last successful answer that this entry node received.
+    trial_at : float
+        Earliest time at which a parked statement is routed without news.
     held_until : float
         New writes wait until this time or a new term, for a planned change.
     """
@@ -103,6 +109,8 @@
     term: int = 0
     primary: str = ""
     fenced_term: int = 0
+    served_at: float = float("-inf")
+    trial_at: float = float("-inf")
     held_until: float = float("-inf")
 
 
@@ -133,7 +141,7 @@
     attempts: int = 0
     parked: bool = False
     parked_term: int = 0
-    retry_at: float = 0.0
+    parked_at: float = 0.0
     sent_at: float = 0.0
     primary_only: bool = False
     admitted: bool = False
@@ -242,6 +250,8 @@
         factory=progress.ConfigurationState
     )
     placement: dict[str, str] = attrs.field(factory=dict)
+    balance: balancing.Balance = attrs.field(factory=balancing.Balance)
+    placement_state: placing.Placement = attrs.field(factory=placing.Placement)
     endpoint_queues: dict[str, queues.EndpointQueue] = attrs.field(factory=dict)
     connections: dict[str, records.ConnectionRecord] = attrs.field(factory=dict)
     endpoint_connections: dict[str, dict[str, records.ConnectionRecord]] = attrs.field(
