Add bench_control: what one node spends on control

Cause: docs/DEVELOPERS.md sets budgets for control, and no benchmark measured a whole node at the target size. Change: one real node among light peers on a virtual clock, axes with fitted lines, the target size measured directly, sockets measured on loopback.

--- /dev/null
+++ b/benchmarks/bench_control.py
@@ -0,0 +1,389 @@
+"""What one node spends on control, and how that grows.
+
+One real node runs on a virtual clock among light peers. Each axis grows with
+the others fixed; a line is fitted and extrapolated to the target size. Since
+only one node is real, the target size is also measured directly.
+
+Processor time is that of ``node.handle`` and of the codec, measured by
+time.process_time, plus the sockets: a count of messages, status calls and
+ticks times the loopback cost of each. Bytes are those of encoded messages;
+headers of TCP and IP are estimated. Memory on an axis is what tracemalloc
+counts from the start of the node to its steady state; at the target size it is
+the growth of the resident set.
+"""
+
+import argparse
+import gc
+import json
+import os
+import pathlib
+import time
+import tracemalloc
+
+import attrs
+
+from benchmarks import control_fleet, fitting, socket_costs
+from hyssopshelf import base, messages, node, platform
+from hyssopshelf.configuration import dissemination, snapshots
+from hyssopshelf.failover import terms
+from hyssopshelf.membership import gossip
+
+TARGET = control_fleet.Size(hosts=5100, databases=8800, alone=False)
+SMALL = control_fleet.Size(hosts=300, databases=300)
+TARGETS = {
+    "hosts": 5100,
+    "databases": 8800,
+    "served": 8800 * 3 / 5100,
+    "watched": 8800 * 3 / 5100,
+    "changes_a_day": 13_000,
+    "restarts_a_day": 4_117,
+}
+"""4,100 hosts a day are restarted and 17 fail."""
+
+POINTS = {
+    "hosts": (200, 800, 2000, 5100),
+    "databases": (600, 2200, 4400, 8800),
+    "served": (0, 5, 10, 20, 40),
+    "watched": (0, 5, 10, 20, 40),
+}
+RATES = {
+    "changes_a_day": (0, 13_000, 52_000, 208_000),
+    "restarts_a_day": (0, 4_117, 16_468, 65_872),
+}
+"""Rates above the target are measured because few events fall into a window."""
+
+WINDOW_SECONDS = 30.0
+"""Longest period of a control step: the review of all placements."""
+
+PACKET_BYTES = 100
+"""TCP and IP headers of a message and of its acknowledgement, estimated."""
+
+BUDGET = {"processor_percent": 1.0, "memory_mb": 32.0, "bytes_a_second": 5000}
+DAY_SECONDS = 86_400
+METRICS = (
+    "processor_percent",
+    "sent_bytes_a_second",
+    "received_bytes_a_second",
+    "probe_bytes_a_second",
+    "messages_a_second",
+    "store_calls_a_second",
+    "memory_mb",
+)
+
+
+def read_resident_bytes() -> int:
+    """Return the resident size of this process."""
+    pages = pathlib.Path("/proc/self/statm").read_text().split()[1]
+    return int(pages) * os.sysconf("SC_PAGE_SIZE")
+
+
+def measure_reference() -> float:
+    """Return the processor time of a fixed computation.
+
+    The machine is shared; runs whose reference differs cannot be compared.
+    """
+    best = float("inf")
+    for _ in range(5):
+        started = time.process_time()
+        values = {number: str(number) for number in range(50_000)}
+        sum(map(len, values.values()))
+        best = min(best, time.process_time() - started)
+    return best
+
+
+def describe(
+    costs: control_fleet.Costs, seconds: float, sockets: socket_costs.SocketCosts
+) -> dict:
+    """Return the figures of a window."""
+    count = costs.sent + costs.received
+    socket_seconds = (
+        count * sockets.message
+        + costs.probes * sockets.probe
+        + seconds / node.TICK_SECONDS * sockets.tick
+    )
+    core_percent = 100 * costs.seconds / seconds
+    return {
+        "processor_percent": round(core_percent + 100 * socket_seconds / seconds, 4),
+        "core_percent": round(core_percent, 4),
+        "longest_event_ms": round(1000 * costs.longest, 2),
+        "messages_a_second": round(count / seconds, 2),
+        "probes_a_second": round(costs.probes / seconds, 2),
+        "sent_bytes_a_second": round(costs.sent_bytes / seconds),
+        "received_bytes_a_second": round(costs.received_bytes / seconds),
+        "probe_bytes_a_second": round(costs.probe_bytes / seconds),
+        "header_bytes_a_second": round(
+            PACKET_BYTES * (count + 2 * costs.probes) / seconds
+        ),
+        "store_calls_a_second": round(costs.store_calls / seconds, 4),
+        "by_message": {
+            name: round(number / seconds, 3)
+            for name, number in sorted(costs.by_message.items())
+        },
+    }
+
+
+def skip_learning(fleet: control_fleet.ControlFleet) -> None:
+    """Go to the steady state that follows the first minutes after a start.
+
+    All primaries are known, and no row of the hosts that were learned at the
+    start is left to be sent.
+    """
+    board = fleet.board
+    for record in board.databases.values():
+        terms.learn_primary(board, record.name, 3, record.endpoints[0])
+    board.membership.outbox = gossip.Outbox()
+    board.actions.clear()
+
+
+def measure_window(fleet, seconds: float, sockets) -> dict:
+    """Run for a time and return its figures."""
+    gc.collect()
+    fleet.reset()
+    fleet.run(seconds)
+    return describe(fleet.reset(), seconds, sockets)
+
+
+def measure_memory(size: control_fleet.Size, seed: int) -> float:
+    """Return what tracemalloc counts for a node of a size, in MB."""
+    fleet = control_fleet.ControlFleet(size=size, seed=seed)
+    control_fleet.clear_caches()
+    gc.collect()
+    tracemalloc.start()
+    fleet.start()
+    skip_learning(fleet)
+    fleet.serve_statements()
+    fleet.run(3.0)
+    gc.collect()
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return round(used / 1e6, 3)
+
+
+def measure_point(size: control_fleet.Size, seed: int, sockets) -> dict:
+    """Return the steady figures of one size."""
+    fleet = control_fleet.ControlFleet(size=size, seed=seed)
+    fleet.start()
+    skip_learning(fleet)
+    fleet.serve_statements()
+    fleet.run(2.0)
+    figures = measure_window(fleet, WINDOW_SECONDS, sockets)
+    figures["served"] = len(fleet.board.placement_state.served)
+    figures["watched"] = len(fleet.board.failover.watching.watches)
+    return figures
+
+
+def run_axis(axis: str, seed: int, sockets) -> dict:
+    """Measure the points of an axis with all else fixed."""
+    points = []
+    for value in POINTS[axis]:
+        size = attrs.evolve(SMALL, **{axis: value})
+        figures = measure_point(size, seed, sockets)
+        figures["memory_mb"] = measure_memory(size, seed)
+        points.append({axis: value} | figures)
+    return {"fixed": attrs.asdict(SMALL), "points": points, "fits": fit(axis, points)}
+
+
+def fit(axis: str, points: list[dict]) -> dict:
+    """Fit a line to each metric and extrapolate it to the target size."""
+    found = {}
+    for metric in METRICS:
+        if metric not in points[0]:
+            continue
+        line = fitting.fit_line(
+            [point[axis] for point in points], [point[metric] for point in points]
+        )
+        found[metric] = {
+            "slope": float(f"{line.slope:.4g}"),
+            "intercept": round(line.intercept, 4),
+            "largest_deviation": round(line.largest_deviation, 3),
+            "at_target": round(line.extrapolate(TARGETS[axis]), 4),
+        }
+    return found
+
+
+def run_rates(fleet, axis: str, sockets) -> dict:
+    """Measure windows with a growing rate of events at the target size."""
+    points = []
+    for rate in RATES[axis]:
+        before = read_resident_bytes()
+        count = schedule_events(fleet, axis, rate)
+        figures = measure_window(fleet, WINDOW_SECONDS, sockets)
+        figures["memory_mb"] = round((read_resident_bytes() - before) / 1e6, 3)
+        # The rate that the window really had; it holds a whole number of events.
+        points.append({axis: count * DAY_SECONDS / WINDOW_SECONDS} | figures)
+    return {"fixed": attrs.asdict(TARGET), "points": points, "fits": fit(axis, points)}
+
+
+def schedule_events(fleet, axis: str, rate: float) -> int:
+    """Spread the events of a rate over the next window; return their number."""
+    count = round(rate * WINDOW_SECONDS / DAY_SECONDS)
+    for index in range(count):
+        # The last events start early enough to end within the window.
+        at = fleet.now + 0.5 + index * (WINDOW_SECONDS - 15.0) / max(1, count)
+        if axis == "changes_a_day":
+            fleet.schedule(at, fleet.change_document, fleet.random.choice(fleet.pools))
+        else:
+            fleet.schedule(at, fleet.restart_host)
+    return count
+
+
+def run_start(fleet, sockets) -> dict:
+    """Return what a start costs the node, and its first seconds afterwards."""
+    before = read_resident_bytes()
+    settled_at = fleet.start()
+    costs = fleet.reset()
+    gc.collect()
+    figures = {
+        "seconds_until_all_placed": settled_at,
+        "processor_seconds": round(costs.seconds, 2),
+        "received_bytes": costs.received_bytes,
+        "longest_event_ms": round(1000 * costs.longest, 1),
+        "store_calls": costs.store_calls,
+        "resident_growth_mb": round((read_resident_bytes() - before) / 1e6, 1),
+    }
+    fleet.serve_statements()
+    figures["next_30_seconds"] = measure_window(fleet, WINDOW_SECONDS, sockets)
+    return figures
+
+
+def serve_snapshot(fleet) -> dict:
+    """Return what it costs to give the whole snapshot to a starting node."""
+    fleet.reset()
+    asker, after = fleet.names[0], ""
+    while True:
+        fleet.deliver(asker, snapshots.SnapshotRequest(after=after))
+        fleet.run(0.0)
+        names = [name for name in fleet.pools if name > after]
+        after = names[: snapshots.PART_DOCUMENTS][-1]
+        if after == fleet.pools[-1]:
+            break
+    costs = fleet.reset()
+    return {
+        "processor_seconds": round(costs.seconds, 2),
+        "sent_bytes": costs.sent_bytes,
+        "longest_event_ms": round(1000 * costs.longest, 1),
+    }
+
+
+def run_outage(fleet, regions: bool, sockets) -> dict:
+    """Let a failure domain or a region fail and come back."""
+    index = 6 if regions else 5
+    # A place and a region that the node itself is not in.
+    column = fleet.rows[fleet.names[1]][index]
+    names = [name for name in fleet.names if fleet.rows[name][index] == column]
+    fleet.fail(names)
+    lost = measure_window(fleet, WINDOW_SECONDS, sockets)
+    fleet.come_back(names)
+    back = measure_window(fleet, WINDOW_SECONDS, sockets)
+    return {"hosts": len(names), "lost": lost, "back": back}
+
+
+def run_reader(fleet, sockets) -> dict:
+    """Return what the few readers of the store and of the host list spend."""
+    board = fleet.board
+    version = board.membership.version
+    names = (control_fleet.OWN, *fleet.names[:2])
+    board.configuration.watchers = (version, names)
+    watching = measure_window(fleet, WINDOW_SECONDS, sockets)
+    fleet.store_down = True
+    down = measure_window(fleet, 2 * WINDOW_SECONDS, sockets)
+    fleet.store_down = False
+    restored = measure_window(fleet, WINDOW_SECONDS, sockets)
+    board.configuration.watchers = (version, ())
+    return {
+        "watching": watching,
+        "store_down": down,
+        "store_restored": restored,
+        "host_list_ms": measure_host_list(fleet),
+    }
+
+
+def measure_host_list(fleet) -> float:
+    """Return the processor time of one host list, in milliseconds."""
+    rows = [
+        {"name": row[0], "address": row[4], "place": row[5], "region": row[6]}
+        for row in fleet.rows.values()
+    ]
+    text = json.dumps({"hosts": rows})
+    started = time.process_time()
+    entries = messages.structure(
+        json.loads(text)["hosts"], tuple[platform.HostEntry, ...]
+    )
+    fleet.handle(base.HostListReceived(hosts=entries))
+    return round(1000 * (time.process_time() - started), 2)
+
+
+def run_target(seed: int, sockets) -> tuple[dict, dict]:
+    """Measure the target size directly; return its figures and the rate axes."""
+    fleet = control_fleet.ControlFleet(size=TARGET, seed=seed)
+    control_fleet.clear_caches()
+    gc.collect()
+    figures = {"start": run_start(fleet, sockets)}
+    skip_learning(fleet)
+    fleet.run(2.0)
+    figures["steady"] = measure_window(fleet, WINDOW_SECONDS, sockets)
+    figures["served"] = len(fleet.board.placement_state.served)
+    figures["watched"] = len(fleet.board.failover.watching.watches)
+    axes = {axis: run_rates(fleet, axis, sockets) for axis in RATES}
+    skip_learning(fleet)
+    figures["snapshot_served"] = serve_snapshot(fleet)
+    figures["reader"] = run_reader(fleet, sockets)
+    figures["domain_lost"] = run_outage(fleet, False, sockets)
+    skip_learning(fleet)
+    figures["region_cut_off"] = run_outage(fleet, True, sockets)
+    sizes = [len(data) for _, data in fleet.packed.values()]
+    figures["compressed_document_bytes"] = round(sum(sizes) / len(sizes))
+    figures["part_bytes"] = dissemination.PART_BYTES
+    return figures, axes
+
+
+def add_up(steady: dict, axes: dict) -> dict:
+    """Return the ordinary day at the target size: steady state, changes, restarts."""
+    total = {}
+    for metric in METRICS[:-1]:
+        total[metric] = steady[metric] + sum(
+            axes[axis]["fits"][metric]["slope"] * TARGETS[axis] for axis in RATES
+        )
+    # TCP carries both directions, and status calls are control as well.
+    total["bytes_a_second"] = (
+        total["sent_bytes_a_second"]
+        + total["received_bytes_a_second"]
+        + total["probe_bytes_a_second"]
+    )
+    return {metric: round(value, 3) for metric, value in total.items()}
+
+
+def run(seed: int) -> dict:
+    """Run all measurements."""
+    began = time.perf_counter()
+    target, rate_axes = run_target(seed, sockets := socket_costs.measure())
+    axes = {axis: run_axis(axis, seed, sockets) for axis in POINTS} | rate_axes
+    return {
+        "benchmark": "control",
+        "seed": seed,
+        "socket_microseconds": {
+            name: round(1e6 * value, 1) for name, value in attrs.asdict(sockets).items()
+        },
+        "axes": axes,
+        "target_size": target,
+        "ordinary_day": add_up(target["steady"], rate_axes),
+        "budget": BUDGET,
+        "reference_ms": round(1000 * measure_reference(), 1),
+        "wall_seconds": round(time.perf_counter() - began, 1),
+    }
+
+
+def main() -> None:
+    """Run the benchmark."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--json", action="store_true")
+    arguments = parser.parse_args()
+    report = run(arguments.seed)
+    if not arguments.json:
+        print(json.dumps(report, indent=2))
+    print(json.dumps(report))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/control_fleet.py
@@ -0,0 +1,578 @@
+"""One real node among light peers, endpoints and a store on a virtual clock.
+
+The node is the whole core. Its peers only answer: they are no nodes, but they
+use the same message classes. What the node starts towards a random peer, some
+peer starts towards the node, because all nodes do the same work.
+"""
+
+import functools
+import heapq
+import random
+import time
+import zlib
+
+import attrs
+import result
+
+from hyssopshelf import base, blackboard, messages, node, platform
+from hyssopshelf.configuration import (
+    declarations,
+    dissemination,
+    documents,
+    resources,
+    snapshots,
+    versions,
+)
+from hyssopshelf.failover import watchers
+from hyssopshelf.membership import gossip, protocol, rendezvous
+from hyssopshelf.runtime import wire
+from hyssopshelf.scheduling import accounts, billing, queues, shares
+
+OWN = "own"
+PLACES = 14
+REGIONS = 5
+POOL_DATABASES = 3
+PEER_SECONDS = 0.01
+"""Time from a message to its answer; the longest is 25 ms."""
+
+ENDPOINT_SECONDS = 0.001
+STORE_SECONDS = 0.003
+PARTNERS = ("priehradka", "steyrtal")
+RANKS = ("urgent", "normal", "background")
+WEBSOCKET_HEADER_BYTES = 8
+
+
+@attrs.frozen(kw_only=True)
+class Size:
+    """What a node has to control.
+
+    Attributes
+    ----------
+    hosts, databases : int
+        Size of the fleet and of the configuration.
+    served, watched : int
+        Endpoints that the node serves and databases that it watches.
+    alone : bool
+        The node is the only host of its place, so that it serves exactly
+        ``served`` endpoints. Otherwise its place is like all others and
+        placement decides.
+    """
+
+    hosts: int
+    databases: int
+    served: int = 5
+    watched: int = 5
+    alone: bool = True
+
+
+@attrs.define(kw_only=True)
+class Costs:
+    """What the node spent since the counters were reset.
+
+    ``seconds`` is processor time of the core and of the codec; the sockets are
+    measured on their own and added by the benchmark.
+    """
+
+    seconds: float = 0.0
+    longest: float = 0.0
+    sent: int = 0
+    received: int = 0
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    probes: int = 0
+    probe_bytes: int = 0
+    store_calls: int = 0
+    by_message: dict[str, int] = attrs.field(factory=dict)
+
+
+def clear_caches() -> None:
+    """Empty the caches of hashes, so that memory is counted from the start."""
+    for cached in (
+        rendezvous.make_seed,
+        gossip.get_bucket,
+        watchers.compute_point,
+    ):
+        cached.cache_clear()
+
+
+def make_rows(count: int) -> dict[str, gossip.Row]:
+    """Return the rows of all hosts but the node's own."""
+    rows = {}
+    for number in range(count - 1):
+        name = f"h{number:04}"
+        place = number % PLACES
+        address = f"10.{place}.{number // 250}.{number % 250}:7100"
+        row = (name, 1, 0, 0, address, f"p{place}", f"r{place % REGIONS}", ())
+        rows[name] = row
+    return rows
+
+
+def make_documents(size: Size, names: list[str]) -> dict[str, resources.Document]:
+    """Return the documents of all pools.
+
+    Exactly ``size.watched`` databases have a name for which the node is a
+    watcher. One endpoint of ``size.served`` databases is at the place of the
+    node if that is its only host.
+    """
+    ring = watchers.Ring([*names, OWN])
+    number = watched = 0
+    databases: list[tuple[str, str]] = []
+    while len(databases) < size.databases:
+        pool = f"pool{len(databases) // POOL_DATABASES:04}"
+        name = f"d{number}"
+        number += 1
+        is_watched = OWN in ring.compute_order(f"{pool}/{name}")
+        if is_watched != (watched < size.watched):
+            continue
+        watched += is_watched
+        databases.append((pool, name))
+    by_pool: dict[str, list[resources.DatabaseSpec]] = {}
+    for index, (pool, name) in enumerate(databases):
+        spec = _make_database(name, index, size.alone and index < size.served)
+        by_pool.setdefault(pool, []).append(spec)
+    return {pool: _make_document(pool, specs) for pool, specs in by_pool.items()}
+
+
+def _make_database(name: str, index: int, own: bool) -> resources.DatabaseSpec:
+    places = [f"p{(index + offset) % PLACES}" for offset in (0, 4, 9)]
+    if own:
+        places[0] = OWN
+    return resources.DatabaseSpec(
+        name=name,
+        endpoints=tuple(
+            resources.EndpointSpec(
+                name=letter,
+                address=f"10.{100 + offset}.{index // 250}.{index % 250}:22001",
+                place=place,
+            )
+            for offset, (letter, place) in enumerate(zip("abc", places, strict=True))
+        ),
+    )
+
+
+def _make_document(pool: str, databases: list) -> resources.Document:
+    even = dict.fromkeys(PARTNERS, 0.5)
+    kinds = tuple(
+        resources.KindSpec(name=f"{rank}-work", rank=rank, staleness_seconds=5.0)
+        for rank in RANKS
+    )
+    kind = resources.ResourceKind
+    specs = [
+        (
+            kind.POOL,
+            pool,
+            resources.PoolSpec(
+                databases=tuple(databases), partners=PARTNERS, slots=3, connections=20
+            ),
+        ),
+        *(
+            (kind.PARTNER, name, resources.PartnerSpec(kinds=kinds))
+            for name in PARTNERS
+        ),
+        *(
+            (kind.RANK, name, resources.RankSpec(order=order, floor=0.1))
+            for order, name in enumerate(RANKS)
+        ),
+        (kind.SPLIT, pool, resources.SplitSpec(capacity=even, bill=even)),
+    ]
+    return resources.Document(
+        pool=pool,
+        version=1,
+        change_ids=("change-1",),
+        resources=tuple(
+            resources.Resource(
+                kind=item, pool=pool, name=name, resource_version=1, spec=spec
+            )
+            for item, name, spec in specs
+        ),
+    )
+
+
+def pack(document: resources.Document) -> tuple[versions.Summary, bytes]:
+    """Return the summary and the compressed form of a document."""
+    text = declarations.encode_document(document)
+    summary = versions.Summary(
+        version=document.version,
+        checksum=documents.checksum_data(text),
+        pool=document.pool,
+    )
+    return summary, zlib.compress(text)
+
+
+class ControlFleet:
+    """The node under measurement and what is around it.
+
+    Parameters
+    ----------
+    size : Size
+        What the node has to control.
+    seed : int
+        Seed of the node and of the peers.
+    """
+
+    def __init__(self, *, size: Size, seed: int) -> None:
+        self.size = size
+        self.random = random.Random(seed)
+        self.rows = make_rows(size.hosts)
+        self.names = list(self.rows)
+        self.documents = make_documents(size, self.names)
+        self.packed = {pool: pack(d) for pool, d in self.documents.items()}
+        self.pools = sorted(self.packed)
+        identity = blackboard.Identity(
+            host=OWN,
+            address="10.99.0.1:7100",
+            place=OWN if size.alone else "p0",
+            region="r0",
+            incarnation=1,
+        )
+        self.node = node.Node(
+            identity=identity, seed=seed, token_keys=(("k", b"0" * 32),)
+        )
+        self.board = self.node.board
+        self.board.membership.seeds = (self.rows[self.names[0]][4],)
+        self.addresses = {row[4]: name for name, row in self.rows.items()}
+        self.costs = Costs()
+        self.now = 0.0
+        self.store_down = False
+        self._heap: list = []
+        self._count = 0
+        self.schedule(0.0, self._tick)
+
+    def schedule(self, at: float, function, *arguments) -> None:
+        """Call a function at a time of the virtual clock."""
+        self._count += 1
+        heapq.heappush(self._heap, (at, self._count, function, arguments))
+
+    def run(self, seconds: float) -> None:
+        """Advance the clock."""
+        until = self.now + seconds
+        while self._heap and self._heap[0][0] <= until:
+            self.now, _, function, arguments = heapq.heappop(self._heap)
+            function(*arguments)
+        self.now = until
+
+    def start(self, limit_seconds: float = 120.0) -> float:
+        """Run until the node is ready and has placed all endpoints."""
+        while self.now < limit_seconds and not self.is_settled():
+            self.run(0.5)
+        return self.now
+
+    def is_settled(self) -> bool:
+        """Return whether configuration and placement are complete."""
+        tables = self.board.placement_state.tables.values()
+        return (
+            self.board.configuration_ready
+            and len(self.board.placement) == 3 * self.size.databases
+            and not any(table.dirty or table.unranked for table in tables)
+        )
+
+    def serve_statements(self) -> None:
+        """Create the queues and accounts that statements leave at the node.
+
+        No statement runs. Slot time is added once a second, so that the usage
+        and billing of all served pools change as under load.
+        """
+        for name in sorted(self.board.placement_state.served):
+            pool = self.board.endpoints[name].pool
+            self.board.endpoint_queues[name] = queues.EndpointQueue(
+                endpoint=name, pool=pool
+            )
+        self.schedule(self.now, self._add_slot_time)
+
+    def reset(self) -> Costs:
+        """Start new counters and return the old ones."""
+        costs, self.costs = self.costs, Costs()
+        return costs
+
+    def deliver(self, host: str, message: object, seconds: float = 0.0) -> None:
+        """Send a message of a peer to the node."""
+        envelope = messages.Envelope(
+            host=host, address=self.rows[host][4], message=message
+        )
+        data = messages.encode(envelope)
+        self.schedule(self.now + seconds, self._receive, data)
+
+    def handle(self, event: base.Event) -> None:
+        """Pass an event to the node and carry out its actions."""
+        started = time.process_time()
+        actions = self.node.handle(event, self.now)
+        elapsed = time.process_time() - started
+        self.costs.seconds += elapsed
+        self.costs.longest = max(self.costs.longest, elapsed)
+        for action in actions:
+            carry_out(action, self)
+
+    def _tick(self) -> None:
+        self.handle(base.Ticked())
+        self.schedule(self.now + node.TICK_SECONDS, self._tick)
+
+    def _receive(self, data: bytes) -> None:
+        started = time.process_time()
+        envelope = messages.decode(data)
+        self.costs.seconds += time.process_time() - started
+        self.costs.received += 1
+        self.costs.received_bytes += len(data)
+        self.handle(
+            base.PeerReceived(
+                host=envelope.host, message=envelope.message, address=envelope.address
+            )
+        )
+
+    def _add_slot_time(self) -> None:
+        for pool in {queue.pool for queue in self.board.endpoint_queues.values()}:
+            for partner in PARTNERS:
+                for rank in RANKS:
+                    billing.account(self.board, pool, partner, rank, 0.1)
+        self.schedule(self.now + 1.0, self._add_slot_time)
+
+    def choose_host(self) -> str:
+        """Return a random peer."""
+        return self.random.choice(self.names)
+
+    def change_document(self, pool: str) -> None:
+        """Commit a new version of a pool's document; a peer offers it."""
+        held = self.documents[pool]
+        changed = attrs.evolve(
+            held,
+            version=held.version + 1,
+            change_ids=(*held.change_ids, f"change-{held.version + 1}")[-64:],
+        )
+        self.documents[pool] = changed
+        self.packed[pool] = pack(changed)
+        offer = dissemination.Offer(summaries=(self.packed[pool][0],), fresh=True)
+        self.deliver(self.choose_host(), offer)
+
+    def tell(self, rows: list[gossip.Row]) -> None:
+        """Pass rows to the node in messages of a few peers."""
+        for start in range(0, len(rows), gossip.MAXIMUM_ROWS):
+            part = tuple(rows[start : start + gossip.MAXIMUM_ROWS])
+            for _ in range(2):
+                host = self.choose_host()
+                message = protocol.News(sender=self.rows[host], rows=part)
+                delay = self.random.uniform(0.0, 1.0)
+                self.deliver(host, message, delay)
+
+    def fail(self, names: list[str]) -> None:
+        """Let hosts die without notice: suspicion first, death 3 s later."""
+        self.tell([_make_short_row(self.rows[name], gossip.SUSPECT) for name in names])
+        self.schedule(self.now + 3.0, self._declare_dead, names)
+
+    def _declare_dead(self, names: list[str]) -> None:
+        self.tell([_make_short_row(self.rows[name], gossip.DEAD) for name in names])
+
+    def come_back(self, names: list[str]) -> None:
+        """Start hosts anew with a higher incarnation."""
+        for name in names:
+            row = self.rows[name]
+            self.rows[name] = (name, row[1] + 1, 0, gossip.ALIVE, *row[4:])
+        self.tell([self.rows[name] for name in names])
+
+    def restart_host(self) -> None:
+        """Drain a host, and start it anew 10 s later."""
+        name = self.choose_host()
+        row = self.rows[name]
+        self.rows[name] = (name, row[1], row[2] + 1, gossip.LEAVING, *row[4:])
+        self.tell([self.rows[name]])
+        self.schedule(self.now + 4.0, self._declare_dead, [name])
+        self.schedule(self.now + 10.0, self.come_back, [name])
+
+
+def _make_short_row(row: gossip.Row, code: int) -> gossip.Row:
+    return (row[0], row[1], row[2], code, "", "", "", ())
+
+
+@functools.singledispatch
+def carry_out(action, fleet: ControlFleet) -> None:
+    """Carry out an action of the node; logs and connections cost nothing here."""
+
+
+@carry_out.register
+def _(action: base.SendPeer, fleet: ControlFleet) -> None:
+    started = time.process_time()
+    identity = fleet.board.identity
+    data = messages.encode(
+        messages.Envelope(
+            host=identity.host, address=identity.address, message=action.message
+        )
+    )
+    costs = fleet.costs
+    costs.seconds += time.process_time() - started
+    costs.sent += 1
+    costs.sent_bytes += len(data)
+    kind = type(action.message).__name__
+    costs.by_message[kind] = costs.by_message.get(kind, 0) + 1
+    host = fleet.addresses.get(action.host, action.host)
+    if host in fleet.rows:
+        answer(action.message, fleet, host)
+
+
+@carry_out.register
+def _(action: base.ProbeStatus, fleet: ControlFleet) -> None:
+    record = fleet.board.endpoints.get(action.endpoint)
+    status = None
+    if record is not None:
+        endpoints = fleet.board.databases[record.database].endpoints
+        status = make_status(action.endpoint, endpoints[0])
+    fleet.costs.probes += 1
+    fleet.costs.probe_bytes += measure_probe_bytes(action.endpoint, action.probe_id)
+    event = base.StatusReceived(
+        endpoint=action.endpoint, probe_id=action.probe_id, status=status
+    )
+    fleet.schedule(fleet.now + ENDPOINT_SECONDS, fleet.handle, event)
+
+
+@carry_out.register
+def _(action: base.CallStore, fleet: ControlFleet) -> None:
+    fleet.costs.store_calls += 1
+    outcome, seconds = run_operation(action.operation, fleet)
+    event = base.StoreAnswered(call_id=action.call_id, result=outcome)
+    fleet.schedule(fleet.now + seconds, fleet.handle, event)
+
+
+def run_operation(operation, fleet: ControlFleet) -> tuple[result.Result, float]:
+    """Return the store's answer and the time that it takes."""
+    if fleet.store_down:
+        return result.Err("the store is down"), STORE_SECONDS
+    if isinstance(operation, platform.Watch):
+        changes = platform.Changes(entries=(), revision=operation.after_revision)
+        return result.Ok(changes), operation.wait_seconds
+    if isinstance(operation, platform.ListPrefix):
+        entries = tuple(
+            platform.Entry(
+                key=documents.key_of(pool), value=zlib.decompress(data), revision=1
+            )
+            for pool, (_, data) in fleet.packed.items()
+        )
+        return result.Ok(entries), STORE_SECONDS
+    if isinstance(operation, platform.CompareAndSwap):
+        entry = platform.Entry(
+            key=operation.key, value=operation.value, revision=operation.revision + 1
+        )
+        return result.Ok(platform.Swapped(succeeded=True, current=entry)), STORE_SECONDS
+    return result.Ok(None), STORE_SECONDS
+
+
+def make_status(endpoint: str, primary: str) -> messages.EndpointStatus:
+    """Return the status of an endpoint of a healthy database."""
+    role = messages.Role.PRIMARY if endpoint == primary else messages.Role.REPLICA
+    return messages.EndpointStatus(
+        name=endpoint,
+        role=role,
+        term=3,
+        history=tuple(messages.TermStart(term=t, first=1000 * t) for t in (1, 2, 3)),
+        position=123_456,
+        applied=123_456,
+        lag_seconds=0.0 if endpoint == primary else 0.05,
+        upstream_age_seconds=0.0 if endpoint == primary else 0.05,
+        primary=primary,
+        connections=10,
+    )
+
+
+@functools.lru_cache(maxsize=1)
+def measure_probe_bytes(endpoint: str, probe_id: str) -> int:
+    """Return the bytes of a status call; names differ by a few bytes only."""
+    status = make_status(endpoint, endpoint)
+    call = messages.to_json(wire.ControlFrame(id=probe_id))
+    reply = messages.to_json(
+        wire.ControlReply(id=probe_id, granted=True, status=status)
+    )
+    return len(call) + len(reply) + 2 * WEBSOCKET_HEADER_BYTES
+
+
+@functools.singledispatch
+def answer(message, fleet: ControlFleet, host: str) -> None:
+    """Answer a message that the node sent to a peer."""
+
+
+@answer.register
+def _(message: protocol.Join, fleet: ControlFleet, host: str) -> None:
+    table = protocol.Table(
+        sender=fleet.rows[host],
+        buckets=tuple(range(gossip.BUCKETS)),
+        rows=tuple(fleet.rows.values()),
+    )
+    fleet.deliver(host, table, PEER_SECONDS)
+
+
+@answer.register
+def _(message: protocol.ProbeHost, fleet: ControlFleet, host: str) -> None:
+    digests = fleet.board.membership.digests.pack()
+    if message.sequence:
+        reply = protocol.Acknowledge(
+            sequence=message.sequence,
+            sender=fleet.rows[host],
+            rows=message.rows,
+            digests=digests,
+        )
+        fleet.deliver(host, reply, PEER_SECONDS)
+    other = fleet.choose_host()
+    probe = protocol.ProbeHost(
+        sequence=1, sender=fleet.rows[other], rows=message.rows, digests=digests
+    )
+    fleet.deliver(other, probe, fleet.random.uniform(0.0, 1.0))
+
+
+@answer.register
+def _(message: protocol.News, fleet: ControlFleet, host: str) -> None:
+    other = fleet.choose_host()
+    news = protocol.News(sender=fleet.rows[other], rows=message.rows)
+    fleet.deliver(other, news, PEER_SECONDS)
+
+
+@answer.register
+def _(message: snapshots.SnapshotRequest, fleet: ControlFleet, host: str) -> None:
+    first = 0
+    if message.after:
+        first = fleet.pools.index(message.after) + 1
+    pools = fleet.pools[first : first + snapshots.PART_DOCUMENTS]
+    entries = tuple(
+        snapshots.SnapshotEntry(summary=summary, data=data)
+        for summary, data in map(fleet.packed.__getitem__, pools)
+    )
+    part = snapshots.SnapshotPart(
+        after=message.after,
+        ready=True,
+        entries=entries,
+        last=first + len(pools) == len(fleet.pools),
+    )
+    fleet.deliver(host, part, PEER_SECONDS)
+
+
+@answer.register
+def _(message: dissemination.Digest, fleet: ControlFleet, host: str) -> None:
+    fleet.deliver(host, dissemination.Buckets(buckets=()), PEER_SECONDS)
+    if fleet.board.configuration_ready:
+        root = fleet.board.configuration.table.root
+        digest = dissemination.Digest(root=root)
+        fleet.deliver(fleet.choose_host(), digest, fleet.random.uniform(0.0, 0.5))
+
+
+@answer.register
+def _(message: dissemination.Offer, fleet: ControlFleet, host: str) -> None:
+    fleet.deliver(fleet.choose_host(), message, PEER_SECONDS)
+    # Every node pulls a document once, so one of the offers of a node is taken.
+    offers = dissemination.OFFERS_PER_ROUND * dissemination.OFFER_ROUNDS
+    for summary in message.summaries:
+        if fleet.random.random() < 1.0 / offers:
+            request = dissemination.PullRequest(pool=summary.pool)
+            fleet.deliver(host, request, PEER_SECONDS)
+
+
+@answer.register
+def _(message: dissemination.PullRequest, fleet: ControlFleet, host: str) -> None:
+    summary, data = fleet.packed[message.pool]
+    part = dissemination.Part(
+        summary=summary, offset=message.offset, total=len(data), data=data
+    )
+    fleet.deliver(host, part, PEER_SECONDS)
+
+
+@answer.register
+def _(message: shares.UsageReport, fleet: ControlFleet, host: str) -> None:
+    fleet.deliver(host, message, PEER_SECONDS)
+
+
+@answer.register
+def _(message: accounts.AccountCopy, fleet: ControlFleet, host: str) -> None:
+    fleet.deliver(host, attrs.evolve(message, host=host), PEER_SECONDS)
--- /dev/null
+++ b/benchmarks/fitting.py
@@ -0,0 +1,61 @@
+"""Straight lines through measured points."""
+
+from collections.abc import Sequence
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class Line:
+    """A line fitted by least squares.
+
+    Attributes
+    ----------
+    slope, intercept : float
+        Coefficients of the line.
+    largest_deviation : float
+        Largest distance of a point from the line, as a part of the largest
+        value; 0 if all values are 0.
+    points : int
+        Number of points.
+    last : float
+        Largest argument that was measured.
+    """
+
+    slope: float
+    intercept: float
+    largest_deviation: float
+    points: int
+    last: float
+
+    def extrapolate(self, argument: float) -> float:
+        """Return the value of the line at an argument."""
+        return self.intercept + self.slope * argument
+
+
+def fit_line(arguments: Sequence[float], values: Sequence[float]) -> Line:
+    """Fit a line by least squares.
+
+    Raises
+    ------
+    ValueError
+        If the arguments do not differ, because no slope follows from them.
+    """
+    count = len(arguments)
+    mean_argument = sum(arguments) / count
+    mean_value = sum(values) / count
+    spread = sum((argument - mean_argument) ** 2 for argument in arguments)
+    if spread == 0.0:
+        raise ValueError("a line needs points with different arguments")
+    pairs = list(zip(arguments, values, strict=True))
+    slope = sum((x - mean_argument) * (y - mean_value) for x, y in pairs) / spread
+    intercept = mean_value - slope * mean_argument
+    largest = max(abs(value) for value in values)
+    deviation = max(abs(y - intercept - slope * x) for x, y in pairs)
+    return Line(
+        slope=slope,
+        intercept=intercept,
+        largest_deviation=deviation / largest if largest else 0.0,
+        points=count,
+        last=max(arguments),
+    )
--- /dev/null
+++ b/benchmarks/socket_costs.py
@@ -0,0 +1,172 @@
+"""Processor time of the sockets and of the timer, measured on loopback.
+
+Messages are paced, because a node that spends its time on control sends a few
+dozen a second: each one then wakes the process up on its own.
+"""
+
+import asyncio
+import socket
+import threading
+import time
+
+import attrs
+import pynng
+import tornado.httpserver
+import tornado.ioloop
+import tornado.netutil
+import tornado.web
+import tornado.websocket
+
+from benchmarks import control_fleet
+from hyssopshelf import messages
+from hyssopshelf.runtime import endpoints, peers, wire
+
+PACE_SECONDS = 0.002
+COUNT = 200
+ROUNDS = 3
+"""The cheapest round counts, because the machine is shared."""
+
+MESSAGE_BYTES = 250
+"""Mean size of the control messages of a node, see bench_control."""
+
+ENDPOINT = "pool0000/d0/a"
+
+
+@attrs.frozen(kw_only=True)
+class SocketCosts:
+    """Processor seconds of one operation at the node.
+
+    Attributes
+    ----------
+    tick : float
+        Timer callback of the event loop without any work.
+    message : float
+        Sending or receiving one message: half of what both ends took.
+    probe : float
+        A status call with its JSON, only the client's end.
+    """
+
+    tick: float
+    message: float
+    probe: float
+
+
+def measure() -> SocketCosts:
+    """Measure all costs."""
+    return asyncio.run(_measure())
+
+
+async def _measure() -> SocketCosts:
+    tick = await _pace(lambda: None, time.process_time)
+    message = await _measure_messages()
+    probe = await _measure_probes()
+    return SocketCosts(
+        tick=tick,
+        message=max(0.0, message - tick) / 2,
+        probe=max(0.0, probe - tick),
+    )
+
+
+async def _pace(function, clock) -> float:
+    """Call a function at a fixed pace; return the processor time of one call."""
+    return min([await _run_round(function, clock) for _ in range(ROUNDS)])
+
+
+async def _run_round(function, clock) -> float:
+    timer = tornado.ioloop.PeriodicCallback(function, PACE_SECONDS * 1000)
+    await asyncio.sleep(0.05)
+    calls = 0
+
+    def call() -> None:
+        nonlocal calls
+        calls += 1
+        function()
+
+    timer.callback = call
+    started = clock()
+    timer.start()
+    while calls < COUNT:
+        await asyncio.sleep(0.05)
+    timer.stop()
+    await asyncio.sleep(0.05)
+    return (clock() - started) / calls
+
+
+async def _measure_messages() -> float:
+    address = f"127.0.0.1:{_find_port()}"
+    received = 0
+    inbox = pynng.Pull0(listen=f"tcp://{address}", recv_buffer_size=128)
+    loop = asyncio.get_running_loop()
+
+    def receive() -> None:
+        nonlocal received
+        while True:
+            try:
+                inbox.recv(block=False)
+            except pynng.TryAgain:
+                return
+            received += 1
+
+    loop.add_reader(inbox.recv_fd, receive)
+    dialer = peers.Dialer(address=address, emit=lambda event: None)
+    dialer.open()
+    data = bytes(MESSAGE_BYTES)
+    dialer.send("h", None, data)
+    cost = await _pace(lambda: dialer.send("h", None, data), time.process_time)
+    loop.remove_reader(inbox.recv_fd)
+    dialer.close()
+    inbox.close()
+    if received < COUNT * ROUNDS:
+        raise RuntimeError(f"only {received} messages of {COUNT * ROUNDS} arrived")
+    return cost
+
+
+class _StatusHandler(tornado.websocket.WebSocketHandler):
+    """Answers every control call with the same status."""
+
+    def on_message(self, message) -> None:
+        frame = messages.from_json(message, wire.ControlFrame)
+        status = control_fleet.make_status(ENDPOINT, ENDPOINT)
+        reply = wire.ControlReply(id=frame.id, granted=True, status=status)
+        self.write_message(messages.to_json(reply).decode())
+
+
+async def _measure_probes() -> float:
+    port = _find_port()
+    stop = threading.Event()
+    ready = threading.Event()
+    thread = threading.Thread(
+        target=lambda: asyncio.run(_serve_status(port, ready, stop)), daemon=True
+    )
+    thread.start()
+    ready.wait()
+    answers = []
+    adapter = endpoints.EndpointAdapter(
+        emit=answers.append, find_address=lambda endpoint: f"127.0.0.1:{port}"
+    )
+    adapter.probe(ENDPOINT, "first")
+    cost = await _pace(lambda: adapter.probe(ENDPOINT, "own.1.1234"), time.thread_time)
+    adapter.close()
+    stop.set()
+    thread.join()
+    answered = sum(event.status is not None for event in answers)
+    if answered < COUNT // 2:
+        raise RuntimeError(f"only {answered} probes were answered")
+    return cost
+
+
+async def _serve_status(port: int, ready, stop) -> None:
+    application = tornado.web.Application([(wire.CONTROL_PATH, _StatusHandler)])
+    server = tornado.httpserver.HTTPServer(application)
+    server.add_sockets(tornado.netutil.bind_sockets(port, "127.0.0.1"))
+    ready.set()
+    while not stop.is_set():
+        await asyncio.sleep(0.05)
+    server.stop()
+    await server.close_all_connections()
+
+
+def _find_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
