--- a/hyssopshelf/command/tests/test_main.py
+++ b/hyssopshelf/command/tests/test_main.py
@@ -131,6 +131,10 @@
     nodes.store.down = True
     assert call("apply", "-f", again, "--base-version", "2")[0] == main.Exit.UNAVAILABLE
     assert call("delete", "labelstore")[0] == main.Exit.USAGE
+    assert call("bill", "labelstore")[0] == main.Exit.UNAVAILABLE
+    nodes.store.down = False
+    nodes.store.lost_answers = 0
+    nodes.store.delay_seconds = 0.0
     assert call("bill", "labelstore")[0] == main.Exit.DONE
 
 
--- a/hyssopshelf/configuration/api.py
+++ b/hyssopshelf/configuration/api.py
@@ -7,6 +7,7 @@
 
 from hyssopshelf import base, exceptions, logs, messages, platform
 from hyssopshelf.configuration import (
+    bills,
     declarations,
     dissemination,
     documents,
@@ -16,7 +17,6 @@
     status,
     validation,
 )
-from hyssopshelf.scheduling import billing
 
 ErrorKind = exceptions.ErrorKind
 
@@ -413,11 +413,6 @@
     answer(board, operation.caller, body)
 
 
-def _bill(board, caller: str, request: requests.Bill, now: float) -> None:
-    lines = declarations.to_plain(billing.bill(board, request.pool))
-    answer(board, caller, {"pool": request.pool, "lines": lines})
-
-
 def step(board, now: float) -> None:
     """Go on with the requests that wait for the store, a version or a time."""
     for operation in list(board.configuration.operations.values()):
@@ -447,5 +442,5 @@
     requests.Diff: _diff,
     requests.Watch: _watch,
     requests.Status: _status,
-    requests.Bill: _bill,
+    requests.Bill: bills.start,
 }
--- a/hyssopshelf/configuration/controller.py
+++ b/hyssopshelf/configuration/controller.py
@@ -7,13 +7,14 @@
 from hyssopshelf import base
 from hyssopshelf.configuration import (
     api,
+    bills,
     dissemination,
     snapshots,
     status,
     watching,
 )
 
-_STORE_CALLERS = (api, watching, snapshots)
+_STORE_CALLERS = (api, bills, watching, snapshots)
 
 _STEPS = (snapshots, dissemination, watching, status, api)
 
--- a/hyssopshelf/configuration/progress.py
+++ b/hyssopshelf/configuration/progress.py
@@ -209,6 +209,8 @@
         Versions and checksums of the documents in force.
     encoded : dict
         Compressed form of the documents that were sent last, by pool.
+    bill_reads : dict
+        Caller and pool of the reads of bills, by store call.
     watchers : tuple of (int, tuple of str)
         The hosts that watch the store, with the version of the membership for
         which they were found.
@@ -226,6 +228,7 @@
     watch: StoreWatch = attrs.field(factory=StoreWatch)
     queries: dict[str, StatusQuery] = attrs.field(factory=dict)
     operations: dict[str, ApiOperation] = attrs.field(factory=dict)
+    bill_reads: dict[str, tuple[str, str]] = attrs.field(factory=dict)
     watchers: tuple[int, tuple[str, ...]] = (-1, ())
     digest_at: float = UNKNOWN_TIME
     heard_at: float | None = None
--- a/hyssopshelf/node.py
+++ b/hyssopshelf/node.py
@@ -195,6 +195,13 @@
         board.log(logs.LogEvent.PROCESS_DRAINING, host=board.identity.host)
 
 
+def prepare_stop(board, now: float) -> list[base.Action]:
+    """Return the last actions of a node that stops."""
+    billing.flush(board, now)
+    actions, board.actions = board.actions, []
+    return actions
+
+
 def is_idle(board, now: float) -> bool:
     """Return whether a draining node can stop without cutting a request.
 
--- a/hyssopshelf/runtime/engine.py
+++ b/hyssopshelf/runtime/engine.py
@@ -95,7 +95,9 @@
             self.emit(base.CallerGone(caller=caller))
 
     def stop(self) -> None:
-        """Stop the timer and close all adapters."""
+        """Pass on what must not be lost, and close all adapters."""
+        for action in node.prepare_stop(self.core.board, time.monotonic()):
+            carry_out(action, self)
         self._timer.stop()
         self._list_timer.stop()
         self._stopped = True
--- a/hyssopshelf/statements/answers.py
+++ b/hyssopshelf/statements/answers.py
@@ -8,6 +8,12 @@
 
 TICKET_PREFIX = "entry:"
 
+OVERLOAD_KINDS = (
+    exceptions.ErrorKind.REFUSED,
+    exceptions.ErrorKind.DEADLINE_PASSED,
+)
+"""Answers of a serving node that tell of too much work."""
+
 
 def learn(board, request, message: messages.ServedAnswer) -> None:
     """Learn from an answer what the entry node needs for its next choices."""
@@ -22,7 +28,7 @@
             statement.pool,
             statement.partner,
             request.rank,
-            message.error is exceptions.ErrorKind.REFUSED,
+            message.error in OVERLOAD_KINDS,
             message.queueing_seconds,
             board.now,
         )
--- a/hyssopshelf/statements/completion.py
+++ b/hyssopshelf/statements/completion.py
@@ -350,7 +350,7 @@
         status=_find_status(board, served),
         processing_seconds=now - served.received_at,
         queueing_seconds=(
-            started_at - served.work.enqueued_at if started_at is not None else 0.0
+            (started_at if started_at is not None else now) - served.work.enqueued_at
         ),
         **fields,
     )
