Accept the output form after the command's name

Cause: "hyssopshelf get POOL -o json" was refused, since -o belonged to the part before the command's name only. Change: each command takes -o too; a test uses it in that place.

--- a/hyssopshelf/command/main.py
+++ b/hyssopshelf/command/main.py
@@ -5,6 +5,7 @@
 found, 7 differences found (diff) or version not in force everywhere (status).
 """
 
+import argparse
 import enum
 import sys
 import urllib.parse
@@ -21,6 +22,10 @@
 """Time that one call of watch waits at the server."""
 
 
+FORMS = ("table", "json")
+"""Forms of the output."""
+
+
 class Exit(enum.IntEnum):
     """Exit status of the command."""
 
@@ -61,12 +66,15 @@
     parser.add_argument(
         "--seconds", type=float, default=5.0, help="time given to a request"
     )
-    parser.add_argument("-o", "--output", choices=("table", "json"), default="table")
+    parser.add_argument("-o", "--output", choices=FORMS, default="table")
     commands = parser.add_subparsers(dest="command", required=True)
 
     def add(name: str, run: Callable, text: str) -> configargparse.ArgumentParser:
         command = commands.add_parser(name, help=text, description=text)
         command.set_defaults(run=run)
+        # Accepted after the command's name too, without a default that would
+        # replace the value given before it.
+        command.add_argument("-o", "--output", choices=FORMS, default=argparse.SUPPRESS)
         return command
 
     def add_change_id(command: configargparse.ArgumentParser) -> None:
--- a/hyssopshelf/command/tests/test_main.py
+++ b/hyssopshelf/command/tests/test_main.py
@@ -88,7 +88,7 @@
     """Guards against a command that reports another state than the accepted one."""
     code, out, _ = call("-o", "json", "apply", "-f", str(EXAMPLE))
     assert (code, json.loads(out)["results"][0]["version"]) == (0, 1)
-    code, out, _ = call("-o", "json", "get", "labelstore", "split", "agreed")
+    code, out, _ = call("get", "labelstore", "split", "agreed", "-o", "json")
     assert json.loads(out)["spec"]["capacity"]["priehradka"] == 0.9
     assert "labelstore  1" in call("get")[1]
     assert "Rank" in call("get", "labelstore")[1]
