Wait out acknowledgements of a fenced primary; keep reports fresh between polls

Cause: a trial of the state machine with more examples found two faults. (1) The hold was left out when the old primary was fenced, even if its log was excluded. A confirmation made just before the fence could then be acknowledged after the promotion, within its 0.2 s. (2) A report counted as fresh for 1.0 s and polls of a long suspicion are 1.0 s apart plus a tick, so after 5 s without a majority the group never got a primary again.

Change: a fenced old primary shortens the hold to 0.22 s instead of 0, and only if its log is a candidate. Reports are fresh for 1.5 s.

The three new directed tests fail before and pass after. 51 tests of this package pass.

--- a/hyssopshelf/failover/observations.py
+++ b/hyssopshelf/failover/observations.py
@@ -17,8 +17,12 @@
 RANK_SECONDS = 2.0
 """Additional time by place in the order of watchers."""
 
-FRESH_SECONDS = 1.0
-"""Age up to which a report is evidence."""
+FRESH_SECONDS = 1.5
+"""Age up to which a report is evidence; longer by rank, as the polls are.
+
+It must exceed the poll interval: otherwise a long suspicion, which takes the
+normal interval again, never finds a majority of fresh reports.
+"""
 
 RENEWAL_SECONDS = 0.1
 """Least change of the time of a fetch that is not a change of network delay."""
--- a/hyssopshelf/failover/promotion.py
+++ b/hyssopshelf/failover/promotion.py
@@ -22,6 +22,14 @@
 it. The rest covers clocks that run at different rates.
 """
 
+ACKNOWLEDGEMENT_SECONDS = 0.22
+"""Shorter time that suffices if the old primary is fenced and may be chosen.
+
+Acknowledgements that were confirmed before the fence still leave within 0.2 s.
+What was acknowledged is then in the log of the new primary, so the margin only
+has to cover the order of the acknowledgement and the promotion.
+"""
+
 RETRY_SECONDS = 0.25
 """Time between repetitions of an unanswered control call."""
 
@@ -381,11 +389,14 @@
     # The primary of the term just below the proposed one is the only endpoint
     # whose writes can still be acknowledged by a confirmation made before the
     # fence. If the primary of that term is unknown, only the grant of all
-    # endpoints shows that none is left.
-    stopped = attempt.old_primary in attempt.grants or len(attempt.grants) == len(
+    # endpoints shows that none is left. An excluded primary's log is given up
+    # with what it acknowledged, so its own fence shortens nothing.
+    candidates = {n: s for n, s in attempt.grants.items() if n != attempt.excluded}
+    stopped = attempt.old_primary in candidates or len(candidates) == len(
         record.endpoints
     )
-    if not stopped and now < attempt.fenced_at + HOLD_SECONDS:
+    wait = ACKNOWLEDGEMENT_SECONDS if stopped else HOLD_SECONDS
+    if now < attempt.fenced_at + wait:
         return
     if (
         attempt.target
@@ -394,7 +405,6 @@
         and now < attempt.fenced_at + GRACE_SECONDS
     ):
         return
-    candidates = {n: s for n, s in attempt.grants.items() if n != attempt.excluded}
     avoided = frozenset(
         name
         for name in candidates
--- a/hyssopshelf/failover/tests/test_promotion.py
+++ b/hyssopshelf/failover/tests/test_promotion.py
@@ -247,3 +247,34 @@
     assert 3 not in fleet.promoted
     fleet.run(0.3)
     assert 3 in fleet.promoted
+
+
+@pytest.mark.parametrize(
+    ("excluding", "wait"),
+    [(True, promotion.HOLD_SECONDS), (False, promotion.ACKNOWLEDGEMENT_SECONDS)],
+)
+def test_fenced_primary_shortens_the_hold_only_as_a_candidate(excluding, wait):
+    """Guards against an acknowledgement that leaves after the promotion."""
+    fleet = group.Group()
+    fleet.run(4.0)
+    board = fleet.boards["h0"]
+    excluded = fleet.find_primary() if excluding else ""
+    reason = promotion.Reason.LEADERLESS
+    promotion.start(board, group.DATABASE, reason, excluded, fleet.now)
+    started = fleet.now
+    fleet.run(1.0)
+    assert wait <= fleet.promoted[2][1] - started <= wait + 0.2
+
+
+def test_group_recovers_after_a_long_time_without_a_majority():
+    """Guards against reports that are never fresh once polls are slow again."""
+    fleet = group.Group()
+    fleet.run(4.0)
+    fence = messages.Fence(term=9, promoter="gone")
+    for instance in fleet.instances.values():
+        instance.fence(fence, fleet.now)
+    fleet.silent.update(fleet.names[:2])
+    fleet.run(10.0)
+    fleet.silent.clear()
+    fleet.run(6.0)
+    assert fleet.find_primary()
