Exchange the regions of places whose hosts are gone

Cause: a node that started after all hosts of a place were forgotten did not know the region of the place and served its endpoints from another region than the older nodes did.

Change: the regions of all places that a node remembers are part of the table that a joining node gets.

Conclusion: placement is a function of the hosts, the regions and the endpoints that all nodes share.

--- a/hyssopshelf/membership/placement.py
+++ b/hyssopshelf/membership/placement.py
@@ -88,8 +88,6 @@
         The tuples that ``homes`` holds.
     homes : dict of str to tuple of (str, str)
         Declared place of each endpoint and the place that serves it.
-    regions : dict of str to str
-        Regions of all places that were ever seen.
     served : set of str
         Endpoints that this host serves.
     """
@@ -98,7 +96,6 @@
     seen: dict[str, tuple[str, tuple[str, ...]]] = attrs.field(factory=dict)
     pairs: dict[tuple[str, str], tuple[str, str]] = attrs.field(factory=dict)
     homes: dict[str, tuple[str, str]] = attrs.field(factory=dict)
-    regions: dict[str, str] = attrs.field(factory=dict)
     served: set[str] = attrs.field(factory=set)
     hosts_key: tuple = ()
     endpoints_key: tuple = ()
@@ -231,7 +228,7 @@
     record = board.hosts.get(name)
     if record is None:
         return NOWHERE
-    board.placement_state.regions[record.place] = record.region
+    board.membership.regions[record.place] = record.region
     return (record.place, record.moved) if records.is_usable(record, now) else NOWHERE
 
 
@@ -299,7 +296,7 @@
         home = state.homes.get(name)
         if home is not None and home[0] == record.place and not everything:
             continue
-        place = _choose_place(state, name, record.place)
+        place = _choose_place(board, name, record.place)
         if home == (record.place, place) and name in _get_choices(state, place):
             continue
         _remove(state, name)
@@ -328,19 +325,19 @@
         table.dirty, table.ordered = True, None
 
 
-def _choose_place(state: Placement, endpoint: str, place: str) -> str:
+def _choose_place(board, endpoint: str, place: str) -> str:
     """Return the place that serves an endpoint.
 
     Its own place if that has usable hosts, otherwise one of the same region,
     otherwise any. The choice of another place differs between endpoints, so
     that their load spreads.
     """
-    if place in state.tables or not state.tables:
-        return place if state.tables else ""
-    region = state.regions.get(place)
-    near = [name for name in state.tables if state.regions[name] == region]
+    tables, regions = board.placement_state.tables, board.membership.regions
+    if place in tables or not tables:
+        return place if tables else ""
+    near = [name for name in tables if regions[name] == regions.get(place)]
     key = rendezvous.make_seed(endpoint)
-    seeds = [(rendezvous.make_seed(name), name) for name in near or state.tables]
+    seeds = [(rendezvous.make_seed(name), name) for name in near or tables]
     return rendezvous.rank(key, seeds, 1)[0]
 
 
--- a/hyssopshelf/membership/protocol.py
+++ b/hyssopshelf/membership/protocol.py
@@ -61,6 +61,9 @@
     suspects, dead, held : dict of str to float
         Hosts by the time at which their suspicion ends, at which they are
         forgotten, and from which they are usable again.
+    regions : dict of str to str
+        Regions of all places that any node remembers, so that all nodes choose
+        alike for a place whose hosts are gone.
     """
 
     seeds: tuple[str, ...] = ()
@@ -76,6 +79,7 @@
     suspects: dict[str, float] = attrs.field(factory=dict)
     dead: dict[str, float] = attrs.field(factory=dict)
     held: dict[str, float] = attrs.field(factory=dict)
+    regions: dict[str, str] = attrs.field(factory=dict)
     digests: gossip.Digests = attrs.field(factory=gossip.Digests)
     outbox: gossip.Outbox = attrs.field(factory=gossip.Outbox)
     probe: Probe | None = None
@@ -162,6 +166,7 @@
     sender: gossip.Row
     buckets: tuple[int, ...]
     rows: tuple[gossip.Row, ...]
+    regions: dict[str, str]
 
 
 @messages.register("membership.leaving")
--- a/hyssopshelf/membership/tables.py
+++ b/hyssopshelf/membership/tables.py
@@ -73,7 +73,10 @@
         and gossip.get_bucket(record.name) in buckets
     )
     message = protocol.Table(
-        sender=exchange.make_own_row(board), buckets=buckets, rows=rows
+        sender=exchange.make_own_row(board),
+        buckets=buckets,
+        rows=rows,
+        regions=dict(board.membership.regions),
     )
     exchange.send(board, host, message)
 
@@ -87,6 +90,7 @@
     """
     exchange.apply_message(board, message, host, now)
     state = board.membership
+    state.regions = message.regions | state.regions
     listed = {row[0] for row in message.rows}
     state.conflicting |= dict.fromkeys(listed & state.dead.keys())
     state.doubted = [
--- a/hyssopshelf/membership/tests/test_hosts.py
+++ b/hyssopshelf/membership/tests/test_hosts.py
@@ -189,6 +189,7 @@
     """Guards against a new node that knows nobody or that nobody knows."""
     fleet = start_fleet()
     seeds = () if through_list else ("h0002:7100",)
+    fleet.members["h0002"].board.membership.regions["lost"] = "r9"
     new = fleet.start("h9999", seeds=seeds)
     if through_list:
         rows = fleets.make_entries(8, 1)
@@ -196,6 +197,8 @@
     fleet.run(3.0)
     for member in fleet.members.values():
         assert len(get_live(member)) == 9
+    if not through_list:
+        assert new.board.membership.regions == {"p0": "r0", "lost": "r9"}
 
 
 def test_listed_host_that_does_not_answer_is_not_live():
@@ -245,7 +248,9 @@
     fleet = start_fleet(2)
     board = fleet.members["h0000"].board
     row = gossip.make_row(board.hosts["h0001"])
-    table = protocol.Table(sender=row, buckets=(1, 2), rows=(row, row))
+    table = protocol.Table(
+        sender=row, buckets=(1, 2), rows=(row, row), regions={"p0": "r0"}
+    )
     envelope = messages.Envelope(host="h", address="a", message=table)
     assert messages.decode(messages.encode(envelope)) == envelope
 
--- a/hyssopshelf/membership/tests/test_placement.py
+++ b/hyssopshelf/membership/tests/test_placement.py
@@ -261,6 +261,8 @@
         placement.step(self.board, self.now)
         fresh = make_board()
         fresh.hosts, fresh.endpoints = self.board.hosts, self.board.endpoints
+        # A node that joins gets the regions of places without hosts as well.
+        fresh.membership.regions |= self.board.membership.regions
         placement.assign(fresh, self.now)
         if fresh.placement_state.tables:
             assert self.board.placement == fresh.placement
--- a/hyssopshelf/membership/transitions.py
+++ b/hyssopshelf/membership/transitions.py
@@ -62,6 +62,7 @@
     state.digests = gossip.Digests()
     for record in board.hosts.values():
         state.digests.toggle(record)
+        state.regions[record.place] = record.region
     dead = sum(r.state is records.HostState.DEAD for r in board.hosts.values())
     state.peers = len(board.hosts) - dead - 1
 
@@ -80,6 +81,7 @@
 def _add(board, record: records.HostRecord) -> None:
     state = board.membership
     board.hosts[record.name] = record
+    state.regions[record.place] = record.region
     state.digests.toggle(record)
     state.outbox.add(record.name)
     _touch(board, record.name)
@@ -274,6 +276,7 @@
         region=region,
         moved=moved,
     )
+    state.regions[place] = region
     if restarted or was_dead:
         _log_alive(board, record)
 
