--- a/benchmarks/faults/plan.py
+++ b/benchmarks/faults/plan.py
@@ -171,11 +171,15 @@
         """
         primary = self._choose_primary()
         others = {name for name in primary.peers if name != primary.name}
+        hosts = [connection.host for connection in primary.connections.values()]
+        server = max(sorted(set(hosts)), key=hosts.count) if hosts else ""
+        if self.random.random() < 0.5:
+            # The promoter cannot fence the primary then, but it is still served.
+            others.update(name for name in self.around.nodes if name != server)
         heal = self._cut_groups({primary.name}, others, 9.0)
         self.around.loop.call_later(9.0, heal)
-        hosts = [connection.host for connection in primary.connections.values()]
-        if hosts:
-            process = self.around.nodes[max(sorted(set(hosts)), key=hosts.count)]
+        if server:
+            process = self.around.nodes[server]
             begin = self.random.uniform(1.0, 2.3)
             pause = self.random.uniform(0.8, 4.0)
             self.around.loop.call_later(begin, self._pause_for, process, pause)
--- a/benchmarks/faults/variants.py
+++ b/benchmarks/faults/variants.py
@@ -222,7 +222,7 @@
 # Configuration.
 
 
-@add_variant(documents, "supersedes", "configuration_reverted")
+@add_variant(documents, "supersedes", "configuration_reverted", "store_reverted")
 def apply_any_version(new, held):
     """Apply every document that differs from the one held."""
     return new != held
