Notice changed pools by a counter instead of all versions

Cause: placement built a tuple of the versions of all 2,934 pools on each tick. Change: apply_document counts the documents it applied; placement compares the counter.

--- a/hyssopshelf/configuration/application.py
+++ b/hyssopshelf/configuration/application.py
@@ -21,6 +21,7 @@
         Where the document came from, for the log.
     """
     board.documents[document.pool] = document
+    board.configuration.changes += 1
     view = views.build_view(document)
     _remove_missing(board, document.pool, board.pools.get(document.pool), view)
     if view is None:
--- a/hyssopshelf/configuration/progress.py
+++ b/hyssopshelf/configuration/progress.py
@@ -216,6 +216,9 @@
         Time at which a peer or the store was last reached.
     reported_old : bool
         The node has logged that its configuration may be old.
+    changes : int
+        Number of documents applied; it tells other controllers of a change
+        without a look at all pools.
     """
 
     table: versions.VersionTable = attrs.field(factory=versions.VersionTable)
@@ -231,3 +234,4 @@
     heard_at: float | None = None
     peer_heard_at: float | None = None
     reported_old: bool = False
+    changes: int = 0
--- a/hyssopshelf/membership/placement.py
+++ b/hyssopshelf/membership/placement.py
@@ -169,9 +169,8 @@
     return (board.membership.version, len(board.hosts))
 
 
-def _make_endpoints_key(board) -> tuple:
-    versions = tuple(view.version for view in board.pools.values())
-    return (len(board.endpoints), versions)
+def _make_endpoints_key(board) -> tuple[int, int]:
+    return (board.configuration.changes, len(board.endpoints))
 
 
 def _refresh(board, now: float) -> None:
