Choose keepers and writers of accounts only after a change

Cause: every 10 s billing sorted all hosts for each pool that it serves or keeps copies for (16 at the target size) in one tick; the measured node kept copies of no further pools, so bench_control showed too little. Change: hosts are chosen when the membership or the pools changed and every 60 s, by rendezvous.rank instead of a sort. The order is now the one of membership (lowest score first), and suspected hosts stay chosen until they are dead. Peers of bench_control now send copies of other pools.

--- a/benchmarks/control_fleet.py
+++ b/benchmarks/control_fleet.py
@@ -575,4 +575,8 @@
 
 @answer.register
 def _(message: accounts.AccountCopy, fleet: ControlFleet, host: str) -> None:
-    fleet.deliver(host, attrs.evolve(message, host=host), PEER_SECONDS)
+    # The accounts that the node keeps for others are of other pools.
+    index = fleet.pools.index(message.pool) + fleet.names.index(host) + 1
+    pool = fleet.pools[index % len(fleet.pools)]
+    copy = attrs.evolve(message, pool=pool, host=host)
+    fleet.deliver(host, copy, PEER_SECONDS)
--- a/hyssopshelf/scheduling/billing.py
+++ b/hyssopshelf/scheduling/billing.py
@@ -6,7 +6,7 @@
 import attrs
 
 from hyssopshelf import base, logs, messages
-from hyssopshelf.membership import placement
+from hyssopshelf.membership import records, rendezvous
 from hyssopshelf.scheduling import accounts, budgets, settlement, shares
 
 PERIOD_SECONDS = 1.0
@@ -26,9 +26,15 @@
 
 HOSTS_REFRESH_SECONDS = 10.0
 
+HOSTS_REVIEW_SECONDS = 60.0
+"""Time after which keepers and writers are chosen anew even if no host changed.
+At the target size a choice takes about 2 ms for each pool."""
+
 BYTES_PER_SECOND = 600.0
 """Part of the 1 KB/s that scheduling may send; the usage exchange has the rest."""
 
+_LIVE = (records.HostState.ALIVE, records.HostState.SUSPECT)
+
 
 @messages.register("scheduling.folded")
 @attrs.frozen(kw_only=True)
@@ -68,6 +74,8 @@
     keepers: tuple[str, ...] = ()
     writers: dict[str, str] = attrs.field(factory=dict)
     hosts_read_at: float = float("-inf")
+    hosts_key: tuple = ()
+    chosen_at: float = float("-inf")
     copied_at: float = float("-inf")
     copied: dict[tuple[str, str, int], accounts.AccountCopy] = attrs.field(factory=dict)
     reported_at: dict[str, float] = attrs.field(factory=dict)
@@ -159,7 +167,7 @@
     state = board.bills
     if now - state.hosts_read_at >= HOSTS_REFRESH_SECONDS:
         state.hosts_read_at = now
-        _read_hosts(board)
+        _follow_hosts(board, now)
     if now - state.copied_at >= PERIOD_SECONDS - shares.ROUNDING_SECONDS:
         state.copied_at = now
         _send_copies(board, now)
@@ -217,36 +225,51 @@
             del held.open[key]
 
 
-def order_hosts(key: str, hosts) -> list[str]:
-    """Return hosts in the rendezvous order of a key, the first one first."""
-    return sorted(hosts, key=lambda host: -placement.compute_weight(key, host))
-
-
 def _own_key(board) -> tuple[str, int]:
     return (board.identity.host, board.identity.incarnation)
 
 
-def _live_hosts(board) -> set[str]:
-    hosts = {name for name, row in board.hosts.items() if row.state.value == "alive"}
-    return hosts | {board.identity.host}
+def _follow_hosts(board, now: float) -> None:
+    """Choose keepers and writers if hosts or pools changed since the last choice."""
+    state = board.bills
+    key = (board.membership.version, len(board.hosts))
+    recent = now - state.chosen_at < HOSTS_REVIEW_SECONDS
+    same_pools = state.pools.keys() == state.writers.keys()
+    if recent and same_pools and key == state.hosts_key:
+        return
+    state.hosts_key = key
+    state.chosen_at = now
+    _choose_hosts(board)
 
 
-def _read_hosts(board) -> None:
+def _choose_hosts(board) -> None:
     """Choose the keepers of the own accounts and the writer of each pool.
 
     Keepers in other places are preferred, as the hosts of a place may fail
-    together.
+    together. Suspected hosts count as live: most suspicions are refuted, and
+    only a death tells that the choice may have to change.
     """
     state = board.bills
-    hosts = _live_hosts(board)
-    own = board.identity.host
-    ranked = order_hosts(f"keepers/{own}", hosts - {own})
-    place = board.identity.place
-    ranked.sort(key=lambda host: board.hosts[host].place == place)
-    state.keepers = tuple(ranked[:KEEPERS])
+    own, place = board.identity.host, board.identity.place
+    seeds = [(rendezvous.make_seed(own), own)]
+    near, far = [], []
+    for name, row in board.hosts.items():
+        if name == own or row.state not in _LIVE:
+            continue
+        item = (rendezvous.make_seed(name), name)
+        seeds.append(item)
+        (near if row.place == place else far).append(item)
+    key = rendezvous.make_seed(f"keepers/{own}")
+    keepers = rendezvous.rank(key, far, KEEPERS)
+    if len(keepers) < KEEPERS:
+        keepers += rendezvous.rank(key, near, KEEPERS - len(keepers))
+    state.keepers = tuple(keepers)
     for key in [key for key in state.copied if key[0] not in state.keepers]:
         del state.copied[key]
-    state.writers = {pool: order_hosts(pool, hosts)[0] for pool in state.pools}
+    state.writers = {
+        pool: rendezvous.rank(rendezvous.make_seed(pool), seeds, 1)[0]
+        for pool in state.pools
+    }
 
 
 def _send_copies(board, now: float) -> None:
