--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -1,8 +1,8 @@
 """Real processes behind fault-injecting proxies, for tests and benchmarks.
 
 A fleet is a store, a host list, one database of three endpoints and a few nodes,
-each a process of its own on a loopback address. Nodes reach endpoints, and replicas their
-primary, through fault proxies that run in the test's event loop.
+each a process of its own on a loopback address. Nodes reach endpoints, and
+replicas their primary, through fault proxies in the test's event loop.
 """
 
 import asyncio
