Run the demo through the stand-in platform

Cause: the demo put its configuration in force by hand. Change: it starts the store and the host list, applies its resources through a proxy, and the proxies promote the first primary. Conclusion: the demo uses the whole system.

--- a/hyssopshelf/demo.py
+++ b/hyssopshelf/demo.py
@@ -9,11 +9,13 @@
 import tornado.httpserver
 import tornado.netutil
 
-from hyssopshelf import blackboard, client, logs, messages, node
-from hyssopshelf.configuration import application, resources
+from hyssopshelf import blackboard, client, exceptions, logs, node, platform
+from hyssopshelf.configuration import requests, resources
 from hyssopshelf.runtime import engine as engines
+from hyssopshelf.runtime import hostlist as hostlist_adapter
 from hyssopshelf.runtime import server
-from hyssopshelf.standins import database, endpoint
+from hyssopshelf.runtime import store as store_adapter
+from hyssopshelf.standins import database, endpoint, hostlist, store
 
 POOL = "mondkartei"
 DATABASE = "orders"
@@ -21,8 +23,8 @@
 PLACES = ("steyr-rathaus", "enns-werkhof", "freistadt-keller")
 
 
-def make_document(addresses: dict[str, str]) -> resources.Document:
-    """Return the configuration of the demo."""
+def make_resources(addresses: dict[str, str]) -> tuple[resources.Resource, ...]:
+    """Return the declared resources of the demo."""
     endpoints = tuple(
         resources.EndpointSpec(
             name=name, address=addresses[f"{POOL}/{DATABASE}/{name}"], place=place
@@ -54,34 +56,32 @@
             PARTNER,
             resources.PartnerSpec(kinds=kinds),
         ),
+        (
+            resources.ResourceKind.SPLIT,
+            "agreed",
+            resources.SplitSpec(capacity={PARTNER: 1.0}, bill={PARTNER: 1.0}),
+        ),
         *((resources.ResourceKind.RANK, name, spec) for name, spec in ranks.items()),
     ]
-    return resources.Document(
-        pool=POOL,
-        version=1,
-        resources=tuple(
-            resources.Resource(kind=kind, pool=POOL, name=name, spec=spec)
-            for kind, name, spec in declared
-        ),
+    return tuple(
+        resources.Resource(kind=kind, pool=POOL, name=name, spec=spec)
+        for kind, name, spec in declared
     )
 
 
 async def start_endpoints() -> dict[str, endpoint.EndpointServer]:
-    """Start three instances; the first one is the primary."""
+    """Start three instances; none is primary until the proxies promote one."""
     servers = {}
     for name in "abc":
         full_name = f"{POOL}/{DATABASE}/{name}"
         servers[full_name] = endpoint.EndpointServer(
             instance=database.Instance(name=full_name)
         )
-    first = next(iter(servers))
     for started in servers.values():
         started.start()
     addresses = {name: started.address for name, started in servers.items()}
-    servers[first].instance.bootstrap(1, 0.0)
     for started in servers.values():
         started.peers.update(addresses)
-        started.instance.follow(messages.Follow(term=1, primary=first), 0.0)
     return servers
 
 
@@ -94,35 +94,60 @@
     return addresses
 
 
-def start_proxies(document: resources.Document) -> tuple[dict, dict]:
+def start_platform() -> tuple[store.StoreServer, hostlist.HostListServer, dict]:
+    """Start the key-value store and the host list; return them with their URLs."""
+    keeper = store.StoreServer(store=store.KeyValueStore())
+    listing = hostlist.HostListServer(hosts=hostlist.HostList())
+    urls = {
+        "store": f"http://127.0.0.1:{keeper.start()}",
+        "hosts": f"http://127.0.0.1:{listing.start()}",
+    }
+    return keeper, listing, urls
+
+
+def start_proxies(urls: dict, hosts: hostlist.HostList) -> tuple[dict, dict]:
     """Start two proxies; return their engines and caller addresses by host."""
     keys = (("demo", secrets.token_bytes(32)),)
-    identities = [
-        blackboard.Identity(host=f"proxy-{number}", address=address, place=place)
-        for number, (place, address) in enumerate(
-            zip(PLACES, find_free_addresses(2), strict=False), start=1
-        )
-    ]
     engines_by_host = {}
     addresses = {}
-    for identity in identities:
-        core = node.Node(identity=identity, seed=1, token_keys=keys)
-        for other in identities:
-            core.board.hosts[other.host] = blackboard.HostRecord(
-                name=other.host, address=other.address, place=other.place
-            )
-        application.apply_document(core.board, document, 0.0)
-        core.board.configuration_ready = True
-        engine = engines.Engine(core=core)
+    peer_addresses = find_free_addresses(2)
+    for number, (place, peer) in enumerate(
+        zip(PLACES, peer_addresses, strict=False), start=1
+    ):
+        host = f"proxy-{number}"
+        identity = blackboard.Identity(
+            host=host, address=peer, place=place, region=place, incarnation=1
+        )
+        hosts.add(
+            platform.HostEntry(name=host, address=peer, place=place, region=place), 0.0
+        )
+        engine = engines.Engine(
+            core=node.Node(identity=identity, seed=number, token_keys=keys),
+            store=store_adapter.StoreAdapter(url=urls["store"]),
+            host_list=hostlist_adapter.HostListAdapter(url=urls["hosts"]),
+        )
         http = tornado.httpserver.HTTPServer(server.make_application(engine))
         sockets = tornado.netutil.bind_sockets(0, "127.0.0.1")
         http.add_sockets(sockets)
-        addresses[identity.host] = f"127.0.0.1:{sockets[0].getsockname()[1]}"
+        addresses[host] = f"127.0.0.1:{sockets[0].getsockname()[1]}"
         engine.start()
-        engines_by_host[identity.host] = engine
+        engines_by_host[host] = engine
     return engines_by_host, addresses
 
 
+async def apply_resources(
+    engine: engines.Engine, declared: tuple[resources.Resource, ...]
+) -> None:
+    """Wait until a proxy is ready and apply the resources through it."""
+    while not engine.core.board.configuration_ready:
+        await asyncio.sleep(0.05)
+    request = requests.Apply(pool=POOL, change_id="demo-1", resources=declared)
+    answer = await engine.submit(request)
+    if answer.error is not None:
+        raise exceptions.AnswerError(answer.error, answer.message)
+    print(f"applied {len(declared)} resources through proxy-1")
+
+
 async def run_session(addresses: dict[str, str]) -> None:
     """Write an order through one proxy and read it back through the other."""
     session = client.Session(
@@ -130,6 +155,7 @@
         pool=POOL,
         database=DATABASE,
         partner=PARTNER,
+        timeout_seconds=20.0,
     )
     await session.roam(addresses["proxy-1"])
     transaction = await session.begin(kind="order")
@@ -151,16 +177,18 @@
 async def run() -> None:
     """Run the demo."""
     logs.configure(form="text", level="INFO")
+    keeper, listing, urls = start_platform()
     endpoints = await start_endpoints()
-    document = make_document({n: s.address for n, s in endpoints.items()})
-    proxies, addresses = start_proxies(document)
+    proxies, addresses = start_proxies(urls, listing.hosts)
+    print(f"platform: store at {urls['store']}, host list at {urls['hosts']}")
     print(f"endpoints: {', '.join(endpoints)}")
     print(f"proxies: {', '.join(f'{h} at {a}' for h, a in addresses.items())}")
-    await asyncio.sleep(0.6)
+    declared = make_resources({n: s.address for n, s in endpoints.items()})
+    await apply_resources(proxies["proxy-1"], declared)
     await run_session(addresses)
     for engine in proxies.values():
         engine.stop()
-    for started in endpoints.values():
+    for started in (*endpoints.values(), keeper, listing):
         await started.stop()
 
 
