--- a/hyssopshelf/configuration/progress.py
+++ b/hyssopshelf/configuration/progress.py
@@ -209,6 +209,8 @@
         Versions and checksums of the documents in force.
     encoded : dict
         Compressed form of the documents that were sent last, by pool.
+    bill_reads : dict
+        Caller and pool of the reads of bills, by store call.
     watchers : tuple of (int, tuple of str)
         The hosts that watch the store, with the version of the membership for
         which they were found.
@@ -216,6 +218,9 @@
         Time at which a peer or the store was last reached.
     reported_old : bool
         The node has logged that its configuration may be old.
+    changes : int
+        Number of documents applied; it tells other controllers of a change
+        without a look at all pools.
     """
 
     table: versions.VersionTable = attrs.field(factory=versions.VersionTable)
@@ -226,8 +231,10 @@
     watch: StoreWatch = attrs.field(factory=StoreWatch)
     queries: dict[str, StatusQuery] = attrs.field(factory=dict)
     operations: dict[str, ApiOperation] = attrs.field(factory=dict)
+    bill_reads: dict[str, tuple[str, str]] = attrs.field(factory=dict)
     watchers: tuple[int, tuple[str, ...]] = (-1, ())
     digest_at: float = UNKNOWN_TIME
     heard_at: float | None = None
     peer_heard_at: float | None = None
     reported_old: bool = False
+    changes: int = 0
