--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -338,7 +338,7 @@
                 f"http://{address}", method="POST", body=json.dumps(body)
             )
             return fetched.body
-        except ConnectionRefusedError:
+        except OSError:
             if time.monotonic() > deadline:
                 raise
             await asyncio.sleep(0.05)
