--- a/hyssopshelf/membership/tables.py
+++ b/hyssopshelf/membership/tables.py
@@ -73,7 +73,10 @@
         and gossip.get_bucket(record.name) in buckets
     )
     message = protocol.Table(
-        sender=exchange.make_own_row(board), buckets=buckets, rows=rows
+        sender=exchange.make_own_row(board),
+        buckets=buckets,
+        rows=rows,
+        regions=dict(board.membership.regions),
     )
     exchange.send(board, host, message)
 
@@ -90,6 +93,7 @@
     2 KB/s for 50 minutes.
     """
     state = board.membership
+    state.regions = message.regions | state.regions
     joining = state.peers == 0
     exchange.apply_message(board, message, host, now)
     listed = {row[0] for row in message.rows}
