--- a/benchmarks/control_fleet.py
+++ b/benchmarks/control_fleet.py
@@ -500,6 +500,7 @@
         sender=fleet.rows[host],
         buckets=tuple(range(gossip.BUCKETS)),
         rows=tuple(fleet.rows.values()),
+        regions={row[5]: row[6] for row in fleet.rows.values()},
     )
     fleet.deliver(host, table, PEER_SECONDS)
 
