--- a/benchmarks/bench_control.py
+++ b/benchmarks/bench_control.py
@@ -23,8 +23,8 @@
 import attrs
 
 from benchmarks import control_fleet, fitting, socket_costs
-from hyssopshelf import base, messages, node, platform
-from hyssopshelf.configuration import dissemination, snapshots
+from hyssopshelf import node
+from hyssopshelf.configuration import dissemination
 from hyssopshelf.failover import terms
 from hyssopshelf.membership import gossip
 
@@ -256,73 +256,6 @@
     return figures
 
 
-def serve_snapshot(fleet) -> dict:
-    """Return what it costs to give the whole snapshot to a starting node."""
-    fleet.reset()
-    asker, after = fleet.names[0], ""
-    while True:
-        fleet.deliver(asker, snapshots.SnapshotRequest(after=after))
-        fleet.run(0.0)
-        names = [name for name in fleet.pools if name > after]
-        after = names[: snapshots.PART_DOCUMENTS][-1]
-        if after == fleet.pools[-1]:
-            break
-    costs = fleet.reset()
-    return {
-        "processor_seconds": round(costs.seconds, 2),
-        "sent_bytes": costs.sent_bytes,
-        "longest_event_ms": round(1000 * costs.longest, 1),
-    }
-
-
-def run_outage(fleet, regions: bool, sockets) -> dict:
-    """Let a failure domain or a region fail and come back."""
-    index = 6 if regions else 5
-    # A place and a region that the node itself is not in.
-    column = fleet.rows[fleet.names[1]][index]
-    names = [name for name in fleet.names if fleet.rows[name][index] == column]
-    fleet.fail(names)
-    lost = measure_window(fleet, WINDOW_SECONDS, sockets)
-    fleet.come_back(names)
-    back = measure_window(fleet, WINDOW_SECONDS, sockets)
-    return {"hosts": len(names), "lost": lost, "back": back}
-
-
-def run_reader(fleet, sockets) -> dict:
-    """Return what the few readers of the store and of the host list spend."""
-    board = fleet.board
-    version = board.membership.version
-    names = (control_fleet.OWN, *fleet.names[:2])
-    board.configuration.watchers = (version, names)
-    watching = measure_window(fleet, WINDOW_SECONDS, sockets)
-    fleet.store_down = True
-    down = measure_window(fleet, 2 * WINDOW_SECONDS, sockets)
-    fleet.store_down = False
-    restored = measure_window(fleet, WINDOW_SECONDS, sockets)
-    board.configuration.watchers = (version, ())
-    return {
-        "watching": watching,
-        "store_down": down,
-        "store_restored": restored,
-        "host_list_ms": measure_host_list(fleet),
-    }
-
-
-def measure_host_list(fleet) -> float:
-    """Return the processor time of one host list, in milliseconds."""
-    rows = [
-        {"name": row[0], "address": row[4], "place": row[5], "region": row[6]}
-        for row in fleet.rows.values()
-    ]
-    text = json.dumps({"hosts": rows})
-    started = time.process_time()
-    entries = messages.structure(
-        json.loads(text)["hosts"], tuple[platform.HostEntry, ...]
-    )
-    fleet.handle(base.HostListReceived(hosts=entries))
-    return round(1000 * (time.process_time() - started), 2)
-
-
 def run_target(seed: int, sockets) -> tuple[dict, dict]:
     """Measure the target size directly; return its figures and the rate axes."""
     fleet = control_fleet.ControlFleet(size=TARGET, seed=seed)
@@ -335,12 +268,6 @@
     figures["served"] = len(fleet.board.placement_state.served)
     figures["watched"] = len(fleet.board.failover.watching.watches)
     axes = {axis: run_rates(fleet, axis, sockets) for axis in RATES}
-    skip_learning(fleet)
-    figures["snapshot_served"] = serve_snapshot(fleet)
-    figures["reader"] = run_reader(fleet, sockets)
-    figures["domain_lost"] = run_outage(fleet, False, sockets)
-    skip_learning(fleet)
-    figures["region_cut_off"] = run_outage(fleet, True, sockets)
     sizes = [len(data) for _, data in fleet.packed.values()]
     figures["compressed_document_bytes"] = round(sum(sizes) / len(sizes))
     figures["part_bytes"] = dissemination.PART_BYTES
