--- /dev/null
+++ b/benchmarks/commands.py
@@ -0,0 +1,25 @@
+"""The command line that the benchmarks share."""
+
+import argparse
+import json
+from collections.abc import Callable
+
+
+def run_benchmark(run: Callable[[int], dict], description: str) -> None:
+    """Run a benchmark and print its report.
+
+    Parameters
+    ----------
+    run : callable
+        Takes the seed and returns the report.
+    description : str
+        Text of the help page.
+    """
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--json", action="store_true", help="print only the last line")
+    values = parser.parse_args()
+    report = run(values.seed)
+    if not values.json:
+        print(json.dumps(report, indent=1))
+    print(json.dumps(report))
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -6,16 +6,18 @@
 """
 
 import asyncio
+import contextlib
+import itertools
 import json
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import time
 
 import tornado.httpclient
-import tornado.netutil
 import yaml
 
 from hyssopshelf import client
@@ -81,13 +83,22 @@
 
 ADDRESS = choose_address()
 
+FIRST_PORT = 10_000
+"""Ports are given out upwards from here, below those that the system chooses, so
+that neither another fleet of the run nor an outgoing connection takes them."""
+
+
+_PORTS = itertools.count(FIRST_PORT)
+
 
 def find_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    sockets = [tornado.netutil.bind_sockets(0, ADDRESS)[0] for _ in range(count)]
-    ports = [socket.getsockname()[1] for socket in sockets]
-    for socket in sockets:
-        socket.close()
+    """Return ports of this run's address that it has not used before."""
+    ports = []
+    while len(ports) < count:
+        port = next(_PORTS)
+        with contextlib.suppress(OSError), socket.socket() as probe:
+            probe.bind((ADDRESS, port))
+            ports.append(port)
     return ports
 
 
