--- a/benchmarks/bench_bad_hours.py
+++ b/benchmarks/bench_bad_hours.py
@@ -6,12 +6,11 @@
 the ordinary day.
 """
 
-import argparse
 import gc
 import json
 import time
 
-from benchmarks import bench_control, control_fleet, socket_costs
+from benchmarks import bench_control, commands, control_fleet, socket_costs
 from hyssopshelf import base, messages, platform
 from hyssopshelf.configuration import snapshots
 
@@ -114,17 +113,5 @@
     return report
 
 
-def main() -> None:
-    """Run the benchmark."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--json", action="store_true")
-    arguments = parser.parse_args()
-    report = run(arguments.seed)
-    if not arguments.json:
-        print(json.dumps(report, indent=2))
-    print(json.dumps(report))
-
-
 if __name__ == "__main__":
-    main()
+    commands.run_benchmark(run, __doc__)
--- a/benchmarks/bench_config.py
+++ b/benchmarks/bench_config.py
@@ -5,7 +5,6 @@
 that answers in 3 ms. Times are virtual and repeat exactly for one seed.
 """
 
-import argparse
 import json
 import pathlib
 import random
@@ -13,6 +12,7 @@
 
 import attrs
 
+from benchmarks import commands
 from hyssopshelf.configuration import declarations, documents, requests, resources
 from hyssopshelf.configuration.tests import fleet
 
@@ -250,10 +250,7 @@
 
 def main() -> None:
     """Run the benchmark."""
-    parser = argparse.ArgumentParser()
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--json", action="store_true")
-    arguments = parser.parse_args()
+    arguments = commands.parse_arguments(__doc__)
     by_size = {str(size): run_size(size, arguments.seed) for size in SIZES}
     report = {
         "benchmark": "config",
--- a/benchmarks/bench_control.py
+++ b/benchmarks/bench_control.py
@@ -12,9 +12,7 @@
 the growth of the resident set.
 """
 
-import argparse
 import gc
-import json
 import os
 import pathlib
 import time
@@ -22,7 +20,7 @@
 
 import attrs
 
-from benchmarks import control_fleet, fitting, socket_costs
+from benchmarks import commands, control_fleet, fitting, socket_costs
 from hyssopshelf import node
 from hyssopshelf.configuration import dissemination
 from hyssopshelf.failover import terms
@@ -310,17 +308,5 @@
     }
 
 
-def main() -> None:
-    """Run the benchmark."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--json", action="store_true")
-    arguments = parser.parse_args()
-    report = run(arguments.seed)
-    if not arguments.json:
-        print(json.dumps(report, indent=2))
-    print(json.dumps(report))
-
-
 if __name__ == "__main__":
-    main()
+    commands.run_benchmark(run, __doc__)
--- a/benchmarks/bench_failover.py
+++ b/benchmarks/bench_failover.py
@@ -6,14 +6,13 @@
 while the store is down.
 """
 
-import argparse
 import contextlib
 import json
 import random
 import statistics
 import time
 
-from benchmarks import failover_fleet
+from benchmarks import commands, failover_fleet
 from hyssopshelf.failover import observations, promotion
 
 WARM_SECONDS = 5.0
@@ -154,10 +153,7 @@
 
 
 def main() -> None:
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--json", action="store_true")
-    options = parser.parse_args()
+    options = commands.parse_arguments(__doc__)
     begun = time.perf_counter()
     seeds = range(options.seed, options.seed + RUNS)
     faults = {}
--- a/benchmarks/bench_flood.py
+++ b/benchmarks/bench_flood.py
@@ -8,7 +8,6 @@
 Load is given in parts of the pool's capacity.
 """
 
-import argparse
 import bisect
 import collections
 import heapq
@@ -19,6 +18,7 @@
 
 import attrs
 
+from benchmarks import commands
 from hyssopshelf import base, blackboard
 from hyssopshelf.configuration import resources, views
 from hyssopshelf.scheduling import billing, limits, queues, shares, work
@@ -513,10 +513,7 @@
 
 
 def main():
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--json", action="store_true")
-    arguments = parser.parse_args()
+    arguments = commands.parse_arguments(__doc__)
     report = {"bench": "flood", "seed": arguments.seed, "designs": {}, "goals": {}}
     for design, scenarios in DESIGNS.items():
         runs = {}
--- a/benchmarks/bench_membership.py
+++ b/benchmarks/bench_membership.py
@@ -9,7 +9,6 @@
 Run ``python -m benchmarks.bench_membership --seed 1 --json``.
 """
 
-import argparse
 import json
 import pathlib
 import random
@@ -17,6 +16,7 @@
 import statistics
 import time
 
+from benchmarks import commands
 from benchmarks import fleet as fleets
 from hyssopshelf import base, blackboard, logs, messages
 from hyssopshelf.membership import exchange, hosts, placement, protocol, transitions
@@ -291,10 +291,7 @@
 
 
 def main() -> None:
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--json", action="store_true")
-    values = parser.parse_args()
+    values = commands.parse_arguments(__doc__)
     started = time.monotonic()
     # The first run of the code is slower and is not counted.
     fleets.make_fleet(SIZES[0], seed=0).run(5.0)
--- a/benchmarks/bench_placement.py
+++ b/benchmarks/bench_placement.py
@@ -9,13 +9,13 @@
 Run ``python -m benchmarks.bench_placement --seed 1 --json``.
 """
 
-import argparse
 import heapq
 import json
 import random
 import statistics
 import time
 
+from benchmarks import commands
 from benchmarks import fleet as fleets
 from hyssopshelf import blackboard
 from hyssopshelf.membership import balancing, placement, records
@@ -258,10 +258,7 @@
 
 
 def main() -> None:
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--json", action="store_true")
-    values = parser.parse_args()
+    values = commands.parse_arguments(__doc__)
     started = time.monotonic()
     figures = {
         nodes: run_size(nodes, places, values.seed) for nodes, places in SIZES.items()
--- a/benchmarks/bench_replica_reads.py
+++ b/benchmarks/bench_replica_reads.py
@@ -6,11 +6,11 @@
 ``python -m benchmarks.bench_replica_reads --seed N --json``.
 """
 
-import argparse
 import json
 import statistics
 from unittest import mock
 
+from benchmarks import commands
 from benchmarks.faults import callers, world
 from hyssopshelf import messages
 from hyssopshelf.consistency import reads
@@ -129,10 +129,7 @@
 
 def main() -> None:
     """Run the benchmark."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--json", action="store_true")
-    values = parser.parse_args()
+    values = commands.parse_arguments(__doc__)
     report = run(values.seed)
     if not values.json:
         for lag, row in report["lags"].items():
--- a/benchmarks/bench_throughput.py
+++ b/benchmarks/bench_throughput.py
@@ -9,9 +9,7 @@
 ``python -m benchmarks.bench_throughput --seed N --json``.
 """
 
-import argparse
 import asyncio
-import json
 import os
 import pathlib
 import statistics
@@ -20,7 +18,7 @@
 
 import tornado.websocket
 
-from benchmarks import processes
+from benchmarks import commands, processes
 from hyssopshelf import messages
 from hyssopshelf.runtime import wire
 
@@ -158,17 +156,5 @@
     return report
 
 
-def main() -> None:
-    """Run the benchmark."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--json", action="store_true")
-    values = parser.parse_args()
-    report = asyncio.run(run(values.seed))
-    if not values.json:
-        print(json.dumps(report, indent=1))
-    print(json.dumps(report))
-
-
 if __name__ == "__main__":
-    main()
+    commands.run_benchmark(lambda seed: asyncio.run(run(seed)), __doc__)
--- a/benchmarks/commands.py
+++ b/benchmarks/commands.py
@@ -5,6 +5,14 @@
 from collections.abc import Callable
 
 
+def parse_arguments(description: str) -> argparse.Namespace:
+    """Return the seed and whether only the last line is wanted."""
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--json", action="store_true", help="print only the last line")
+    return parser.parse_args()
+
+
 def run_benchmark(run: Callable[[int], dict], description: str) -> None:
     """Run a benchmark and print its report.
 
@@ -15,10 +23,7 @@
     description : str
         Text of the help page.
     """
-    parser = argparse.ArgumentParser(description=description)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--json", action="store_true", help="print only the last line")
-    values = parser.parse_args()
+    values = parse_arguments(description)
     report = run(values.seed)
     if not values.json:
         print(json.dumps(report, indent=1))
--- a/hyssopshelf/demo.py
+++ b/hyssopshelf/demo.py
@@ -15,7 +15,7 @@
 from hyssopshelf.runtime import hostlist as hostlist_adapter
 from hyssopshelf.runtime import server
 from hyssopshelf.runtime import store as store_adapter
-from hyssopshelf.standins import database, endpoint, hostlist, store
+from hyssopshelf.standins import database, endpoint, hostlist, keyvalue, store
 
 POOL = "mondkartei"
 DATABASE = "orders"
@@ -96,7 +96,7 @@
 
 def start_platform() -> tuple[store.StoreServer, hostlist.HostListServer, dict]:
     """Start the key-value store and the host list; return them with their URLs."""
-    keeper = store.StoreServer(store=store.KeyValueStore())
+    keeper = store.StoreServer(store=keyvalue.KeyValueStore())
     listing = hostlist.HostListServer(hosts=hostlist.HostList())
     urls = {
         "store": f"http://127.0.0.1:{keeper.start()}",
--- a/hyssopshelf/runtime/tests/test_store.py
+++ b/hyssopshelf/runtime/tests/test_store.py
@@ -7,6 +7,7 @@
 
 from hyssopshelf import platform
 from hyssopshelf.runtime import store as adapters
+from hyssopshelf.standins import keyvalue
 from hyssopshelf.standins import store as standins
 
 
@@ -14,7 +15,7 @@
     """Run a scenario with a server and an adapter that gives up after 0.3 s."""
 
     async def main():
-        server = standins.StoreServer(store=standins.KeyValueStore())
+        server = standins.StoreServer(store=keyvalue.KeyValueStore())
         port = server.start()
         adapter = adapters.StoreAdapter(
             url=f"http://127.0.0.1:{port}", timeout_seconds=0.3
@@ -103,7 +104,7 @@
 
 def test_watch_from_lost_history_reads_the_current_values(monkeypatch):
     """Guards against changes skipped when the store dropped its history."""
-    monkeypatch.setattr(standins, "HISTORY_LENGTH", 2)
+    monkeypatch.setattr(keyvalue, "HISTORY_LENGTH", 2)
 
     async def scenario(server, adapter):
         for number in range(5):
--- a/hyssopshelf/standins/daemon.py
+++ b/hyssopshelf/standins/daemon.py
@@ -4,7 +4,7 @@
 import asyncio
 import signal
 
-from hyssopshelf.standins import database, endpoint, hostlist, store
+from hyssopshelf.standins import database, endpoint, hostlist, keyvalue, store
 
 
 def make_parser() -> argparse.ArgumentParser:
@@ -68,7 +68,7 @@
 
 def start_store(values: argparse.Namespace) -> store.StoreServer:
     """Start the key-value store."""
-    server = store.StoreServer(store=store.KeyValueStore())
+    server = store.StoreServer(store=keyvalue.KeyValueStore())
     server.start(port=values.port, address=values.address)
     return server
 
--- a/hyssopshelf/standins/tests/test_store.py
+++ b/hyssopshelf/standins/tests/test_keyvalue.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from hyssopshelf import platform
-from hyssopshelf.standins import store as standins
+from hyssopshelf.standins import keyvalue
 
 KEYS = st.sampled_from(["a/1", "a/2", "b/1"])
 
@@ -17,14 +17,14 @@
 
     def __init__(self):
         super().__init__()
-        self.store = standins.KeyValueStore()
+        self.store = keyvalue.KeyValueStore()
         self.model = {}
         self.leases = {}
         self.now = 0.0
         self.seen = {}
 
     def call(self, operation):
-        return standins.call(self.store, operation, self.now)
+        return keyvalue.call(self.store, operation, self.now)
 
     def drop(self, ended):
         for lease in ended:
@@ -107,7 +107,7 @@
 
 def test_restored_store_reuses_revisions_but_no_lease():
     """Guards against a lease of before the restore that ends a later one."""
-    store = standins.KeyValueStore()
+    store = keyvalue.KeyValueStore()
     old = store.take_snapshot()
     lease = store.grant_lease(10, 0.0)
     store.put(b"k", b"new", lease)
@@ -118,6 +118,6 @@
 
 def test_oversized_value_is_refused():
     """Guards against documents that the platform's store would not take."""
-    store = standins.KeyValueStore()
-    with pytest.raises(standins.StoreError):
-        store.put(b"k", bytes(standins.MAXIMUM_VALUE_BYTES + 1))
+    store = keyvalue.KeyValueStore()
+    with pytest.raises(keyvalue.StoreError):
+        store.put(b"k", bytes(keyvalue.MAXIMUM_VALUE_BYTES + 1))
