Find the region of a place without walking all hosts; count reads

Cause: the choice of a replica built a table of all hosts for each statement, and the counters could not give the share of replica reads. Change: the membership's table of regions is used; counters reads and reads_replica; an unused field is gone.

--- a/hyssopshelf/blackboard.py
+++ b/hyssopshelf/blackboard.py
@@ -186,8 +186,6 @@
     ----------
     idle_deadline : float
         Time at which it is rolled back if no statement arrives.
-    wrote : bool
-        Whether it holds a write.
     """
 
     id: str
@@ -196,7 +194,6 @@
     partner: str
     idle_deadline: float
     term: int = 0
-    wrote: bool = False
 
 
 @attrs.define(kw_only=True)
--- a/hyssopshelf/consistency/routing.py
+++ b/hyssopshelf/consistency/routing.py
@@ -88,8 +88,8 @@
 
 
 def _distance(board, record) -> int:
+    """Return 0 for the node's own place, 1 for its region, 2 for any other."""
     if record.place == board.identity.place:
         return 0
-    regions = {host.place: host.region for host in board.hosts.values()}
-    near = regions.get(record.place) == board.identity.region
-    return 1 if near else 2
+    region = board.membership.regions.get(record.place)
+    return 1 if region == board.identity.region else 2
--- a/hyssopshelf/statements/answers.py
+++ b/hyssopshelf/statements/answers.py
@@ -1,7 +1,7 @@
 """Answers to callers at the entry node."""
 
 from hyssopshelf import base, blackboard, exceptions, logs, messages
-from hyssopshelf.consistency import reads, tokens
+from hyssopshelf.consistency import tokens
 from hyssopshelf.failover import terms
 from hyssopshelf.scheduling import limits
 from hyssopshelf.statements import completion, polling
@@ -184,10 +184,7 @@
     if answer.error is not None:
         board.count(f"errors_{answer.error.value}")
         return
-    statement = request.statement
-    if statement.operation is messages.Operation.GET and reads.needs_primary(
-        statement.consistency, None
-    ):
-        board.count("reads_primary_only")
-    if answer.from_replica:
-        board.count("reads_replica")
+    if request.statement.operation is messages.Operation.GET:
+        board.count("reads")
+        if answer.from_replica:
+            board.count("reads_replica")
