--- a/hyssopshelf/configuration/api.py
+++ b/hyssopshelf/configuration/api.py
@@ -202,6 +202,7 @@
         return
     try:
         validation.check_document(candidate)
+        validation.check_change(current, candidate)
     except exceptions.ValidationError as error:
         _close_refused(board, operation, ErrorKind.BAD_REQUEST, str(error))
         return
@@ -342,6 +343,7 @@
         validation.check_declared(request.resources, request.pool)
         declared = documents.apply_changes(held, changes).unwrap()
         validation.check_document(declared)
+        validation.check_change(held, declared)
     except exceptions.ValidationError as error:
         refuse(board, caller, ErrorKind.BAD_REQUEST, str(error))
         return
--- a/hyssopshelf/configuration/validation.py
+++ b/hyssopshelf/configuration/validation.py
@@ -17,6 +17,11 @@
 
 MAXIMUM_NAME_CHARACTERS = 63
 
+MAXIMUM_ENDPOINTS = 4
+"""Endpoints of a database. With five, a failover may leave two endpoints outside the
+fenced majority, a replaced primary and a replica that follows it and reports fresh
+data. With four or fewer, the replaced primary is left alone."""
+
 _NAME = re.compile(r"[a-z0-9]([a-z0-9._-]*[a-z0-9])?")
 
 _PORT_LIMIT = 65536
@@ -73,6 +78,10 @@
         check_name(database.name, f"{path}.name")
         if not database.endpoints:
             raise exceptions.ValidationError(f"{path}.endpoints", "must not be empty")
+        if len(database.endpoints) > MAXIMUM_ENDPOINTS:
+            raise exceptions.ValidationError(
+                f"{path}.endpoints", f"must not be more than {MAXIMUM_ENDPOINTS}"
+            )
         check_unique((item.name for item in database.endpoints), f"{path}.endpoints")
         for number, endpoint in enumerate(database.endpoints):
             here = f"{path}.endpoints[{number}]"
@@ -259,3 +268,36 @@
                 raise exceptions.ValidationError(
                     f"Split/{name}: spec.{field}.{partner}", f"{rule} of the pool"
                 )
+
+
+def check_change(held: resources.Document, new: resources.Document) -> None:
+    """Check that a change adds or removes at most one endpoint of a database.
+
+    Then each majority of the old group shares an endpoint with each majority of
+    the new one, and nodes that hold different versions cannot promote two
+    primaries.
+
+    Raises
+    ------
+    ValidationError
+        If a database changes by two endpoints or more.
+    """
+    before, after = _list_groups(held), _list_groups(new)
+    for name in before.keys() & after.keys():
+        changed = before[name] ^ after[name]
+        if len(changed) > 1:
+            raise exceptions.ValidationError(
+                f"spec.databases.{name}.endpoints",
+                "may change by one endpoint at a time, not by "
+                + ", ".join(sorted(changed)),
+            )
+
+
+def _list_groups(document: resources.Document) -> dict[str, frozenset[str]]:
+    """Return the names of the endpoints of each database."""
+    return {
+        database.name: frozenset(endpoint.name for endpoint in database.endpoints)
+        for resource in document.resources
+        if isinstance(resource.spec, resources.PoolSpec)
+        for database in resource.spec.databases
+    }
