--- a/benchmarks/bench_replica_reads.py
+++ b/benchmarks/bench_replica_reads.py
@@ -16,7 +16,7 @@
 from hyssopshelf.consistency import reads
 
 LAGS_SECONDS = (0.0, 0.1, 1.0, 10.0)
-RUN_SECONDS = 10.0
+LOAD_SECONDS = 30.0
 WARM_UP_SECONDS = 3.0
 """Reads do not count before all nodes have polled their endpoints and before the
 data that was there at the start is twice as old as the lag."""
@@ -56,12 +56,12 @@
         return Reader(**{field: getattr(made, field) for field in fields})
 
 
-def run_lag(seed: int, lag: float) -> dict:
+def run_lag(seed: int, lag: float, load_seconds: float = LOAD_SECONDS) -> dict:
     """Run one lag and return the shares, latencies and stale reads."""
     options = world.Options(
         seed=seed,
-        seconds=RUN_SECONDS,
-        with_faults=False,
+        seconds=0.0,
+        settle_seconds=load_seconds,
         kinds=KINDS,
         apply_delay_seconds=lag,
         callers=18,
--- /dev/null
+++ b/examples/order.py
@@ -0,0 +1,31 @@
+"""Writes an order and reads it back through whichever proxy answers.
+
+Run it as ``python examples/order.py IP:PORT [IP:PORT ...]`` against a fleet with
+the declaration of examples/steyrtal.yaml.
+"""
+
+import asyncio
+import sys
+
+from hyssopshelf import client, exceptions
+
+
+async def run(proxies: tuple[str, ...]) -> None:
+    """Append an order once, however often it has to be sent."""
+    session = client.Session(
+        proxies=proxies, pool="mondkartei", database="orders", partner="steyrtal"
+    )
+    try:
+        await session.append(
+            "order-1", "40 calendars", kind="order", idempotency_key="order-1-line-1"
+        )
+        answer = await session.get("order-1", kind="order")
+        print(f"{answer.value} from {answer.endpoint}")
+    except exceptions.AnswerError as error:
+        print(f"not done: {error} (ran: {error.disposition.ran.value})")
+    finally:
+        await session.close()
+
+
+if __name__ == "__main__":
+    asyncio.run(run(tuple(sys.argv[1:])))
