--- a/benchmarks/bench_control.py
+++ b/benchmarks/bench_control.py
@@ -176,18 +176,27 @@
 
 def run_axis(axis: str, seed: int, sockets) -> dict:
     """Measure the points of an axis with all else fixed."""
-    points, memory = [], []
+    points = []
     for value in POINTS[axis]:
         size = attrs.evolve(SMALL, **{axis: value})
         points.append({axis: value} | measure_point(size, seed, sockets))
+    return {
+        "fixed": attrs.asdict(SMALL),
+        "points": points,
+        "fits": fit(axis, points),
+    }
+
+
+def run_memory_axis(axis: str, seed: int) -> dict:
+    """Measure the memory of the points of an axis with all else fixed."""
+    points = []
     for value in MEMORY_POINTS[axis]:
         size = attrs.evolve(SMALL, **{axis: value})
-        memory.append({axis: value, "memory_mb": measure_memory(size, seed)})
+        points.append({axis: value, "memory_mb": measure_memory(size, seed)})
     return {
         "fixed": attrs.asdict(SMALL),
         "points": points,
-        "memory_points": memory,
-        "fits": fit(axis, points) | fit(axis, memory),
+        "fits": fit(axis, points),
     }
 
 
--- /dev/null
+++ b/benchmarks/bench_control_memory.py
@@ -0,0 +1,28 @@
+"""Memory that one node spends on control, with the fitted slopes.
+
+Run it with ``python -m benchmarks.bench_control_memory --seed N --json``;
+bench_control gives processor time, messages and store calls.
+"""
+
+import time
+
+from benchmarks import bench_control, commands
+
+
+def run(seed: int) -> dict:
+    """Measure all axes."""
+    began = time.perf_counter()
+    axes = {
+        axis: bench_control.run_memory_axis(axis, seed)
+        for axis in bench_control.MEMORY_POINTS
+    }
+    return {
+        "benchmark": "control_memory",
+        "seed": seed,
+        "axes": axes,
+        "wall_seconds": round(time.perf_counter() - began, 1),
+    }
+
+
+if __name__ == "__main__":
+    commands.run_benchmark(run, __doc__)
