Assert the guarantees inside the program; fix two finds of longer fault runs

Cause: the issue asks for the guarantees as assertions of the program itself. Change: hyssopshelf/invariants.py, checked where a statement starts, ends and is answered and where a document is applied; a node whose assertion fails stops with status 4 (event 705). Queued work of a leaving endpoint is given back; a node that ran late waits 0.1 s more. The broken variants run with the assertions switched off, so that the independent check still has to find them.

--- a/benchmarks/faults/variants.py
+++ b/benchmarks/faults/variants.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from hyssopshelf import exceptions, node
+from hyssopshelf import exceptions, invariants, node
 from hyssopshelf.configuration import documents
 from hyssopshelf.connections import pool, records
 from hyssopshelf.consistency import positions, reads
@@ -57,12 +57,23 @@
 
 @contextlib.contextmanager
 def apply_variant(name: str) -> Iterator[Variant]:
-    """Run with a broken core inside the context."""
+    """Run with a broken core inside the context.
+
+    The program's own assertions are switched off, so that the checker has to find
+    the fault in the histories.
+    """
     variant = VARIANTS[name]
-    with mock.patch.object(variant.target, variant.name, variant.replacement):
+    with (
+        mock.patch.object(variant.target, variant.name, variant.replacement),
+        mock.patch.object(invariants, "require", _ignore),
+    ):
         yield variant
 
 
+def _ignore(holds: bool, text: str) -> None:
+    """Take the place of the program's assertions."""
+
+
 # Writes and acknowledgements.
 
 
--- a/hyssopshelf/blackboard.py
+++ b/hyssopshelf/blackboard.py
@@ -289,6 +289,7 @@
     drained_at: float = float("-inf")
     forwarded_at: float = float("-inf")
     replied_at: float = float("-inf")
+    late_at: float = float("-inf")
     configuration_ready: bool = False
     _sequence: int = 0
 
--- a/hyssopshelf/configuration/application.py
+++ b/hyssopshelf/configuration/application.py
@@ -1,6 +1,6 @@
 """Application of a document to the tables that the controllers use."""
 
-from hyssopshelf import blackboard, logs
+from hyssopshelf import blackboard, invariants, logs
 from hyssopshelf.configuration import resources, views
 
 
@@ -20,6 +20,9 @@
     source : str
         Where the document came from, for the log.
     """
+    held = board.documents.get(document.pool)
+    if held is not None:
+        invariants.check_version(document.pool, held.version, document.version)
     board.documents[document.pool] = document
     board.configuration.changes += 1
     view = views.build_view(document)
--- a/hyssopshelf/node.py
+++ b/hyssopshelf/node.py
@@ -27,7 +27,11 @@
 """A draining node stops when no statement came from a peer for this time."""
 
 REPLY_SECONDS = 0.1
-"""Time that the last answer has to reach its caller before the node stops."""
+"""Time that the last answer has to reach its caller before the node stops, and time
+for statements that waited in the sockets of a process that ran late."""
+
+LATE_SECONDS = 0.1
+"""A gap between two ticks beyond which statements may wait in the sockets."""
 
 STEPS = (
     replay.step,
@@ -101,6 +105,8 @@
     if board.ticked_at is None:
         return
     gap = now - board.ticked_at
+    if gap > LATE_SECONDS:
+        board.late_at = now
     if gap > PAUSE_SECONDS and board.pause_seconds == 0.0:
         board.log(logs.LogEvent.PAUSE_NOTICED, seconds=round(gap, 3))
     board.pause_seconds = gap if gap > PAUSE_SECONDS else 0.0
@@ -215,6 +221,6 @@
         return False
     if board.served or board.transactions:
         return False
-    if now - board.replied_at < REPLY_SECONDS:
+    if now - max(board.replied_at, board.late_at) < REPLY_SECONDS:
         return False
     return now - max(board.drained_at, board.forwarded_at) >= QUIET_SECONDS
--- a/hyssopshelf/runtime/daemon.py
+++ b/hyssopshelf/runtime/daemon.py
@@ -18,6 +18,9 @@
 EXIT_DRAIN = 3
 """Exit status when the drain deadline passed with statements left."""
 
+EXIT_INVARIANT = 4
+"""Exit status when an assertion of a guarantee failed."""
+
 DRAIN_CHECK_SECONDS = 0.05
 """Time between two looks at what is left during a drain, in seconds."""
 
@@ -80,8 +83,10 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    while not (stopping.is_set() or engine.core.board.draining):
+    while not (stopping.is_set() or engine.core.board.draining or engine.failed):
         await asyncio.sleep(DRAIN_CHECK_SECONDS)
+    if engine.failed:
+        return EXIT_INVARIANT
     drained = await drain(engine, loop.time() + values.drain_seconds)
     http.stop()
     engine.stop()
--- a/hyssopshelf/runtime/engine.py
+++ b/hyssopshelf/runtime/engine.py
@@ -8,7 +8,7 @@
 import result
 import tornado.ioloop
 
-from hyssopshelf import base, logs, node
+from hyssopshelf import base, exceptions, logs, node
 from hyssopshelf.membership import hosts
 from hyssopshelf.runtime import endpoints, peers
 
@@ -53,6 +53,7 @@
             self._read_hosts, HOST_LIST_SECONDS * 1000
         )
         self._stopped = False
+        self.failed = False
 
     def start(self) -> None:
         """Listen for peers and start the timer."""
@@ -71,7 +72,16 @@
         """Apply an event to the core and carry out the actions."""
         if self._stopped:
             return
-        for action in self.core.handle(event, time.monotonic()):
+        try:
+            actions = self.core.handle(event, time.monotonic())
+        except exceptions.InvariantError as error:
+            # What the event led to is not carried out: no answer is better than
+            # one that breaks a guarantee.
+            logs.write(logs.LogEvent.INVARIANT_BROKEN, {"text": str(error)})
+            logs.flush()
+            self.failed = self._stopped = True
+            return
+        for action in actions:
             carry_out(action, self)
 
     def expect_reply(self, caller: str, receive) -> None:
--- a/hyssopshelf/statements/answers.py
+++ b/hyssopshelf/statements/answers.py
@@ -1,6 +1,6 @@
 """Answers to callers at the entry node."""
 
-from hyssopshelf import base, blackboard, exceptions, logs, messages
+from hyssopshelf import base, blackboard, exceptions, invariants, logs, messages
 from hyssopshelf.consistency import tokens
 from hyssopshelf.failover import terms
 from hyssopshelf.scheduling import limits
@@ -101,6 +101,7 @@
 
 def reply(board, request, message: messages.ServedAnswer) -> None:
     """Send the answer to the caller with the session's new token."""
+    invariants.check_reply(request.id, message.request_id)
     statement = request.statement
     token = statement.token
     if message.error is None and message.seen is not None:
--- a/hyssopshelf/statements/completion.py
+++ b/hyssopshelf/statements/completion.py
@@ -1,6 +1,6 @@
 """Statements at their serving node: endpoint answers, confirmation, outcomes."""
 
-from hyssopshelf import base, blackboard, exceptions, logs, messages
+from hyssopshelf import base, blackboard, exceptions, invariants, logs, messages
 from hyssopshelf.configuration import resources
 from hyssopshelf.connections import pool
 from hyssopshelf.consistency import positions, reads
@@ -337,6 +337,16 @@
 
 
 def _finish(board, served, **fields) -> None:
+    running = (
+        blackboard.ServedState.RUNNING,
+        blackboard.ServedState.CONFIRMING,
+    )
+    invariants.check_outcome(
+        served,
+        fields.get("error"),
+        served.state in running,
+        served.state is blackboard.ServedState.CONFIRMING,
+    )
     board.served.pop(served.id, None)
     now = board.now
     statement = served.statement
--- a/hyssopshelf/statements/serving.py
+++ b/hyssopshelf/statements/serving.py
@@ -1,6 +1,6 @@
 """Statements at the serving node of their endpoint: admission and start."""
 
-from hyssopshelf import base, blackboard, exceptions, logs, messages
+from hyssopshelf import base, blackboard, exceptions, invariants, logs, messages
 from hyssopshelf.connections import pool
 from hyssopshelf.consistency import reads
 from hyssopshelf.membership import balancing
@@ -75,10 +75,7 @@
     kind = view.kinds.get((statement.partner, statement.kind))
     if kind is None:
         return None
-    leaving = (
-        endpoint.leaving_at is not None
-        and now >= endpoint.leaving_at + LEAVING_GRACE_SECONDS
-    )
+    leaving = _is_leaving(endpoint, now)
     draining = board.draining and now >= board.drained_at + DRAIN_GRACE_SECONDS
     if (leaving or draining) and not statement.transaction:
         return None
@@ -105,6 +102,14 @@
     )
 
 
+def _is_leaving(endpoint, now: float) -> bool:
+    """Return whether an endpoint takes no new work any more."""
+    return (
+        endpoint.leaving_at is not None
+        and now >= endpoint.leaving_at + LEAVING_GRACE_SECONDS
+    )
+
+
 def _answer_unserved(board, message, host) -> None:
     reading = message.statement.operation is messages.Operation.GET
     database = board.databases.get(
@@ -264,6 +269,8 @@
     term = database.term if database is not None and writing else 0
     if statement.transaction:
         term = board.transactions[statement.transaction].term
+    queued = served.state is blackboard.ServedState.QUEUED
+    invariants.check_start(served, board.endpoints.get(served.endpoint), queued, now)
     served.state = blackboard.ServedState.RUNNING
     served.sent_at = now
     balancing.count_served(board, served.endpoint)
@@ -334,22 +341,29 @@
     database = board.databases.get(endpoint.database) if endpoint else None
     if database is None:
         return
+    if _is_leaving(endpoint, now):
+        board.endpoint_queues[served.endpoint].discard(served.id)
+        _give_back(board, served, "the endpoint is leaving")
+        return
     elsewhere = database.primary and database.primary != served.endpoint
     if not elsewhere:
         return
     if _needs_primary(served):
         board.endpoint_queues[served.endpoint].discard(served.id)
-        completion.finish_error(
-            board,
-            served,
-            exceptions.ErrorKind.NOT_RUN,
-            "another endpoint became the primary",
-        )
+        _give_back(board, served, "another endpoint became the primary")
     elif now < endpoint.open_after and not board.endpoint_connections[endpoint.name]:
         board.endpoint_queues[served.endpoint].discard(served.id)
         completion.finish_behind(board, served)
 
 
+def _give_back(board, served, reason: str) -> None:
+    """Answer that a statement did not run, so that its entry node routes it."""
+    if _needs_primary(served):
+        completion.finish_error(board, served, exceptions.ErrorKind.NOT_RUN, reason)
+    else:
+        completion.finish_behind(board, served)
+
+
 def _expire_queued(board, item) -> None:
     served = board.served.get(item.id)
     if served is None:
--- /dev/null
+++ b/tests/test_invariants.py
@@ -0,0 +1,80 @@
+"""Tests that the program's own assertions can fail."""
+
+from unittest import mock
+
+import attrs
+import pytest
+
+from benchmarks.faults import variants, world
+from hyssopshelf import exceptions, invariants, messages
+
+BROKEN = {
+    "acknowledge_unconfirmed": "without confirmation",
+    "deny_after_execute": "may have run",
+}
+"""Broken variants of the core and what the assertion says of each."""
+
+
+@pytest.mark.parametrize("name", sorted(BROKEN))
+def test_broken_core_stops_itself(name):
+    """Guards against assertions that hold whatever the core does."""
+    variant = variants.VARIANTS[name]
+    crashes = []
+    with mock.patch.object(variant.target, variant.name, variant.replacement):
+        for seed in (1, 2, 3):
+            options = world.Options(
+                seed=seed, seconds=10.0, settle_seconds=3.0, callers=18
+            )
+            crashes += world.run_seed(options).history.crashes
+    assert any(BROKEN[name] in str(crash) for crash in crashes)
+
+
+def test_start_at_an_endpoint_that_left_is_refused():
+    """Guards against work sent to a leaving endpoint after 3 s."""
+    endpoint = mock.Mock(leaving_at=10.0)
+    invariants.check_start(make_served(), endpoint, True, 12.9)
+    with pytest.raises(exceptions.InvariantError):
+        invariants.check_start(make_served(), endpoint, True, 13.0)
+
+
+def test_lower_version_is_refused():
+    """Guards against a configuration that reverts."""
+    invariants.check_version("p", 3, 3)
+    with pytest.raises(exceptions.InvariantError):
+        invariants.check_version("p", 3, 2)
+
+
+def test_answer_of_another_request_is_refused():
+    """Guards against an answer that reaches the wrong caller."""
+    with pytest.raises(exceptions.InvariantError):
+        invariants.check_reply("h1.1.1", "h1.1.2")
+
+
+@attrs.define(kw_only=True)
+class Served:
+    """What the check of a start needs of a statement."""
+
+    id: str = "h1.1.1"
+    endpoint: str = "p/d/a"
+    statement: messages.Statement
+
+
+def make_served() -> Served:
+    """Return an append outside a transaction."""
+    statement = messages.Statement(
+        id="r1",
+        pool="p",
+        database="d",
+        partner="a",
+        kind="k",
+        operation=messages.Operation.APPEND,
+    )
+    return Served(statement=statement)
+
+
+def test_second_start_is_refused():
+    """Guards against a statement that runs twice."""
+    served = make_served()
+    invariants.check_start(served, None, True, 0.0)
+    with pytest.raises(exceptions.InvariantError):
+        invariants.check_start(served, None, False, 0.0)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -158,7 +158,7 @@
             for host in self.nodes:
                 self.handle(host, base.Ticked())
 
-    def ask(self, host, replicating=True, seconds=1.0, **fields):
+    def ask(self, host, replicating=True, seconds=1.0, answered=True, **fields):
         """Send a statement to a node and return its answer."""
         caller = f"c{next(self.order)}"
         statement = messages.Statement(
@@ -170,7 +170,7 @@
         )
         self.handle(host, base.StatementReceived(caller=caller, statement=statement))
         self.run(seconds, replicating)
-        return self.answers[caller]
+        return self.answers[caller] if answered else self.answers.get(caller)
 
 
 @pytest.fixture
@@ -238,6 +238,47 @@
     assert not node.is_idle(board, 100.0)
 
 
+def test_draining_node_that_ran_late_reads_what_waits(fleet):
+    """Guards against a stop before statements that waited in the sockets are read.
+
+    Found by seed 4049 of the fault runs with 60 s and 18 callers.
+    """
+    fleet.handle("h1", base.DrainRequested())
+    fleet.run(2.0)
+    board = fleet.nodes["h1"].board
+    assert node.is_idle(board, fleet.now)
+    fleet.now += 0.2
+    fleet.handle("h1", base.Ticked())
+    assert not node.is_idle(board, fleet.now)
+
+
+def test_queued_work_does_not_go_to_an_endpoint_that_left(fleet):
+    """Guards against work sent to a leaving endpoint after 3 s.
+
+    Found by seed 4055 of the fault runs with 60 s and 18 callers.
+    """
+    for member in fleet.nodes.values():
+        view = attrs.evolve(member.board.pools[POOL], slots=0)
+        member.board.pools[POOL] = view
+    started = fleet.ask(
+        "h1",
+        operation=messages.Operation.GET,
+        consistency=messages.Consistency.STRONG,
+        remaining_seconds=5.0,
+        seconds=0.0,
+        answered=False,
+    )
+    assert started is None
+    fleet.run(0.5)
+    queues = [q for m in fleet.nodes.values() for q in m.board.endpoint_queues.values()]
+    waiting = [queue for queue in queues if queue.waiting]
+    assert len(waiting) == 1
+    for member in fleet.nodes.values():
+        member.board.endpoints[waiting[0].endpoint].leaving_at = fleet.now - 2.0
+    fleet.run(0.2)
+    assert waiting[0].waiting == 0
+
+
 def test_draining_node_waits_until_its_last_answer_has_left(fleet):
     """Guards against an answer that is lost because its connection closes.
 
