Allow a repeat at the primary that holds its first outcome

The trace shows a repeat with an idempotency key: its first outcome lay at (2, 139) in the log from which the primary of term 4 continued, and that primary acknowledged it; a later term lost it, which the mode confirmed allows. Ruled out: an acknowledgement by the primary of term 2 or 3. Change: the check allows this case only for a repeat, only by the endpoint that is the latest primary, and only if its log continued from one with the entry. Two made histories show that each condition is checked, one that the case is allowed.

--- a/benchmarks/faults/outcomes.py
+++ b/benchmarks/faults/outcomes.py
@@ -134,7 +134,7 @@
                 if not survives or lacking:
                     detail = f"{positions} not in terms {lacking}"
                     yield cases.blame(2, "majority_write_lost", request, detail)
-            elif not survives and _was_replaced(case.history, request, positions):
+            elif not survives and _was_replaced(case, request, positions):
                 yield cases.blame(
                     2, "acknowledged_by_replaced_primary", request, f"{positions}"
                 )
@@ -159,19 +159,31 @@
 
 
 def _was_replaced(
-    history: histories.History,
+    case: cases.Case,
     request: histories.Request,
     positions: list[Position],
 ) -> bool:
-    """Return whether a later term had a primary at the acknowledgement."""
-    at = history.acknowledged_at.get(request.id, request.answered_at)
+    """Return whether a later term had a primary at the acknowledgement.
+
+    The current primary may acknowledge a repeat whose first outcome an earlier
+    term wrote, if its own log continued from one with that entry.
+    """
+    at = case.history.acknowledged_at.get(request.id, request.answered_at)
     term = max(position.term for position in positions)
-    return any(
-        promotion.database == request.database
+    later = [
+        promotion
+        for promotion in case.history.promotions
+        if promotion.database == request.database
         and promotion.term > term
         and promotion.at < at
-        for promotion in history.promotions
-    )
+    ]
+    if not later:
+        return False
+    latest = max(later, key=lambda promotion: promotion.term)
+    tree = case.find_tree(request.database)
+    repeated = request.idempotency_key and request.endpoint == latest.endpoint
+    kept = any(tree.is_kept(latest.term, position) for position in positions)
+    return not (repeated and kept)
 
 
 def check_terms(case: cases.Case) -> Iterator[cases.Violation]:
--- a/benchmarks/faults/tests/test_checker.py
+++ b/benchmarks/faults/tests/test_checker.py
@@ -216,6 +216,32 @@
     b.append("w3", term=2, parent=first)
 
 
+def _acknowledge_repeat(b, endpoint, kept):
+    """Let a repeat be acknowledged in term 2 and lost in term 3."""
+    first = b.write("w1")
+    second = b.append("w2", term=1)
+    b.history.promotions.append(
+        histories.Promotion(database=DATABASE, endpoint="b", term=2, at=b.tick())
+    )
+    b.append("w3", key="j", term=2, parent=second if kept else first)
+    b.request(
+        Operation.PUT,
+        label="w2",
+        acknowledge="confirmed",
+        idempotency_key="i2",
+        endpoint=endpoint,
+    )
+    b.append("w4", key="j", term=3, parent=first)
+
+
+def build_repeat_acknowledged_by_replaced_primary(b):
+    _acknowledge_repeat(b, endpoint="a", kept=True)
+
+
+def build_repeat_acknowledged_without_its_entry(b):
+    _acknowledge_repeat(b, endpoint="b", kept=False)
+
+
 def build_phantom_acknowledgement(b):
     b.request(Operation.PUT, label="w1")
 
@@ -473,6 +499,8 @@
     build_lost_majority_write: "majority_write_lost",
     build_returned_majority_write: "majority_write_lost",
     build_replaced_primary: "acknowledged_by_replaced_primary",
+    build_repeat_acknowledged_by_replaced_primary: "acknowledged_by_replaced_primary",
+    build_repeat_acknowledged_without_its_entry: "acknowledged_by_replaced_primary",
     build_phantom_acknowledgement: "acknowledged_but_not_written",
     build_two_logs: "two_logs_in_one_term",
     build_two_primaries: "two_primaries_in_one_term",
@@ -550,6 +578,15 @@
     assert builder.find_rules() == set()
 
 
+def test_repeat_is_allowed_at_the_primary_that_holds_its_first_outcome():
+    # Seed 5017 (60 s, 18 callers): the primary of term 4 acknowledged a repeat whose
+    # first outcome lay in its log under term 2; a later term lost it, as may happen
+    # with ``confirmed``.
+    builder = Builder()
+    _acknowledge_repeat(builder, endpoint="b", kept=True)
+    assert builder.find_rules() == set()
+
+
 def test_lost_confirmed_write_is_allowed_before_the_promotion():
     # Guards against a check stricter than the mode ``confirmed``.
     builder = Builder()
