End with status 4 also when an assertion fails during a drain

Cause: read-through: a node whose assertion failed while it drained ignored further events and could end with status 0 or 3. Change: the drain ends on a failed assertion and the status is 4; an unused constant of positions is gone.

--- a/hyssopshelf/consistency/positions.py
+++ b/hyssopshelf/consistency/positions.py
@@ -7,9 +7,6 @@
 
 from hyssopshelf import messages
 
-START = messages.Position(term=0, index=0)
-"""Position before the first entry; every log contains it."""
-
 UNREACHED_INDEX = 2**62
 """An index that no log reaches."""
 
--- a/hyssopshelf/runtime/daemon.py
+++ b/hyssopshelf/runtime/daemon.py
@@ -85,9 +85,9 @@
         loop.add_signal_handler(number, stopping.set)
     while not (stopping.is_set() or engine.core.board.draining or engine.failed):
         await asyncio.sleep(DRAIN_CHECK_SECONDS)
+    drained = await drain(engine, loop.time() + values.drain_seconds)
     if engine.failed:
         return EXIT_INVARIANT
-    drained = await drain(engine, loop.time() + values.drain_seconds)
     http.stop()
     engine.stop()
     await http.close_all_connections()
@@ -99,7 +99,7 @@
     engine.emit(base.DrainRequested())
     board = engine.core.board
     while not node.is_idle(board, time.monotonic()):
-        if asyncio.get_running_loop().time() >= deadline:
+        if engine.failed or asyncio.get_running_loop().time() >= deadline:
             return False
         await asyncio.sleep(DRAIN_CHECK_SECONDS)
     return True
