--- a/hyssopshelf/exceptions.py
+++ b/hyssopshelf/exceptions.py
@@ -19,6 +19,13 @@
     NOT_FOUND = "not_found"
     UNAVAILABLE = "unavailable"
     INTERNAL = "internal"
+    ABORTED = "aborted"
+    BEHIND = "behind"
+    NOT_PRIMARY = "not_primary"
+    WRONG_ENDPOINT = "wrong_endpoint"
+    FULL = "full"
+    FAILED = "failed"
+    UNPREPARED = "unprepared"
 
 
 class Ran(enum.Enum):
@@ -63,6 +70,13 @@
     ErrorKind.NOT_FOUND: Disposition(http_status=404, ran=Ran.NO, repeatable=False),
     ErrorKind.UNAVAILABLE: Disposition(http_status=503, ran=Ran.NO, repeatable=True),
     ErrorKind.INTERNAL: Disposition(http_status=500, ran=Ran.UNKNOWN, repeatable=False),
+    ErrorKind.ABORTED: Disposition(http_status=409, ran=Ran.NO, repeatable=True),
+    ErrorKind.BEHIND: Disposition(http_status=503, ran=Ran.NO, repeatable=True),
+    ErrorKind.NOT_PRIMARY: Disposition(http_status=503, ran=Ran.NO, repeatable=True),
+    ErrorKind.WRONG_ENDPOINT: Disposition(http_status=503, ran=Ran.NO, repeatable=True),
+    ErrorKind.FULL: Disposition(http_status=503, ran=Ran.NO, repeatable=True),
+    ErrorKind.FAILED: Disposition(http_status=500, ran=Ran.UNKNOWN, repeatable=False),
+    ErrorKind.UNPREPARED: Disposition(http_status=400, ran=Ran.NO, repeatable=False),
 }
 
 
--- /dev/null
+++ b/hyssopshelf/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The database gateway: client sessions on pooled connections to endpoints."""
--- /dev/null
+++ b/hyssopshelf/gateway/execution.py
@@ -0,0 +1,245 @@
+"""Running statements of sessions at endpoints, with retries where they are safe."""
+
+import asyncio
+import enum
+
+import attrs
+
+from hyssopshelf import clocks, exceptions
+from hyssopshelf.gateway import (
+    catalog,
+    gates,
+    judgement,
+    links,
+    routing,
+    states,
+    statements,
+)
+
+MAXIMUM_ATTEMPTS = 6
+"""Endpoints that a statement is offered to at most; a database has three."""
+
+PATIENCE_SHARE = 0.9
+"""Part of the statement's time for which it waits for a primary."""
+
+_KIND = exceptions.ErrorKind
+
+NOT_RUN = frozenset(
+    {
+        _KIND.NOT_RUN,
+        _KIND.BEHIND,
+        _KIND.NOT_PRIMARY,
+        _KIND.WRONG_ENDPOINT,
+        _KIND.UNPREPARED,
+        _KIND.FULL,
+    }
+)
+"""Answers of an endpoint that did not run the statement."""
+
+
+class Need(enum.Enum):
+    """Where a unit of work may run."""
+
+    PRIMARY = "primary"
+    ANY = "any"
+
+
+@attrs.define(kw_only=True)
+class Transaction:
+    """An open transaction of a session.
+
+    Attributes
+    ----------
+    gate, link : Gate and Link or None
+        Where it runs; None before its first statement.
+    tenure_version : int
+        Version of the belief in the primary under which it started, 0 on
+        replicas.
+    wrote : bool
+        Whether a write ran in it.
+    idle_since : float
+        End of its last statement.
+    """
+
+    read_only: bool
+    route: catalog.Route
+    gate: gates.Gate | None = None
+    link: links.Link | None = None
+    tenure_version: int = 0
+    wrote: bool = False
+    idle_since: float = 0.0
+
+
+@attrs.define(kw_only=True)
+class Trail:
+    """What happened to a request, for the log.
+
+    Attributes
+    ----------
+    steps : list of str
+        One entry for each offer: endpoint and outcome.
+    """
+
+    steps: list[str] = attrs.field(factory=list)
+    endpoint: str = ""
+    queued: float = 0.0
+
+    def add(self, endpoint: str, outcome: str) -> None:
+        """Add the outcome of an offer."""
+        self.steps.append(f"{endpoint}:{outcome}")
+
+
+def fail(kind: exceptions.ErrorKind, detail: str = "") -> statements.Reply:
+    """Return a reply with an error."""
+    return statements.Reply(error=kind, detail=detail.encode())
+
+
+def can_acknowledge(gateway, database: str, version: int) -> bool:
+    """Return whether no other primary can have been promoted up to now."""
+    tenure = gateway.board.tenures.get(database)
+    return (
+        tenure is not None
+        and tenure.version == version
+        and tenure.valid_until > clocks.read_clock()
+    )
+
+
+async def enter(
+    gateway,
+    session,
+    route: catalog.Route,
+    need: Need,
+    deadline: float,
+    excluded: set[str],
+    trail: Trail,
+):
+    """Choose an endpoint and wait for a slot and a connection there.
+
+    Returns
+    -------
+    (Gate, Turn, Candidate, int) or Reply
+        The way to the endpoint with the version of the belief in the primary;
+        a reply if the work cannot start.
+    """
+    last = _KIND.UNAVAILABLE
+    reason = "no primary is known"
+    patience = clocks.read_clock() + route.statement_seconds * PATIENCE_SHARE
+    for _ in range(MAXIMUM_ATTEMPTS):
+        now = clocks.read_clock()
+        candidate = choose(gateway, session, route, need, excluded, now)
+        if candidate is None:
+            if excluded or not await gateway.wait_for_change(min(deadline, patience)):
+                break
+            continue
+        endpoint = candidate.endpoint
+        gate = gateway.get_gate(endpoint)
+        version = 0
+        if candidate.primary:
+            version = gateway.board.tenures[route.database].version
+        try:
+            turn = await gate.enter(route.rank, deadline, session.state)
+        except gates.Refused as refusal:
+            last, reason = refusal.kind, refusal.reason
+            excluded.add(endpoint.id)
+            trail.add(endpoint.id, f"refused ({reason})")
+            continue
+        except links.Broken as error:
+            last, reason = _KIND.UNAVAILABLE, error.reason
+            excluded.add(endpoint.id)
+            trail.add(endpoint.id, f"unreachable ({reason})")
+            if reason != _KIND.FULL.value:
+                judgement.record_failure(
+                    gateway.board.get_health(endpoint.id), clocks.read_clock()
+                )
+            continue
+        trail.queued += clocks.read_clock() - now
+        if candidate.primary and not can_acknowledge(gateway, route.database, version):
+            gate.release_link(turn.link)
+            gate.leave(turn)
+            trail.add(endpoint.id, "no longer the valid primary")
+            continue
+        return gate, turn, candidate, version
+    return fail(last, reason)
+
+
+def choose(gateway, session, route, need: Need, excluded: set[str], now: float):
+    """Return the best candidate or None."""
+    board = gateway.board
+    if need is Need.PRIMARY:
+        primary = board.find_primary(route.database, now)
+        if primary is None or primary.id in excluded:
+            return None
+        return routing.Candidate(endpoint=primary, position=None, primary=True)
+    candidates = routing.list_candidates(
+        board, route, session.written, gateway.estimate_wait, excluded, now
+    )
+    return candidates[0] if candidates else None
+
+
+async def exchange(
+    gateway,
+    gate: gates.Gate,
+    link: links.Link,
+    state: states.SessionState,
+    shape: statements.Shape | None,
+    make_message,
+    deadline: float,
+) -> statements.Reply:
+    """Correct the connection's state, send one message and return its reply.
+
+    Parameters
+    ----------
+    make_message : callable
+        Takes the statement's name on the connection, returns the message.
+
+    Raises
+    ------
+    Broken
+        If the connection ended or did not answer in time; it is closed.
+    """
+    wire = gateway.endpoint_wire
+    correction = states.correct(link.state, state, shape)
+    parts = []
+    if correction.reset:
+        parts.append(wire.format_reset())
+    parts += [wire.format_value(name, value) for name, value in correction.values]
+    parts += [wire.format_prepare(name, text) for name, text in correction.prepare]
+    name = link.state.prepared.get(shape, b"") if shape is not None else b""
+    parts.append(make_message(name))
+    sent_at = clocks.read_clock()
+    health = gateway.board.get_health(gate.endpoint.id)
+    try:
+        async with asyncio.timeout(max(0.0, deadline - sent_at)):
+            replies = await link.exchange(b"".join(parts), len(parts))
+    except TimeoutError as error:
+        link.close()
+        judgement.record_failure(health, clocks.read_clock())
+        raise links.Broken("no answer in time") from error
+    except links.Broken:
+        judgement.record_failure(health, clocks.read_clock())
+        raise
+    except asyncio.CancelledError:
+        link.close()
+        raise
+    now = clocks.read_clock()
+    judgement.record_answer(health, now - sent_at, now)
+    for setup in replies[:-1]:
+        if setup.error is not None:
+            link.close()
+            raise links.Broken(f"session state refused: {setup.error.value}")
+    return replies[-1]
+
+
+def observe(gateway, gate, version: int, reply, sent_at: float) -> None:
+    """Use the position in an answer of the primary."""
+    database = gate.endpoint.database
+    tenure = gateway.board.tenures.get(database)
+    if (
+        tenure is None
+        or tenure.version != version
+        or tenure.endpoint != gate.endpoint.id
+        or tenure.valid_until <= sent_at
+        or reply.position is None
+    ):
+        return
+    gateway.board.get_log(database).observe(reply.position, sent_at)
--- /dev/null
+++ b/hyssopshelf/gateway/gateway.py
@@ -0,0 +1,145 @@
+"""The gateway of one node: its blackboard, gates and waiting requests."""
+
+import asyncio
+
+from hyssopshelf import clocks, logs
+from hyssopshelf.gateway import boards, catalog, gates
+
+DEFAULT_CONNECTIONS = 4
+"""Connections to an endpoint whose database has no declared limit."""
+
+
+class Gateway:
+    """Owns the gates and tells waiting requests about changes.
+
+    Parameters
+    ----------
+    board : Board
+        State that controllers share.
+    endpoint_wire : object
+        Codec of the endpoints' protocol.
+    """
+
+    def __init__(self, *, board: boards.Board, endpoint_wire) -> None:
+        self.board = board
+        self.endpoint_wire = endpoint_wire
+        self.gates: dict[str, gates.Gate] = {}
+        self.shares: dict[str, int] = {}
+        self.nodes = 1
+        self._changed: list[asyncio.Future] = []
+
+    def get_gate(self, endpoint: catalog.Endpoint) -> gates.Gate:
+        """Return the gate of an endpoint; a restarted endpoint gets a new one."""
+        gate = self.gates.get(endpoint.id)
+        if gate is not None and (
+            gate.endpoint.address != endpoint.address
+            or gate.endpoint.started != endpoint.started
+        ):
+            gate.shut()
+            gate = None
+        if gate is None:
+            gate = gates.Gate(
+                endpoint=endpoint,
+                wire=self.endpoint_wire,
+                view=self._make_view(endpoint),
+            )
+            self.gates[endpoint.id] = gate
+        return gate
+
+    def apply_catalog(self, new: catalog.Catalog) -> bool:
+        """Put a configuration in force unless it is older; return whether it was."""
+        current = self.board.configuration
+        if current is not None and new.version <= current.version:
+            return False
+        self.board.configuration = new
+        self.refresh_views()
+        logs.write(
+            logs.LogEvent.CONFIGURATION_APPLIED,
+            {"version": new.version, "routes": len(new.routes)},
+        )
+        self.notify()
+        return True
+
+    def apply_endpoints(self, endpoints: dict[str, catalog.Endpoint]) -> None:
+        """Replace the registered endpoints."""
+        before = self.board.endpoints
+        if endpoints == before:
+            return
+        for endpoint in endpoints.values():
+            if before.get(endpoint.id) != endpoint:
+                logs.write(
+                    logs.LogEvent.ENDPOINT_REGISTERED,
+                    {
+                        "endpoint": endpoint.id,
+                        "database": endpoint.database,
+                        "address": endpoint.address,
+                        "place": endpoint.place,
+                        "leaving": endpoint.leaving,
+                        "leads": endpoint.leads,
+                        "started": endpoint.started,
+                    },
+                )
+        self.board.endpoints = endpoints
+        for endpoint_id in before.keys() - endpoints.keys():
+            logs.write(logs.LogEvent.ENDPOINT_REMOVED, {"endpoint": endpoint_id})
+            self.board.health.pop(endpoint_id, None)
+            gate = self.gates.pop(endpoint_id, None)
+            if gate is not None:
+                gate.shut()
+        for endpoint_id, gate in list(self.gates.items()):
+            endpoint = endpoints[endpoint_id]
+            gate = self.get_gate(endpoint)
+            gate.endpoint = endpoint
+            if endpoint.leaving:
+                gate.close_idle(0, clocks.read_clock())
+        self.notify()
+
+    def refresh_views(self) -> None:
+        """Bring limits and ranks of all gates up to date."""
+        for gate in self.gates.values():
+            gate.view = self._make_view(gate.endpoint)
+            gate.pump()
+
+    def notify(self) -> None:
+        """Wake the requests that wait for a change of the board."""
+        waiting, self._changed = self._changed, []
+        for waiter in waiting:
+            if not waiter.done():
+                waiter.set_result(None)
+
+    async def wait_for_change(self, deadline: float) -> bool:
+        """Wait until the board changes; return whether it did before a deadline."""
+        remaining = deadline - clocks.read_clock()
+        if remaining <= 0:
+            return False
+        waiter = asyncio.get_running_loop().create_future()
+        self._changed.append(waiter)
+        try:
+            async with asyncio.timeout(remaining):
+                await waiter
+        except TimeoutError:
+            return False
+        return True
+
+    def estimate_wait(self, endpoint_id: str) -> float:
+        """Return the expected wait for a slot of an endpoint in seconds."""
+        gate = self.gates.get(endpoint_id)
+        if gate is None:
+            return 0.0
+        return gate.estimate_wait(self.board.get_health(endpoint_id).latency)
+
+    def _make_view(self, endpoint: catalog.Endpoint):
+        current = self.board.configuration
+        ranks = {0}
+        limit = DEFAULT_CONNECTIONS
+        if current is not None:
+            ranks = {route.rank for route in current.routes.values()} or ranks
+            limit = current.connections.get(endpoint.database, limit)
+        share = self.shares.get(endpoint.id, max(1, limit // max(1, self.nodes)))
+        return catalog.make_view(
+            endpoint.database,
+            current.version if current else 0,
+            endpoint.slots,
+            share,
+            ranks,
+        )
--- /dev/null
+++ b/hyssopshelf/gateway/judgement.py
@@ -0,0 +1,40 @@
+"""Pattern: an endpoint is judged by its own answers, not by its health page.
+
+A failure makes other endpoints preferred for a time that doubles with each
+failure in a row; one success ends it. The last endpoint is still used.
+"""
+
+FIRST_AVOIDANCE_SECONDS = 0.15
+"""Preference of other endpoints after a first failure, in seconds; about the
+time of one more attempt across regions with a new connection."""
+
+LONGEST_AVOIDANCE_SECONDS = 2.0
+"""Longest preference of other endpoints, in seconds; bounds the time in which a
+recovered endpoint is left unused."""
+
+SMOOTHING = 0.1
+"""Weight of a new sample in the moving average of latencies."""
+
+
+def record_answer(health, latency: float, now: float) -> None:
+    """Note that an endpoint answered."""
+    health.failures = 0
+    health.failing_since = None
+    health.avoid_until = 0.0
+    health.answered_at = now
+    if health.latency == 0.0:
+        health.latency = latency
+    else:
+        health.latency += SMOOTHING * (latency - health.latency)
+
+
+def record_failure(health, now: float) -> None:
+    """Note that an endpoint could not be reached or did not answer."""
+    if health.failures == 0:
+        health.failing_since = now
+    health.failures += 1
+    pause = min(
+        LONGEST_AVOIDANCE_SECONDS,
+        FIRST_AVOIDANCE_SECONDS * 2 ** min(health.failures - 1, 6),
+    )
+    health.avoid_until = now + pause
--- /dev/null
+++ b/hyssopshelf/gateway/links.py
@@ -0,0 +1,167 @@
+"""One connection to an endpoint."""
+
+import asyncio
+import socket
+
+from hyssopshelf import clocks, exceptions
+from hyssopshelf.gateway import states, statements
+
+UNACKNOWLEDGED_MILLISECONDS = 2000
+"""Time after which the system gives up a connection whose peer acknowledges
+nothing, in milliseconds."""
+
+KEEPALIVE_SECONDS = 1
+"""Idle time before and between keep-alive probes, in seconds."""
+
+KEEPALIVE_PROBES = 3
+"""Unanswered probes after which a connection is given up."""
+
+
+def tune_socket(transport: asyncio.BaseTransport) -> None:
+    """Make a connection notice a peer that is gone without a reset."""
+    raw = transport.get_extra_info("socket")
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    raw.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLISECONDS
+    )
+
+
+class Broken(Exception):
+    """A connection ended before all replies had arrived.
+
+    Parameters
+    ----------
+    reason : str
+        What was observed.
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+class Link(asyncio.Protocol):
+    """A connection that carries one exchange at a time.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        The endpoint at the other end.
+    wire : object
+        Codec of the endpoint's protocol.
+
+    Attributes
+    ----------
+    state : ConnectionState
+        Values and prepared statements that the connection holds.
+    used_at : float
+        Time of the last exchange.
+    """
+
+    def __init__(self, *, endpoint, wire) -> None:
+        self.endpoint = endpoint
+        self.wire = wire
+        self.state = states.ConnectionState()
+        self.used_at = clocks.read_clock()
+        self.opened_at = self.used_at
+        self.closed = False
+        self.in_transaction = False
+        self._transport: asyncio.Transport | None = None
+        self._buffer = b""
+        self._expected = 0
+        self._reply = statements.Reply()
+        self._replies: list[statements.Reply] = []
+        self._waiter: asyncio.Future | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = transport
+        tune_socket(transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Collect replies; the exchange ends with the last expected one."""
+        lines = (self._buffer + data).split(b"\r\n")
+        self._buffer = lines.pop()
+        if len(self._buffer) > self.wire.maximum_bytes:
+            self._fail("message is too long")
+            return
+        try:
+            for line in lines:
+                self._receive(line)
+        except (exceptions.CodecError, ValueError) as error:
+            self._fail(str(error))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the exchange under way."""
+        self._fail(repr(exc) if exc else "closed by the endpoint")
+
+    def exchange(self, data: bytes, replies: int) -> asyncio.Future:
+        """Send messages; the future holds their replies in order.
+
+        The future fails with Broken if the connection ends first.
+        """
+        waiter = asyncio.get_running_loop().create_future()
+        self.used_at = clocks.read_clock()
+        if self.closed:
+            waiter.set_exception(Broken("already closed"))
+            return waiter
+        self._waiter = waiter
+        self._expected = replies
+        self._replies = []
+        self._transport.write(data)
+        return waiter
+
+    def close(self) -> None:
+        """Close the connection; an open transaction rolls back."""
+        self._fail("closed by the gateway")
+
+    def _receive(self, line: bytes) -> None:
+        if self._waiter is None:
+            raise exceptions.CodecError(f"unexpected message {line[:40]!r}")
+        if self.wire.feed(self._reply, line):
+            self._replies.append(self._reply)
+            self._reply = statements.Reply()
+            if len(self._replies) == self._expected:
+                waiter, self._waiter = self._waiter, None
+                if not waiter.done():
+                    waiter.set_result(self._replies)
+
+    def _fail(self, reason: str) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        if self._reply.error is not None and not self._replies:
+            # A refused start is an error line followed by a close.
+            reason = self._reply.error.value
+        if self._transport is not None:
+            self._transport.close()
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_exception(Broken(reason))
+        self._waiter = None
+
+
+async def open_link(endpoint, wire, seconds: float) -> Link:
+    """Connect to an endpoint and start a session there.
+
+    Raises
+    ------
+    Broken
+        If the endpoint refuses or does not answer in time.
+    """
+    host, _, port = endpoint.address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    link = Link(endpoint=endpoint, wire=wire)
+    try:
+        async with asyncio.timeout(seconds):
+            await loop.create_connection(lambda: link, host, int(port))
+            await link.exchange(wire.format_start(endpoint.database, endpoint.id), 1)
+    except TimeoutError as error:
+        link.close()
+        raise Broken("no answer to the start") from error
+    except OSError as error:
+        raise Broken(repr(error)) from error
+    return link
--- /dev/null
+++ b/hyssopshelf/gateway/server.py
@@ -0,0 +1,202 @@
+"""The listener for clients."""
+
+import asyncio
+import collections
+
+from hyssopshelf import clocks, exceptions, logs
+from hyssopshelf.gateway import execution, links, sessions
+
+MAXIMUM_PENDING = 32
+"""Requests of one client that wait for their turn; beyond, reading pauses."""
+
+MAXIMUM_UNSENT_BYTES = 256 * 1024
+"""Bytes of answers that a client has not read before its connection is closed."""
+
+_KIND = exceptions.ErrorKind
+
+
+class ClientServer:
+    """Accepts clients and closes their sessions at a graceful stop.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        Where statements run.
+    wire : object
+        Codec of the clients' protocol.
+    """
+
+    def __init__(self, *, gateway, wire) -> None:
+        self.gateway = gateway
+        self.wire = wire
+        self.connections: set[ClientConnection] = set()
+        self._server: asyncio.Server | None = None
+
+    async def listen(self, address: str) -> None:
+        """Start to accept clients."""
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: ClientConnection(server=self), host, int(port), backlog=1024
+        )
+
+    def stop_listening(self) -> None:
+        """Accept no further clients."""
+        if self._server is not None:
+            self._server.close()
+
+    def close_idle(self) -> int:
+        """Close sessions without work; return how many are left."""
+        for connection in list(self.connections):
+            if connection.is_idle():
+                connection.close()
+        return len(self.connections)
+
+
+class ClientConnection(asyncio.Protocol):
+    """One client's connection.
+
+    Parameters
+    ----------
+    server : ClientServer
+        The listener that accepted it.
+    """
+
+    def __init__(self, *, server: ClientServer) -> None:
+        self.server = server
+        self.session: sessions.Session | None = None
+        self.working = False
+        self._transport: asyncio.Transport | None = None
+        self._buffer = b""
+        self._pending: collections.deque[bytes] = collections.deque()
+        self._task: asyncio.Task | None = None
+        self._closed = False
+        self._paused = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register the connection."""
+        self._transport = transport
+        links.tune_socket(transport)
+        self.server.connections.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Queue complete lines."""
+        lines = (self._buffer + data).split(b"\r\n")
+        self._buffer = lines.pop()
+        if len(self._buffer) > self.server.wire.maximum_bytes:
+            self.close()
+            return
+        self._pending.extend(lines)
+        if len(self._pending) > MAXIMUM_PENDING and not self._paused:
+            self._paused = True
+            self._transport.pause_reading()
+        if self._pending and not self.working:
+            self.working = True
+            loop = asyncio.get_running_loop()
+            self._task = loop.create_task(self._work())
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Release the session once its statement has ended."""
+        self._closed = True
+        self.server.connections.discard(self)
+        if not self.working and self.session is not None:
+            self.session.close()
+
+    def is_idle(self) -> bool:
+        """Return whether no request or transaction is open."""
+        if self.working or self._pending or self._buffer:
+            return False
+        return self.session is None or self.session.status == "I"
+
+    def close(self) -> None:
+        """Close the connection after what was written."""
+        self._closed = True
+        self._transport.close()
+
+    async def _work(self) -> None:
+        try:
+            while self._pending and not self._closed:
+                line = self._pending.popleft()
+                if self._paused and len(self._pending) <= MAXIMUM_PENDING // 2:
+                    self._paused = False
+                    self._transport.resume_reading()
+                if self.session is None:
+                    self._start(line)
+                else:
+                    await self._serve(line)
+        finally:
+            self.working = False
+            if self._closed and self.session is not None:
+                self.session.close()
+
+    def _start(self, line: bytes) -> None:
+        wire = self.server.wire
+        name = wire.parse_start(line)
+        if name is None:
+            self._send(wire.format_refusal(_KIND.BAD_REQUEST, b"START expected"))
+            self.close()
+            return
+        text = name.decode(errors="replace")
+        current = self.server.gateway.board.configuration
+        if current is None or text not in current.routes:
+            kind = _KIND.NOT_FOUND if current is not None else _KIND.UNAVAILABLE
+            logs.write_request(
+                logs.LogEvent.SESSION_REFUSED,
+                {"name": text, "version": current.version if current else 0},
+            )
+            self._send(wire.format_refusal(kind, name))
+            self.close()
+            return
+        self.session = sessions.Session(gateway=self.server.gateway, name=text)
+        self._send(wire.format_ready("I"))
+
+    async def _serve(self, line: bytes) -> None:
+        wire = self.server.wire
+        session = self.session
+        request = wire.parse_request(line)
+        if request is None:
+            self.close()
+            return
+        started = clocks.read_clock()
+        try:
+            reply = await session.answer(request)
+        except Exception as error:  # a fault of the gateway must reach the log
+            logs.write(
+                logs.LogEvent.REQUEST_CRASHED,
+                {"id": request.id.decode(errors="replace"), "error": repr(error)},
+            )
+            if session.transaction is not None:
+                session.abort()
+            reply = execution.fail(_KIND.INTERNAL, "internal error")
+        self._send(wire.format_reply(reply, session.status))
+        self._log(request, reply, session, clocks.read_clock() - started)
+        if reply.error is _KIND.NOT_FOUND:
+            self.close()
+
+    def _log(self, request, reply, session, seconds: float) -> None:
+        trail = session.trail
+        if reply.error is None and not trail.steps and not trail.endpoint:
+            return
+        current = self.server.gateway.board.configuration
+        fields = {
+            "id": request.id.decode(errors="replace"),
+            "name": session.name,
+            "statement": type(request.statement).__name__,
+            "endpoint": trail.endpoint,
+            "trail": trail.steps,
+            "queued_ms": round(trail.queued * 1000, 1),
+            "total_ms": round(seconds * 1000, 1),
+            "version": current.version if current else 0,
+            "outcome": reply.error.value if reply.error else "done",
+        }
+        if reply.error is not None:
+            fields["detail"] = reply.detail.decode(errors="replace")
+        logs.write_request(logs.LogEvent.REQUEST_ANSWERED, fields, reply.error is None)
+
+    def _send(self, data: bytes) -> None:
+        if self._closed:
+            return
+        self._transport.write(data)
+        if self._transport.get_write_buffer_size() > MAXIMUM_UNSENT_BYTES:
+            self._closed = True
+            self._transport.abort()
--- /dev/null
+++ b/hyssopshelf/gateway/states.py
@@ -0,0 +1,93 @@
+"""Session state that lives on connections: values and prepared statements.
+
+Connections are shared, so a connection has to hold exactly the values of the
+session that uses it. Prepared statements are named after their shape, so that
+sessions share them and names of different sessions do not collide.
+"""
+
+import attrs
+
+from hyssopshelf.gateway import statements
+
+MAXIMUM_PREPARED = 200
+"""Prepared statements that a connection holds before it is reset; an endpoint
+keeps each in memory."""
+
+RESET_COST = 2
+"""Cost of a reset against that of setting one value, in messages."""
+
+
+@attrs.define(kw_only=True)
+class SessionState:
+    """Values and prepared statements that were acknowledged to a client."""
+
+    values: dict[bytes, bytes] = attrs.field(factory=dict)
+    prepared: dict[bytes, statements.Shape] = attrs.field(factory=dict)
+
+
+@attrs.define(kw_only=True)
+class ConnectionState:
+    """Values and prepared statements that a connection holds."""
+
+    values: dict[bytes, bytes] = attrs.field(factory=dict)
+    prepared: dict[statements.Shape, bytes] = attrs.field(factory=dict)
+    next_name: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class Correction:
+    """Messages that make a connection fit a session, in order.
+
+    Attributes
+    ----------
+    reset : bool
+        Clear values and prepared statements first.
+    values : tuple of (bytes, bytes)
+        Values to set.
+    prepare : tuple of (bytes, Shape)
+        Statements to prepare, with their name on the connection.
+    """
+
+    reset: bool
+    values: tuple[tuple[bytes, bytes], ...] = ()
+    prepare: tuple[tuple[bytes, statements.Shape], ...] = ()
+
+
+def estimate_cost(connection: ConnectionState, session: SessionState) -> int:
+    """Return the messages that a correction of the values needs."""
+    held = connection.values
+    if held == session.values:
+        return 0
+    if held.keys() - session.values.keys():
+        return RESET_COST + len(session.values)
+    return sum(1 for name, value in session.values.items() if held.get(name) != value)
+
+
+def correct(
+    connection: ConnectionState,
+    session: SessionState,
+    shape: statements.Shape | None,
+) -> Correction:
+    """Return the correction before a statement and apply it to the state."""
+    full = (
+        shape is not None
+        and shape not in connection.prepared
+        and len(connection.prepared) >= MAXIMUM_PREPARED
+    )
+    reset = full or bool(connection.values.keys() - session.values.keys())
+    if reset:
+        connection.values.clear()
+        connection.prepared.clear()
+    values = tuple(
+        (name, value)
+        for name, value in session.values.items()
+        if connection.values.get(name) != value
+    )
+    connection.values.update(values)
+    prepare: tuple[tuple[bytes, statements.Shape], ...] = ()
+    if shape is not None and shape not in connection.prepared:
+        connection.next_name += 1
+        name = b"p%d" % connection.next_name
+        connection.prepared[shape] = name
+        prepare = ((name, shape),)
+    return Correction(reset=reset, values=values, prepare=prepare)
--- a/hyssopshelf/logs.py
+++ b/hyssopshelf/logs.py
@@ -2,13 +2,20 @@
 
 import atexit
 import enum
+import os
 import sys
+import time
 
+import attrs
+import orjson
 from loguru import logger
 
 MAXIMUM_BUFFERED_LINES = 1000
 """Lines that are kept at most before they are written."""
 
+MAXIMUM_UNWRITTEN_BYTES = 256 * 1024
+"""Bytes that a slow reader of the log leaves unwritten before lines are dropped."""
+
 
 class LogEvent(enum.IntEnum):
     """Numbers of the log events, grouped by subject.
@@ -71,6 +78,16 @@
     PROCESS_STOPPED = 703
     PAUSE_NOTICED = 704
     INVARIANT_BROKEN = 705
+    REQUEST_ANSWERED = 111
+    SESSION_REFUSED = 112
+    REQUEST_CRASHED = 113
+    LINES_SUPPRESSED = 114
+    ENDPOINT_REGISTERED = 221
+    ENDPOINT_REMOVED = 222
+    ENTRY_IGNORED = 223
+    STORE_LOST = 521
+    STORE_REGAINED = 522
+    CONFIGURATION_UNREADABLE = 523
     ANSWER_DROPPED = 801
     MESSAGE_DROPPED = 802
 
@@ -95,6 +112,8 @@
     def __init__(self, *, stream) -> None:
         self.stream = stream
         self.detailed = False
+        self.structured = False
+        self.source = ""
         self._lines: list[str] = []
 
     def write(self, line: str) -> None:
@@ -112,7 +131,79 @@
             self.stream.flush()
 
 
+class PipeOutput:
+    """Writes lines to a descriptor without ever waiting for its reader.
+
+    Lines that the reader does not take in time are dropped and counted.
+
+    Parameters
+    ----------
+    descriptor : int
+        File descriptor, set to non-blocking.
+    """
+
+    def __init__(self, *, descriptor: int) -> None:
+        self.descriptor = descriptor
+        self.dropped = 0
+        self._rest = b""
+
+    def write(self, text: str) -> None:
+        """Write whole lines or drop them."""
+        data = self._rest + text.encode()
+        self._rest = b""
+        try:
+            written = os.write(self.descriptor, data)
+        except BlockingIOError:
+            written = 0
+        except OSError:
+            # A closed log must not stop the service.
+            self.dropped += data.count(b"\n")
+            return
+        rest = data[written:]
+        if len(rest) > MAXIMUM_UNWRITTEN_BYTES:
+            kept = rest[: rest.find(b"\n") + 1]
+            self.dropped += rest.count(b"\n") - 1
+            rest = kept
+        self._rest = rest
+
+    def flush(self) -> None:
+        """Do nothing; writes are never held back."""
+
+
+@attrs.define(kw_only=True)
+class LineBudget:
+    """Bounds the lines about requests.
+
+    Attributes
+    ----------
+    rate : float
+        Lines a second in the long run.
+    burst : float
+        Lines that may come together.
+    """
+
+    rate: float
+    burst: float
+    available: float = 0.0
+    refilled_at: float = 0.0
+    suppressed: int = 0
+
+    def spend(self, now: float) -> bool:
+        """Return whether one more line may be written."""
+        self.available = min(
+            self.burst, self.available + (now - self.refilled_at) * self.rate
+        )
+        self.refilled_at = now
+        if self.available < 1.0:
+            self.suppressed += 1
+            return False
+        self.available -= 1.0
+        return True
+
+
 _OUTPUT = BufferedOutput(stream=sys.stderr)
+_SUCCESSES = LineBudget(rate=20.0, burst=40.0)
+_FAILURES = LineBudget(rate=100.0, burst=300.0)
 
 
 def configure(*, form: str, level: str) -> None:
@@ -141,6 +232,38 @@
     )
 
 
+def configure_structured(*, source: str) -> None:
+    """Write one JSON object a line to standard output, without blocking.
+
+    Parameters
+    ----------
+    source : str
+        Name of the host, a field of each line.
+    """
+    logger.remove()
+    os.set_blocking(1, False)
+    _OUTPUT.stream = PipeOutput(descriptor=1)
+    _OUTPUT.structured = True
+    _OUTPUT.source = source
+    atexit.register(_OUTPUT.flush)
+
+
+def write_request(event: LogEvent, fields: dict, success: bool = False) -> None:
+    """Write a line about a request, within the budget of its outcome."""
+    budget = _SUCCESSES if success else _FAILURES
+    if budget.spend(time.monotonic()):
+        write(event, fields)
+
+
+def report_suppressed() -> None:
+    """Write how many lines about requests were left out since the last call."""
+    successes, _SUCCESSES.suppressed = _SUCCESSES.suppressed, 0
+    failures, _FAILURES.suppressed = _FAILURES.suppressed, 0
+    if successes or failures:
+        fields = {"successes": successes, "failures": failures}
+        write(LogEvent.LINES_SUPPRESSED, fields)
+
+
 def flush() -> None:
     """Write all lines that are kept."""
     _OUTPUT.flush()
@@ -150,6 +273,16 @@
     """Write one line for an event with its fields."""
     if event in DETAIL_EVENTS and not _OUTPUT.detailed:
         return
+    if _OUTPUT.structured:
+        line = {
+            "time": round(time.time(), 4),
+            "host": _OUTPUT.source,
+            "event": int(event),
+            "name": event.name.lower(),
+            "fields": fields,
+        }
+        _OUTPUT.write(orjson.dumps(line).decode() + "\n")
+        return
     text = " ".join([f"{name}={value}" for name, value in fields.items()])
     message = f"{int(event)} {event.name.lower()} {text}"
     level = "DEBUG" if event in DETAIL_EVENTS else "INFO"
--- a/hyssopshelf/scheduling/queues.py
+++ b/hyssopshelf/scheduling/queues.py
@@ -127,8 +127,14 @@
         self._add(item, now)
         return result.Ok(shed)
 
-    def take(self, view: views.PoolView, now: float) -> work.Work | None:
-        """Start the next work if a slot is free; return None otherwise."""
+    def take(
+        self, view: views.PoolView, now: float, *, fresh: bool = True
+    ) -> work.Work | None:
+        """Start the next work if a slot is free; return None otherwise.
+
+        Without ``fresh`` only statements of open transactions are started; they
+        hold a connection already.
+        """
         self._use_view(view)
         if len(self._running) >= view.slots or not self._waiting:
             return None
@@ -137,7 +143,10 @@
             if elapsed > running.charge.seconds:
                 self._settle(running.charge, elapsed)
         leaves = [key for key, leaf in self._leaves.items() if leaf.started]
-        leaves = leaves or [key for key, leaf in self._leaves.items() if leaf.fresh]
+        if not leaves and fresh:
+            leaves = [key for key, leaf in self._leaves.items() if leaf.fresh]
+        if not leaves:
+            return None
         partner, rank = self._clocks.choose(leaves, view)
         leaf = self._leaves[partner, rank]
         item = next(iter((leaf.started or leaf.fresh).values()))
