--- /dev/null
+++ b/hyssopshelf/authority/change.py
@@ -0,0 +1,438 @@
+"""Changes of primary, carried out by the coordinator.
+
+A change stops the use of the old primary everywhere, records the new one in the
+store, promotes it, and grants it once it was seen to lead.
+"""
+
+import asyncio
+import collections
+
+import attrs
+
+from hyssopshelf import clocks, exceptions, logs
+from hyssopshelf.authority import assignments, exchange, member, suspicion, timing
+from hyssopshelf.gateway import links, probes
+
+CHECK_SECONDS = 0.1
+"""Time between two looks at the primaries, in seconds."""
+
+STATUS_SECONDS = 0.4
+"""Time for an endpoint's status; it takes a round trip and a slot."""
+
+FINISH_PLANNED_SECONDS = 0.5
+"""Time in which open work may end before a planned change."""
+
+FINISH_UNPLANNED_SECONDS = 0.1
+"""Time in which answers on their way may arrive before an unplanned change."""
+
+REPEAT_SECONDS = 0.2
+"""Time between two requests to a member that has not released a primary."""
+
+PROMOTE_SECONDS = 1.0
+"""Time for a call to promote."""
+
+EFFECT_SECONDS = 3.0
+"""Time in which a promotion takes effect; it takes some hundred milliseconds."""
+
+CATCH_UP_SECONDS = 0.6
+"""Time in which the new primary catches up in a planned change."""
+
+CATCH_UP_START = 200
+"""Log entries that a replica may lack when a planned change starts; the primary
+writes some tens a second, so it catches up within the time for it."""
+
+LAPSE_SECONDS = 1.5
+"""Time for which a primary reports itself as a replica before it is replaced. A
+registry entry may be that old."""
+
+RETRY_SECONDS = 0.3
+"""Pause after a change that could not be carried out."""
+
+DEMOTE_ATTEMPTS = 10
+"""Attempts, a second apart, to make an old primary follow the new one."""
+
+REFUSED_STATUS = 409
+"""Status of a promotion whose endpoint is not running."""
+
+EFFECT_CHECK_SECONDS = 0.05
+"""Time between two looks at whether a promotion has taken effect."""
+
+
+@attrs.frozen(kw_only=True)
+class Status:
+    """An endpoint's own account of its state."""
+
+    role: str
+    term: int
+    position: object
+
+
+class ChangeController:
+    """Watches the primaries and replaces them.
+
+    Parameters
+    ----------
+    coordinator : Coordinator
+        The coordinator whose authority the changes use.
+    duty : object
+        Client of the platform's promote call.
+    """
+
+    def __init__(self, *, coordinator, duty) -> None:
+        self.coordinator = coordinator
+        self.duty = duty
+        self.local = coordinator.local
+        self.gateway = coordinator.local.gateway
+        self._busy: set[str] = set()
+        self._lapsed_since: dict[str, float] = {}
+        self._retry_at: dict[str, float] = collections.defaultdict(float)
+
+    async def run(self) -> None:
+        """Look at all primaries until the coordinator stops."""
+        while self.coordinator.active:
+            now = clocks.read_clock()
+            if self.coordinator.may_change(now):
+                for database in self._list_databases():
+                    self._inspect(database, now)
+            await asyncio.sleep(CHECK_SECONDS)
+
+    def _list_databases(self) -> list[str]:
+        names = {entry.database for entry in self.gateway.board.endpoints.values()}
+        return sorted(names | set(self.local.assignments.databases))
+
+    def _list_endpoints(self, database: str) -> dict:
+        return {
+            endpoint.id: endpoint
+            for endpoint in self.gateway.board.endpoints.values()
+            if endpoint.database == database
+        }
+
+    def _inspect(self, database: str, now: float) -> None:
+        if database in self._busy or now < self._retry_at[database]:
+            return
+        assigned = self.local.assignments.databases.get(database)
+        endpoints = self._list_endpoints(database)
+        if assigned is None:
+            if any(endpoint.leads for endpoint in endpoints.values()):
+                self._start(database, self._assign_first(database, endpoints))
+            return
+        if assigned.promoting:
+            self._start(database, self._resume(database, assigned))
+            return
+        if not endpoints:
+            return
+        lapsed = self._has_lapsed(database, endpoints.get(assigned.endpoint), now)
+        reason = suspicion.find_reason(
+            assigned, endpoints, self._collect_reports(now), lapsed
+        )
+        if reason:
+            self._start(database, self._change(database, assigned, reason))
+
+    def _has_lapsed(self, database: str, primary, now: float) -> bool:
+        if primary is None or primary.leads:
+            self._lapsed_since.pop(database, None)
+            return False
+        since = self._lapsed_since.setdefault(database, now)
+        return now - since > LAPSE_SECONDS
+
+    def _collect_reports(self, now: float) -> list:
+        reports = [member.collect_reach(self.gateway.board, now)]
+        reports += [
+            state.reach
+            for state in self.coordinator.ledger.members.values()
+            if now - state.heard_at < timing.SILENCE_SECONDS
+        ]
+        return reports
+
+    def _start(self, database: str, work) -> None:
+        self._busy.add(database)
+        self.coordinator.run_in_background(self._guard(database, work))
+
+    async def _guard(self, database: str, work) -> None:
+        try:
+            if not await work:
+                self._retry_at[database] = clocks.read_clock() + RETRY_SECONDS
+        finally:
+            self._busy.discard(database)
+
+    async def _assign_first(self, database: str, endpoints: dict) -> bool:
+        """Record the endpoint that leads a database that is not assigned yet."""
+        leaders = [endpoint for endpoint in endpoints.values() if endpoint.leads]
+        best = None
+        for endpoint in leaders:
+            status = await self._ask_status(endpoint)
+            if status is None or status.role != "primary":
+                continue
+            if best is None or status.term > best[1].term:
+                best = (endpoint, status)
+        if best is None:
+            return False
+        endpoint, status = best
+        entry = assignments.Assignment(
+            endpoint=endpoint.id, term=status.term, version=1
+        )
+        if not await self._record(database, entry):
+            return False
+        self.coordinator.announce()
+        return True
+
+    async def _change(self, database: str, assigned, reason: str) -> bool:
+        planned = reason == "leaving"
+        logs.write(
+            logs.LogEvent.CHANGE_STARTED,
+            {
+                "database": database,
+                "endpoint": assigned.endpoint,
+                "term": assigned.term,
+                "reason": reason,
+                "epoch": self.coordinator.record.epoch,
+            },
+        )
+        target = await self._choose_target(database, assigned, planned)
+        if target is None:
+            return False
+        self.coordinator.closed.add(database)
+        await self._wait_for_release(database, assigned.version, planned)
+        if not self.coordinator.may_change(clocks.read_clock()):
+            self.coordinator.closed.discard(database)
+            return False
+        if planned:
+            target = await self._catch_up(database, assigned, target)
+        entry = assignments.Assignment(
+            endpoint=target.id,
+            term=assigned.term,
+            version=assigned.version + 1,
+            promoting=True,
+        )
+        if not await self._record(database, entry):
+            return False
+        return await self._promote(database, entry)
+
+    async def _resume(self, database: str, entry) -> bool:
+        """Finish a change that was recorded, perhaps by an earlier coordinator."""
+        now = clocks.read_clock()
+        wait = self.coordinator.ledger.predecessors_until - now
+        if wait > 0:
+            # The earlier coordinator may still call.
+            await asyncio.sleep(wait)
+        self.coordinator.closed.add(database)
+        endpoint = self._list_endpoints(database).get(entry.endpoint)
+        if endpoint is not None and await self._promote(database, entry):
+            return True
+        target = await self._choose_target(database, entry, False)
+        if target is None:
+            return False
+        entry = assignments.Assignment(
+            endpoint=target.id,
+            term=entry.term,
+            version=entry.version + 1,
+            promoting=True,
+        )
+        if not await self._record(database, entry):
+            return False
+        return await self._promote(database, entry)
+
+    async def _choose_target(self, database: str, assigned, planned: bool):
+        """Return the reachable replica that has received most, or None."""
+        candidates = [
+            endpoint
+            for endpoint in self._list_endpoints(database).values()
+            if endpoint.id != assigned.endpoint and not endpoint.leaving
+        ]
+        reports = self._collect_reports(clocks.read_clock())
+        found = await asyncio.gather(
+            *(self._ask_status(endpoint) for endpoint in candidates)
+        )
+        ranked = [
+            (
+                -suspicion.count_failing(reports, endpoint.id, 0.0),
+                status.position,
+                endpoint.id,
+                endpoint,
+            )
+            for endpoint, status in zip(candidates, found, strict=True)
+            if status is not None
+        ]
+        if not ranked:
+            logs.write(
+                logs.LogEvent.CHANGE_ABANDONED,
+                {"database": database, "reason": "no replica answers"},
+            )
+            return None
+        _, position, _, target = max(ranked, key=lambda row: row[:3])
+        if planned:
+            seen = self.gateway.board.get_log(database).get_last_position()
+            if seen is not None and seen.number - position.number > CATCH_UP_START:
+                return None
+        return target
+
+    async def _wait_for_release(self, database: str, version: int, planned: bool):
+        """Return when no node uses the assignment any more."""
+        finish = FINISH_PLANNED_SECONDS if planned else FINISH_UNPLANNED_SECONDS
+        message = exchange.Release(
+            database=database,
+            version=version,
+            epoch=self.coordinator.record.epoch,
+            finish_seconds=finish,
+        )
+        own = asyncio.get_running_loop().create_task(
+            self.local.release(database, version, finish)
+        )
+        send_at = 0.0
+        while True:
+            now = clocks.read_clock()
+            holders = self.coordinator.ledger.find_holders(database, version, now)
+            if not holders and own.done():
+                return
+            if now >= send_at:
+                send_at = now + REPEAT_SECONDS
+                for host in holders:
+                    state = self.coordinator.ledger.members[host]
+                    self.coordinator.send(host, state.address, message)
+            await asyncio.sleep(member.RELEASE_CHECK_SECONDS)
+
+    async def _catch_up(self, database: str, assigned, target):
+        """Wait until a replica holds all that the old primary acknowledged."""
+        deadline = clocks.read_clock() + CATCH_UP_SECONDS
+        old = self._list_endpoints(database).get(assigned.endpoint)
+        last = await self._ask_status(old) if old is not None else None
+        goal = last.position if last is not None else None
+        while goal is not None and clocks.read_clock() < deadline:
+            status = await self._ask_status(target)
+            if status is not None and status.position >= goal:
+                break
+            await asyncio.sleep(member.RELEASE_CHECK_SECONDS)
+        return target
+
+    async def _promote(self, database: str, entry) -> bool:
+        """Call until the promotion takes effect, then grant the new primary."""
+        started = clocks.read_clock()
+        deadline = started + EFFECT_SECONDS
+        accepted = False
+        while clocks.read_clock() < deadline:
+            if not self.coordinator.may_change(clocks.read_clock()):
+                return False
+            if not accepted:
+                answer = await self.duty.promote(
+                    database,
+                    entry.endpoint,
+                    self.coordinator.record.epoch,
+                    PROMOTE_SECONDS,
+                )
+                accepted = answer.is_ok()
+                if not accepted:
+                    logs.write(
+                        logs.LogEvent.PROMOTION_FAILED,
+                        {
+                            "database": database,
+                            "endpoint": entry.endpoint,
+                            "status": answer.err_value.status,
+                            "reason": answer.err_value.reason,
+                        },
+                    )
+                    if answer.err_value.status == REFUSED_STATUS:
+                        break
+                    await asyncio.sleep(CHECK_SECONDS)
+                    continue
+            endpoint = self._list_endpoints(database).get(entry.endpoint)
+            if endpoint is None:
+                break
+            status = await self._ask_status(endpoint)
+            if (
+                status is not None
+                and status.role == "primary"
+                and status.term > entry.term
+            ):
+                await self._complete(database, entry, status, started)
+                return True
+            await asyncio.sleep(EFFECT_CHECK_SECONDS)
+        # Another target gets a new version, so that the two are never confused.
+        return False
+
+    async def _complete(self, database: str, entry, status, started: float) -> None:
+        done = attrs.evolve(entry, term=status.term, promoting=False)
+        self.local.assignments = self.local.assignments.replace(database, done)
+        self.coordinator.closed.discard(database)
+        self.coordinator.renew_own_tenures()
+        self.coordinator.announce()
+        logs.write(
+            logs.LogEvent.PRIMARY_PROMOTED,
+            {
+                "database": database,
+                "endpoint": entry.endpoint,
+                "term": status.term,
+                "version": entry.version,
+                "seconds": round(clocks.read_clock() - started, 3),
+            },
+        )
+        self.coordinator.run_in_background(self._settle(database, done))
+
+    async def _settle(self, database: str, done) -> None:
+        """Record the end of a change and make old primaries follow."""
+        await self._write(self.local.assignments)
+        for _ in range(DEMOTE_ATTEMPTS):
+            others = [
+                endpoint
+                for endpoint in self._list_endpoints(database).values()
+                if endpoint.id != done.endpoint and endpoint.leads
+            ]
+            if not others:
+                return
+            for endpoint in others:
+                await self._demote(endpoint, done.term)
+            await asyncio.sleep(1.0)
+
+    async def _demote(self, endpoint, term: int) -> None:
+        wire = self.gateway.endpoint_wire
+        try:
+            await probes.ask(
+                self.gateway, endpoint, wire.format_demote(term), STATUS_SECONDS
+            )
+        except links.LinkError as error:
+            logs.write(
+                logs.LogEvent.FOLLOW_ORDERED,
+                {"endpoint": endpoint.id, "term": term, "outcome": error.reason},
+            )
+            return
+        logs.write(
+            logs.LogEvent.FOLLOW_ORDERED,
+            {"endpoint": endpoint.id, "term": term, "outcome": "answered"},
+        )
+
+    async def _record(self, database: str, entry) -> bool:
+        """Write an assignment to the store, then use it."""
+        if self.coordinator.closed.isdisjoint({database}) and entry.promoting:
+            raise exceptions.InvariantError("a promotion starts without a release")
+        newer = self.local.assignments.replace(database, entry)
+        if not await self._write(newer):
+            return False
+        # Another database may have changed while the store was called.
+        self.local.assignments = self.local.assignments.replace(database, entry)
+        return True
+
+    async def _write(self, newer) -> bool:
+        coordinator = self.coordinator
+        written = await coordinator.store.change(
+            {assignments.COORDINATOR_KEY: coordinator.revision},
+            {assignments.ASSIGNMENTS_KEY: assignments.encode(newer)},
+        )
+        if written.is_ok():
+            return True
+        logs.write(
+            logs.LogEvent.ASSIGNMENT_UNRECORDED,
+            {"status": written.err_value.status, "reason": written.err_value.reason},
+        )
+        return False
+
+    async def _ask_status(self, endpoint) -> Status | None:
+        wire = self.gateway.endpoint_wire
+        try:
+            reply = await probes.ask(
+                self.gateway, endpoint, wire.format_status(), STATUS_SECONDS
+            )
+        except links.LinkError:
+            return None
+        if reply.error is not None or not reply.rows:
+            return None
+        role, term, position = wire.parse_status(reply.rows[0])
+        return Status(role=role, term=term, position=position)
--- /dev/null
+++ b/hyssopshelf/authority/coordinator.py
@@ -0,0 +1,321 @@
+"""The coordinator: grants assignments to members and feeds them documents."""
+
+import asyncio
+import zlib
+
+import attrs
+import msgpack
+
+from hyssopshelf import clocks, logs
+from hyssopshelf.authority import assignments, exchange, ledger, member, shares, timing
+
+SUCCESSORS = 3
+"""Members that are named to take over first."""
+
+OBSERVATION_SECONDS = 3.0
+"""Age above which an observation of a primary's log is forgotten."""
+
+
+class Coordinator:
+    """Answers pings while this node coordinates.
+
+    Parameters
+    ----------
+    identity : MemberRecord
+        This node.
+    local : Member
+        The member part of this node; it holds assignments and documents.
+    record : CoordinatorRecord
+        The record in the store that makes this node the coordinator.
+    revision : int
+        Its revision; every change of assignments is conditional on it.
+    store : object
+        Client of the store.
+    send : callable
+        Takes host, address and message.
+    """
+
+    def __init__(self, *, identity, local, record, revision, store, send) -> None:
+        self.identity = identity
+        self.local = local
+        self.record = record
+        self.revision = revision
+        self.store = store
+        self.send = send
+        self.ledger = ledger.Ledger()
+        self.closed: set[str] = set()
+        self.active = True
+        self.resigning = False
+        self.store_contact_at = clocks.read_clock()
+        self.assignments_revision = 0
+        self._packed: dict[str, tuple[int, bytes]] = {}
+        self._observations: dict[str, tuple[int, float, int, int]] = {}
+        self._registering: set[str] = set()
+        self._tasks: set[asyncio.Task] = set()
+        self._had_authority = True
+
+    def has_authority(self, now: float) -> bool:
+        """Return whether this node may grant and decide."""
+        return self.active and self.ledger.has_authority(now)
+
+    def may_change(self, now: float) -> bool:
+        """Return whether the store confirmed this node a short time ago."""
+        return self.active and now < (
+            self.ledger.confirmed_at + timing.AUTHORITY_SECONDS / 2
+        )
+
+    def receive_ping(self, ping: exchange.Ping, host: str, address: str) -> None:
+        """Answer a member's ping."""
+        now = clocks.read_clock()
+        known = self.ledger.members.get(host)
+        if known is None or known.incarnation != ping.incarnation:
+            self._register(ping, host, address)
+            self._answer(ping, host, address, now, grant=False)
+            return
+        known.address = address
+        self.ledger.record_ping(known, ping, now)
+        self._observe(ping, now)
+        grant = ping.epoch == self.record.epoch and self.has_authority(now)
+        if grant:
+            self.ledger.record_grant(known, now)
+        self._answer(ping, host, address, now, grant=grant)
+
+    def renew_own_tenures(self) -> None:
+        """Use the assignments at this node while it has authority."""
+        now = clocks.read_clock()
+        authority = self.has_authority(now)
+        if authority != self._had_authority:
+            self._had_authority = authority
+            event = (
+                logs.LogEvent.AUTHORITY_REGAINED
+                if authority
+                else logs.LogEvent.AUTHORITY_LOST
+            )
+            logs.write(
+                event,
+                {
+                    "epoch": self.record.epoch,
+                    "confirmed_age": round(now - self.ledger.confirmed_at, 3),
+                    "members": len(self.ledger.members),
+                },
+            )
+        if not authority:
+            return
+        until = self.ledger.confirmed_at + timing.AUTHORITY_SECONDS
+        members = self.ledger.members.values()
+        if members:
+            until = max(until, min(state.promised_until for state in members))
+        self.local.answered_at = now
+        self.local.apply_tenures(until, tuple(self.closed))
+        found = self._collect_observations(now)
+        member.merge_observations(self.local.gateway.board, found, now)
+        own_shares = self._divide_connections().get(self.identity.host)
+        if own_shares:
+            self.local.gateway.apply_shares(own_shares)
+
+    def announce(self) -> None:
+        """Make all members ping now."""
+        message = exchange.Announce(
+            epoch=self.record.epoch, incarnation=self.identity.incarnation
+        )
+        for state in self.ledger.members.values():
+            self.send(state.host, state.address, message)
+
+    def stop(self, reason: str) -> None:
+        """Stop coordinating."""
+        if not self.active:
+            return
+        self.active = False
+        for task in self._tasks:
+            task.cancel()
+        logs.write(
+            logs.LogEvent.COORDINATION_ENDED,
+            {"epoch": self.record.epoch, "reason": reason},
+        )
+
+    def find_successors(self, now: float) -> tuple[str, ...]:
+        """Return the members that should take over first, other places first."""
+        alive = [
+            state
+            for state in self.ledger.members.values()
+            if now - state.heard_at < timing.SILENCE_SECONDS and not state.draining
+        ]
+        alive.sort(key=lambda state: (state.place == self.identity.place, state.host))
+        return tuple(state.host for state in alive[:SUCCESSORS])
+
+    def run_in_background(self, work) -> None:
+        """Run a coroutine until this node stops coordinating."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _answer(self, ping, host: str, address: str, now: float, grant: bool) -> None:
+        held = self.local.documents
+        newer = self.local.assignments
+        pong = exchange.Pong(
+            sequence=ping.sequence,
+            epoch=self.record.epoch,
+            authoritative=grant,
+            resigning=self.resigning,
+            stamp=now,
+            store_age=max(0.0, now - self.store_contact_at),
+            released=tuple(self.closed),
+            assignments=(
+                assignments.encode(newer)
+                if ping.assignments_version < newer.version
+                else None
+            ),
+            configuration=(
+                self._compress(
+                    "configuration", held.configuration_version, held.configuration
+                )
+                if ping.configuration_version < held.configuration_version
+                else None
+            ),
+            registry=(
+                self._compress("registry", held.registry_version, held.registry)
+                if ping.registry_version != held.registry_version
+                else None
+            ),
+            registry_version=held.registry_version,
+            members=(
+                held.members if ping.members_version != held.members_version else None
+            ),
+            members_version=held.members_version,
+            successors=self.find_successors(now),
+            observations=self._collect_observations(now),
+            shares=self._divide_connections().get(host, {}),
+        )
+        self.send(host, address, pong)
+
+    def _compress(self, name: str, version: int, data: bytes | None) -> bytes | None:
+        if data is None:
+            return None
+        kept = self._packed.get(name)
+        if kept is None or kept[0] != version:
+            kept = (version, zlib.compress(data, 1))
+            self._packed[name] = kept
+        return kept[1]
+
+    def _observe(self, ping: exchange.Ping, now: float) -> None:
+        if not ping.stamp:
+            return
+        # The ping was sent after ``stamp + held`` on this clock.
+        sent_after = min(now, ping.stamp + ping.held)
+        for database, found in ping.observations.items():
+            at = sent_after - found.age
+            kept = self._observations.get(database)
+            if kept is None or (found.version, at) > kept[:2]:
+                self._observations[database] = (
+                    found.version,
+                    at,
+                    found.term,
+                    found.number,
+                )
+
+    def _collect_observations(self, now: float) -> dict[str, exchange.Observation]:
+        found = member.collect_observations(self.local.gateway.board, now)
+        for database, (version, at, term, number) in self._observations.items():
+            age = now - at
+            if age > OBSERVATION_SECONDS:
+                continue
+            own = found.get(database)
+            if own is not None and (own.version, -own.age) >= (version, -age):
+                continue
+            found[database] = exchange.Observation(
+                version=version, term=term, number=number, age=age
+            )
+        return found
+
+    def _divide_connections(self) -> dict[str, dict[str, int]]:
+        gateway = self.local.gateway
+        demands = {self.identity.host: gateway.measure_demand(reset=False)}
+        now = clocks.read_clock()
+        for state in self.ledger.members.values():
+            if now - state.heard_at < timing.EXPULSION_SECONDS:
+                demands[state.host] = state.demand
+        return shares.divide_all(gateway.list_limits(), demands)
+
+    def _register(self, ping: exchange.Ping, host: str, address: str) -> None:
+        """Register a member that the store does not list yet."""
+        if host in self._registering:
+            return
+        self._registering.add(host)
+        record = assignments.MemberRecord(
+            host=host, address=address, incarnation=ping.incarnation, place=ping.place
+        )
+        self.run_in_background(self._write_member(record))
+
+    async def _write_member(self, record: assignments.MemberRecord) -> None:
+        try:
+            written = await self.store.change(
+                {assignments.COORDINATOR_KEY: self.revision},
+                {assignments.MEMBER_PREFIX + record.host: assignments.encode(record)},
+            )
+        finally:
+            self._registering.discard(record.host)
+        if written.is_err():
+            return
+        self.add_member(record)
+        self.announce()
+
+    def add_member(self, record: assignments.MemberRecord) -> None:
+        """Add a registered member; a new incarnation keeps no grant."""
+        before = self.ledger.members.get(record.host)
+        if before is not None and before.incarnation == record.incarnation:
+            before.address = record.address
+            return
+        self.ledger.members[record.host] = ledger.MemberState(
+            host=record.host,
+            address=record.address,
+            incarnation=record.incarnation,
+            place=record.place,
+            heard_at=clocks.read_clock(),
+        )
+        logs.write(
+            logs.LogEvent.MEMBER_ADDED,
+            {"member": record.host, "incarnation": record.incarnation},
+        )
+        self.publish_members()
+
+    async def expel_silent(self) -> None:
+        """Remove the registrations of members that do not ping any more."""
+        now = clocks.read_clock()
+        silent = [
+            state
+            for state in self.ledger.members.values()
+            if now - state.heard_at > timing.EXPULSION_SECONDS
+            and now > max(state.granted_until, self.ledger.predecessors_until)
+        ]
+        if not silent or not self.may_change(now):
+            return
+        keys = tuple(assignments.MEMBER_PREFIX + state.host for state in silent)
+        removed = await self.store.change(
+            {assignments.COORDINATOR_KEY: self.revision}, {}, keys
+        )
+        if removed.is_err():
+            return
+        for state in silent:
+            if self.ledger.members.get(state.host) is state:
+                del self.ledger.members[state.host]
+            logs.write(
+                logs.LogEvent.MEMBER_REMOVED,
+                {"member": state.host, "silent": round(now - state.heard_at, 2)},
+            )
+        self.publish_members()
+
+    def publish_members(self) -> None:
+        """Bring the list of members that pongs carry up to date."""
+        records = [self.identity] + [
+            assignments.MemberRecord(
+                host=state.host,
+                address=state.address,
+                incarnation=state.incarnation,
+                place=state.place,
+            )
+            for state in sorted(self.ledger.members.values(), key=lambda s: s.host)
+        ]
+        self.local.members = {record.host: record for record in records}
+        data = msgpack.packb({"members": [attrs.asdict(record) for record in records]})
+        held = self.local.documents
+        held.members, held.members_version = data, zlib.crc32(data)
--- /dev/null
+++ b/hyssopshelf/authority/exchange.py
@@ -0,0 +1,168 @@
+"""Messages between coordinator and members."""
+
+import attrs
+
+from hyssopshelf import messages
+
+
+@attrs.frozen(kw_only=True)
+class Observation:
+    """A position of a primary's log.
+
+    Attributes
+    ----------
+    version : int
+        Version of the assignment under which it was observed.
+    age : float
+        Time since the message that it answers was sent, in seconds, when this
+        message is sent.
+    """
+
+    version: int
+    term: int
+    number: int
+    age: float
+
+
+@attrs.frozen(kw_only=True)
+class Reach:
+    """What a member sees of an endpoint.
+
+    Attributes
+    ----------
+    failing_seconds : float
+        Time since the first failure without a success after it, 0 if none.
+    """
+
+    failing_seconds: float
+    failures: int
+
+
+@messages.register("authority.ping")
+@attrs.frozen(kw_only=True)
+class Ping:
+    """A member asks the coordinator for a grant and reports what it sees.
+
+    Attributes
+    ----------
+    sequence : int
+        Number that the answer repeats.
+    stamp : float
+        The coordinator's clock in its last answer, 0 without one.
+    held : float
+        Time since that answer arrived, in seconds.
+    promises : bool
+        Whether the member promises not to take over for a time.
+    """
+
+    sequence: int
+    incarnation: int
+    place: str
+    epoch: int
+    stamp: float = 0.0
+    held: float = 0.0
+    promises: bool = False
+    assignments_version: int = 0
+    configuration_version: int = 0
+    registry_version: int = 0
+    members_version: int = 0
+    draining: bool = False
+    observations: dict[str, Observation] = attrs.field(factory=dict)
+    reach: dict[str, Reach] = attrs.field(factory=dict)
+    demand: dict[str, int] = attrs.field(factory=dict)
+
+
+@messages.register("authority.pong")
+@attrs.frozen(kw_only=True)
+class Pong:
+    """The answer to a ping.
+
+    Attributes
+    ----------
+    authoritative : bool
+        Whether the answer grants the use of the assignments.
+    resigning : bool
+        Whether the first successor should take over now.
+    stamp : float
+        The coordinator's clock when the answer was sent.
+    store_age : float
+        Time since the coordinator's last contact with the store, in seconds.
+    released : tuple of str
+        Databases whose primary must not be used.
+    assignments, configuration, registry, members : bytes or None
+        Newer documents than the member has; None if it is up to date.
+    """
+
+    sequence: int
+    epoch: int
+    authoritative: bool
+    resigning: bool = False
+    stamp: float = 0.0
+    store_age: float = 0.0
+    released: tuple[str, ...] = ()
+    assignments: bytes | None = None
+    configuration: bytes | None = None
+    registry: bytes | None = None
+    registry_version: int = 0
+    members: bytes | None = None
+    members_version: int = 0
+    successors: tuple[str, ...] = ()
+    observations: dict[str, Observation] = attrs.field(factory=dict)
+    shares: dict[str, int] = attrs.field(factory=dict)
+
+
+@messages.register("authority.release")
+@attrs.frozen(kw_only=True)
+class Release:
+    """The coordinator asks a member to stop using a primary.
+
+    Attributes
+    ----------
+    version : int
+        Newest version of the assignment that must not be used.
+    finish_seconds : float
+        Time in which open work may end.
+    """
+
+    database: str
+    version: int
+    epoch: int
+    finish_seconds: float
+
+
+@messages.register("authority.released")
+@attrs.frozen(kw_only=True)
+class Released:
+    """A member stopped using a primary and acknowledges nothing from it."""
+
+    database: str
+    version: int
+    epoch: int
+
+
+@messages.register("authority.announce")
+@attrs.frozen(kw_only=True)
+class Announce:
+    """A coordinator tells that it took over, or that there is news."""
+
+    epoch: int
+    incarnation: int
+
+
+@messages.register("authority.inquire")
+@attrs.frozen(kw_only=True)
+class Inquire:
+    """A member that wants to take over asks when others heard the coordinator."""
+
+    number: int
+    epoch: int
+
+
+@messages.register("authority.contact")
+@attrs.frozen(kw_only=True)
+class Contact:
+    """Answer to Inquire: time since the last answer of the coordinator."""
+
+    number: int
+    epoch: int
+    silence: float
--- /dev/null
+++ b/hyssopshelf/authority/member.py
@@ -0,0 +1,302 @@
+"""A member: pings the coordinator and uses the primaries that it grants."""
+
+import asyncio
+import zlib
+
+import attrs
+
+from hyssopshelf import clocks, logs
+from hyssopshelf.authority import assignments, exchange, timing
+from hyssopshelf.gateway import boards, statements
+
+MAXIMUM_OBSERVATION_AGE_SECONDS = 1.0
+"""Age above which an observation of a primary's log is not worth reporting."""
+
+RELEASE_CHECK_SECONDS = 0.01
+"""Time between two looks at the writes that are still open, in seconds."""
+
+
+@attrs.define(kw_only=True)
+class Documents:
+    """Newest documents that a node knows, as the store held them.
+
+    Attributes
+    ----------
+    configuration : bytes or None
+        The operator's configuration, with its revision.
+    registry : bytes or None
+        The registry's entries, with a digest of what they say.
+    registry_read_at : float
+        Time at which the store had this registry at the latest.
+    """
+
+    configuration: bytes | None = None
+    configuration_version: int = 0
+    registry: bytes | None = None
+    registry_version: int = 0
+    registry_read_at: float = float("-inf")
+    members: bytes | None = None
+    members_version: int = 0
+
+
+class Member:
+    """Keeps the grant of this node.
+
+    Parameters
+    ----------
+    identity : MemberRecord
+        This node.
+    gateway : Gateway
+        Whose board receives the tenures.
+    documents : Documents
+        Newest documents; shared with the coordinator.
+    apply_document : callable
+        Takes ``configuration`` or ``registry`` and puts the document in force.
+    send : callable
+        Takes host, address and message.
+    """
+
+    def __init__(self, *, identity, gateway, documents, apply_document, send) -> None:
+        self.identity = identity
+        self.gateway = gateway
+        self.documents = documents
+        self.apply_document = apply_document
+        self.send = send
+        self.coordinator: assignments.CoordinatorRecord | None = None
+        self.epoch = 0
+        self.assignments = assignments.Assignments()
+        self.members: dict[str, assignments.MemberRecord] = {}
+        self.successors: tuple[str, ...] = ()
+        self.answered_at = float("-inf")
+        self.started_at = clocks.read_clock()
+        self.promised_until = float("-inf")
+        self.store_age = float("inf")
+        self.store_age_at = float("-inf")
+        self.resigning = False
+        self.released: dict[str, int] = {}
+        self._sequence = 0
+        self._sent: dict[int, float] = {}
+        self._stamp = 0.0
+        self._stamped_at = 0.0
+
+    def follow(self, record: assignments.CoordinatorRecord) -> None:
+        """Take a node as the coordinator if its epoch is the newest."""
+        if record.epoch < self.epoch:
+            return
+        if self.coordinator != record:
+            logs.write(
+                logs.LogEvent.COORDINATOR_FOLLOWED,
+                {
+                    "coordinator": record.host,
+                    "epoch": record.epoch,
+                    "incarnation": record.incarnation,
+                },
+            )
+            self._stamp = 0.0
+            self.resigning = False
+        self.epoch = record.epoch
+        self.coordinator = record
+
+    def ping(self) -> None:
+        """Send a ping to the coordinator."""
+        record = self.coordinator
+        if record is None or record.host == self.identity.host:
+            return
+        now = clocks.read_clock()
+        promises = (
+            bool(self._stamp)
+            and now - self.answered_at < timing.PROMISE_CONTACT_SECONDS
+        )
+        if promises:
+            self.promised_until = now + timing.PROMISE_SECONDS
+        self._sequence += 1
+        self._sent = {
+            number: at
+            for number, at in self._sent.items()
+            if now - at < timing.GRANT_SECONDS
+        }
+        self._sent[self._sequence] = now
+        held = self.documents
+        message = exchange.Ping(
+            sequence=self._sequence,
+            incarnation=self.identity.incarnation,
+            place=self.identity.place,
+            epoch=self.epoch,
+            stamp=self._stamp,
+            held=now - self._stamped_at if self._stamp else 0.0,
+            promises=promises,
+            assignments_version=self.assignments.version,
+            configuration_version=held.configuration_version,
+            registry_version=held.registry_version,
+            members_version=held.members_version,
+            draining=self.gateway.board.draining,
+            observations=collect_observations(self.gateway.board, now),
+            reach=collect_reach(self.gateway.board, now),
+            demand=self.gateway.measure_demand(),
+        )
+        self.send(record.host, record.address, message)
+
+    def receive_pong(self, pong: exchange.Pong, host: str) -> None:
+        """Apply an answer of the coordinator."""
+        sent_at = self._sent.pop(pong.sequence, None)
+        now = clocks.read_clock()
+        record = self.coordinator
+        if sent_at is None or record is None or record.host != host:
+            return
+        if pong.epoch > self.epoch:
+            self.follow(attrs.evolve(record, epoch=pong.epoch, lease=0))
+            self.ping()
+            return
+        if pong.epoch != self.epoch:
+            return
+        self._stamp = pong.stamp
+        self._stamped_at = now
+        self.resigning = pong.resigning
+        self.successors = pong.successors
+        self.store_age, self.store_age_at = pong.store_age, now
+        self._apply_documents(pong, now)
+        if not pong.authoritative:
+            return
+        silence = now - self.answered_at
+        if silence > timing.SILENCE_SECONDS:
+            logs.write(
+                logs.LogEvent.COORDINATOR_REGAINED,
+                {"coordinator": host, "epoch": self.epoch, "silence": silence},
+            )
+        self.answered_at = now
+        self.apply_tenures(sent_at + timing.GRANT_SECONDS, pong.released)
+        merge_observations(self.gateway.board, pong.observations, sent_at)
+        if pong.shares:
+            self.gateway.apply_shares(pong.shares)
+
+    def _apply_documents(self, pong: exchange.Pong, now: float) -> None:
+        held = self.documents
+        if pong.assignments is not None:
+            newer = assignments.decode_assignments(pong.assignments)
+            if newer.version > self.assignments.version:
+                self.assignments = newer
+        if pong.members is not None:
+            held.members, held.members_version = pong.members, pong.members_version
+            self.members = decode_members(pong.members)
+        if pong.configuration is not None:
+            self.apply_document("configuration", zlib.decompress(pong.configuration))
+        read_at = now - pong.store_age
+        if pong.registry is not None and read_at > held.registry_read_at:
+            held.registry_read_at = read_at
+            self.apply_document("registry", zlib.decompress(pong.registry))
+
+    def apply_tenures(self, valid_until: float, closed: tuple[str, ...]) -> None:
+        """Renew the beliefs in all primaries that may be used."""
+        board = self.gateway.board
+        changed = False
+        for database, entry in self.assignments.databases.items():
+            before = board.tenures.get(database)
+            usable = (
+                not entry.promoting
+                and database not in closed
+                and entry.version > self.released.get(database, 0)
+            )
+            if not usable:
+                continue
+            if before is not None and before.version > entry.version:
+                continue
+            board.tenures[database] = boards.Tenure(
+                endpoint=entry.endpoint,
+                term=entry.term,
+                version=entry.version,
+                valid_until=valid_until,
+            )
+            if before is None or before.version != entry.version:
+                self._start_tenure(database, entry)
+                changed = True
+            elif before.valid_until < clocks.read_clock():
+                changed = True
+        if changed:
+            self.gateway.notify()
+
+    def _start_tenure(self, database: str, entry) -> None:
+        board = self.gateway.board
+        board.get_log(database).start_term(entry.term)
+        board.closing.discard(database)
+        logs.write(
+            logs.LogEvent.PRIMARY_FOLLOWED,
+            {
+                "database": database,
+                "endpoint": entry.endpoint,
+                "term": entry.term,
+                "version": entry.version,
+                "epoch": self.epoch,
+            },
+        )
+
+    async def release(self, database: str, version: int, finish: float) -> None:
+        """Stop using a primary; return when nothing is acknowledged from it."""
+        board = self.gateway.board
+        self.released[database] = max(version, self.released.get(database, 0))
+        tenure = board.tenures.get(database)
+        if tenure is None or tenure.version > version:
+            return
+        board.closing.add(database)
+        deadline = clocks.read_clock() + finish
+        while self.gateway.has_open_writes(database, version):
+            if clocks.read_clock() >= deadline:
+                break
+            await asyncio.sleep(RELEASE_CHECK_SECONDS)
+        tenure = board.tenures.get(database)
+        if tenure is not None and tenure.version <= version:
+            del board.tenures[database]
+        board.closing.discard(database)
+        logs.write(
+            logs.LogEvent.PRIMARY_RELEASED, {"database": database, "version": version}
+        )
+
+
+def decode_members(data: bytes) -> dict[str, assignments.MemberRecord]:
+    """Decode the list of members."""
+    fields = assignments.unpack(data)
+    records = [assignments.MemberRecord(**entry) for entry in fields["members"]]
+    return {record.host: record for record in records}
+
+
+def collect_observations(board, now: float) -> dict[str, exchange.Observation]:
+    """Return this node's recent observations of primaries, to be reported."""
+    found = {}
+    for database, tenure in board.tenures.items():
+        log = board.get_log(database)
+        if not log.observations:
+            continue
+        sent_at, position = log.observations[-1]
+        if now - sent_at > MAXIMUM_OBSERVATION_AGE_SECONDS:
+            continue
+        found[database] = exchange.Observation(
+            version=tenure.version,
+            term=position.term,
+            number=position.number,
+            age=now - sent_at,
+        )
+    return found
+
+
+def merge_observations(board, observations: dict, sent_at: float) -> None:
+    """Use observations of other nodes.
+
+    Their age counts from a time before ``sent_at`` on this node's clock, when
+    the ping that they answer was sent.
+    """
+    for database, observation in observations.items():
+        tenure = board.tenures.get(database)
+        if tenure is None or tenure.version != observation.version:
+            continue
+        position = statements.LogPosition(observation.term, observation.number)
+        board.get_log(database).observe(position, sent_at - observation.age)
+
+
+def collect_reach(board, now: float) -> dict[str, exchange.Reach]:
+    """Return what this node sees of failing endpoints."""
+    return {
+        endpoint: exchange.Reach(
+            failing_seconds=now - health.failing_since, failures=health.failures
+        )
+        for endpoint, health in board.health.items()
+        if health.failing_since is not None
+    }
--- /dev/null
+++ b/hyssopshelf/authority/suspicion.py
@@ -0,0 +1,83 @@
+"""Pattern: a primary is replaced on the evidence of several nodes.
+
+One node that does not reach a primary may be cut off itself. A primary is
+replaced when enough nodes fail at it and another endpoint is reached by more.
+"""
+
+import math
+
+SUSPECT_SECONDS = 0.5
+"""Time of failures without a success after which a node counts as failing; longer
+than a lost packet's retransmission."""
+
+MINIMUM_FAILURES = 2
+"""Failures in a row of a node that counts as failing."""
+
+FAILING_SHARE = 0.25
+"""Part of the nodes that must fail at a primary."""
+
+PATIENT_SECONDS = 1.5
+"""Time after which failures of a single node are enough, if all nodes reach
+another endpoint."""
+
+
+def count_failing(reports: list, endpoint: str, seconds: float) -> int:
+    """Return how many nodes have failed at an endpoint for a time.
+
+    Parameters
+    ----------
+    reports : list of dict
+        For each node what it sees of failing endpoints, a Reach by endpoint id.
+    """
+    return sum(
+        1
+        for reach in reports
+        if (found := reach.get(endpoint)) is not None
+        and found.failing_seconds >= seconds
+        and found.failures >= MINIMUM_FAILURES
+    )
+
+
+def is_suspected(reports: list, primary: str, others: list[str]) -> bool:
+    """Return whether a primary should be replaced because nodes do not reach it."""
+    if not reports or not others:
+        return False
+    failing = count_failing(reports, primary, SUSPECT_SECONDS)
+    best = min(count_failing(reports, other, 0.0) for other in others)
+    if failing >= max(1, math.ceil(FAILING_SHARE * len(reports))) and best < failing:
+        return True
+    patient = count_failing(reports, primary, PATIENT_SECONDS)
+    return patient > 0 and best == 0
+
+
+def find_reason(assigned, endpoints: dict, reports: list, lapsed: bool) -> str:
+    """Return why the primary of a database should be replaced, empty if not.
+
+    Parameters
+    ----------
+    assigned : Assignment
+        Current assignment.
+    endpoints : dict of str to Endpoint
+        Registered endpoints of the database.
+    reports : list of dict
+        What each node sees of failing endpoints.
+    lapsed : bool
+        Whether the primary has reported itself as a replica for a while.
+    """
+    primary = endpoints.get(assigned.endpoint)
+    others = [
+        endpoint.id
+        for endpoint in endpoints.values()
+        if endpoint.id != assigned.endpoint and not endpoint.leaving
+    ]
+    if not others:
+        return ""
+    if primary is None:
+        return "gone"
+    if lapsed:
+        return "reports itself as a replica"
+    if is_suspected(reports, assigned.endpoint, others):
+        return "unreachable"
+    if primary.leaving:
+        return "leaving"
+    return ""
--- /dev/null
+++ b/hyssopshelf/authority/timing.py
@@ -0,0 +1,48 @@
+"""Times of the protocol between coordinator and members, in seconds.
+
+Each follows from the interval of pings: a member may miss two answers before its
+grant lapses, and a successor takes over at about that time.
+"""
+
+PING_SECONDS = 0.4
+"""Time between two pings of a member."""
+
+GRANT_SECONDS = 1.6
+"""Validity of a grant, counted from the sending of the ping that it answers."""
+
+PROMISE_SECONDS = 1.0
+"""Time for which a member promises not to take over, from the sending of a ping."""
+
+PROMISE_CONTACT_SECONDS = 0.55
+"""Age of the last answer up to which a ping carries a promise."""
+
+SILENCE_SECONDS = 1.2
+"""Time without an answer of the coordinator after which it is replaced."""
+
+ALONE_SECONDS = 6.0
+"""Silence after which a member that reaches no other one takes over. A live
+coordinator would have removed its registration by then."""
+
+AUTHORITY_SECONDS = 2.0
+"""Validity of the coordinator's authority, from the sending of a renewal."""
+
+RENEWAL_SECONDS = 0.5
+"""Time between two renewals of the coordinator's lease."""
+
+LEASE_SECONDS = 20.0
+"""Time to live of the coordinator's lease. Only its explicit end matters, so it
+outlives outages of the store."""
+
+STORE_CONTACT_SECONDS = 1.1
+"""Age of the coordinator's last contact with the store above which a successor
+that reaches the store takes over."""
+
+EXPULSION_SECONDS = 2.5
+"""Silence of a member after which the coordinator removes its registration."""
+
+MARGIN_SECONDS = 0.05
+"""Allowance for clocks that run at different rates."""
+
+TAKEOVER_STEP_SECONDS = 0.25
+"""Pause between the attempts of successors; a round trip between regions and a call
+to the store fit into it, so that one wins without a race."""
--- a/hyssopshelf/gateway/boards.py
+++ b/hyssopshelf/gateway/boards.py
@@ -68,6 +68,8 @@
         Observed positions by database.
     health : dict of str to EndpointHealth
         Judgement of endpoints by id.
+    closing : set of str
+        Databases whose primary takes no new work because it is being replaced.
     """
 
     place: str
@@ -78,6 +80,7 @@
     tenures: dict[str, Tenure] = attrs.field(factory=dict)
     logs: dict[str, freshness.PrimaryLog] = attrs.field(factory=dict)
     health: dict[str, EndpointHealth] = attrs.field(factory=dict)
+    closing: set[str] = attrs.field(factory=set)
     draining: bool = False
 
     def get_log(self, database: str) -> freshness.PrimaryLog:
@@ -91,6 +94,6 @@
     def find_primary(self, database: str, now: float) -> catalog.Endpoint | None:
         """Return the primary if the belief in it is valid."""
         tenure = self.tenures.get(database)
-        if tenure is None or tenure.valid_until <= now:
+        if tenure is None or tenure.valid_until <= now or database in self.closing:
             return None
         return self.endpoints.get(tenure.endpoint)
--- a/hyssopshelf/gateway/execution.py
+++ b/hyssopshelf/gateway/execution.py
@@ -12,8 +12,8 @@
     judgement,
     links,
     routing,
-    states,
     statements,
+    states,
 )
 
 MAXIMUM_ATTEMPTS = 6
@@ -37,6 +37,10 @@
 """Answers of an endpoint that did not run the statement."""
 
 
+FULL_REASON = _KIND.FULL.value
+"""Reason of a connection that an endpoint refused because it has too many."""
+
+
 class Need(enum.Enum):
     """Where a unit of work may run."""
 
@@ -44,30 +48,20 @@
     ANY = "any"
 
 
-@attrs.define(kw_only=True)
-class Transaction:
-    """An open transaction of a session.
+@attrs.frozen(kw_only=True)
+class Entered:
+    """A slot and a connection at an endpoint.
 
     Attributes
     ----------
-    gate, link : Gate and Link or None
-        Where it runs; None before its first statement.
-    tenure_version : int
-        Version of the belief in the primary under which it started, 0 on
-        replicas.
-    wrote : bool
-        Whether a write ran in it.
-    idle_since : float
-        End of its last statement.
+    version : int
+        Version of the belief in the primary, 0 at a replica.
     """
 
-    read_only: bool
-    route: catalog.Route
-    gate: gates.Gate | None = None
-    link: links.Link | None = None
-    tenure_version: int = 0
-    wrote: bool = False
-    idle_since: float = 0.0
+    gate: gates.Gate
+    turn: gates.Turn
+    candidate: routing.Candidate
+    version: int
 
 
 @attrs.define(kw_only=True)
@@ -117,9 +111,8 @@
 
     Returns
     -------
-    (Gate, Turn, Candidate, int) or Reply
-        The way to the endpoint with the version of the belief in the primary;
-        a reply if the work cannot start.
+    Entered or Reply
+        The way to the endpoint; a reply if the work cannot start.
     """
     last = _KIND.UNAVAILABLE
     reason = "no primary is known"
@@ -138,18 +131,18 @@
             version = gateway.board.tenures[route.database].version
         try:
             turn = await gate.enter(route.rank, deadline, session.state)
-        except gates.Refused as refusal:
+        except gates.RefusalError as refusal:
             last, reason = refusal.kind, refusal.reason
             excluded.add(endpoint.id)
             trail.add(endpoint.id, f"refused ({reason})")
             continue
-        except links.Broken as error:
+        except links.LinkError as error:
             last, reason = _KIND.UNAVAILABLE, error.reason
             excluded.add(endpoint.id)
             trail.add(endpoint.id, f"unreachable ({reason})")
-            if reason != _KIND.FULL.value:
+            if reason != FULL_REASON:
                 judgement.record_failure(
-                    gateway.board.get_health(endpoint.id), clocks.read_clock()
+                    gateway.board.get_health(endpoint.id), now, clocks.read_clock()
                 )
             continue
         trail.queued += clocks.read_clock() - now
@@ -158,7 +151,7 @@
             gate.leave(turn)
             trail.add(endpoint.id, "no longer the valid primary")
             continue
-        return gate, turn, candidate, version
+        return Entered(gate=gate, turn=turn, candidate=candidate, version=version)
     return fail(last, reason)
 
 
@@ -194,7 +187,7 @@
 
     Raises
     ------
-    Broken
+    LinkError
         If the connection ended or did not answer in time; it is closed.
     """
     wire = gateway.endpoint_wire
@@ -213,10 +206,10 @@
             replies = await link.exchange(b"".join(parts), len(parts))
     except TimeoutError as error:
         link.close()
-        judgement.record_failure(health, clocks.read_clock())
-        raise links.Broken("no answer in time") from error
-    except links.Broken:
-        judgement.record_failure(health, clocks.read_clock())
+        judgement.record_failure(health, sent_at, clocks.read_clock())
+        raise links.LinkError("no answer in time") from error
+    except links.LinkError:
+        judgement.record_failure(health, sent_at, clocks.read_clock())
         raise
     except asyncio.CancelledError:
         link.close()
@@ -226,7 +219,7 @@
     for setup in replies[:-1]:
         if setup.error is not None:
             link.close()
-            raise links.Broken(f"session state refused: {setup.error.value}")
+            raise links.LinkError(f"session state refused: {setup.error.value}")
     return replies[-1]
 
 
@@ -243,3 +236,16 @@
     ):
         return
     gateway.board.get_log(database).observe(reply.position, sent_at)
+
+
+def make_message(session, request, position):
+    """Return the function that builds a client's statement for a connection."""
+    wire = session.gateway.endpoint_wire
+
+    def build(name: bytes) -> bytes:
+        text = request.text
+        if name:
+            text = wire.format_execute(name, request.statement)
+        return wire.format_request(request.id, text, position)
+
+    return build
--- a/hyssopshelf/gateway/freshness.py
+++ b/hyssopshelf/gateway/freshness.py
@@ -78,6 +78,10 @@
         """Return the time of the newest observation."""
         return self.observations[-1][0] if self.observations else float("-inf")
 
+    def get_last_position(self) -> statements.LogPosition | None:
+        """Return the newest observed position."""
+        return self.observations[-1][1] if self.observations else None
+
     def translate(
         self, position: statements.LogPosition | None
     ) -> statements.LogPosition | None:
--- a/hyssopshelf/gateway/gates.py
+++ b/hyssopshelf/gateway/gates.py
@@ -25,7 +25,7 @@
 _ids = itertools.count(1)
 
 
-class Refused(Exception):
+class RefusalError(Exception):
     """The work did not run and is not waiting any more.
 
     Parameters
@@ -73,6 +73,7 @@
         self.opening = 0
         self.refused_until = 0.0
         self.handshakes = 0
+        self.peak = 0
         self.closed = False
         self._waiters: dict[str, asyncio.Future] = {}
         self._expiry: asyncio.TimerHandle | None = None
@@ -84,6 +85,15 @@
             return 0.0
         return (ahead + 1 - self.view.slots) * latency / self.view.slots
 
+    def measure_demand(self, *, reset: bool) -> int:
+        """Return the peak of connections in use and wanted."""
+        usable = sum(1 for link in self.idle if not link.closed)
+        current = len(self.open_links) - usable + self.queue.waiting
+        peak = max(self.peak, current)
+        if reset:
+            self.peak = current
+        return peak
+
     async def enter(
         self,
         rank: int,
@@ -95,9 +105,9 @@
 
         Raises
         ------
-        Refused
+        RefusalError
             If the work cannot start in time.
-        Broken
+        LinkError
             If no connection could be opened.
         """
         now = clocks.read_clock()
@@ -111,11 +121,13 @@
         )
         admitted = self.queue.admit(item, self.view, now)
         if admitted.is_err():
-            raise Refused(exceptions.ErrorKind.REFUSED, admitted.err_value.reason)
+            raise RefusalError(exceptions.ErrorKind.REFUSED, admitted.err_value.reason)
         for shed in admitted.ok_value:
             self._refuse(shed, "shed for other work")
         waiter = asyncio.get_running_loop().create_future()
         self._waiters[item.id] = waiter
+        busy = len(self.open_links) - len(self.idle) + self.queue.waiting
+        self.peak = max(self.peak, busy)
         self.pump()
         if not waiter.done():
             self._schedule_expiry()
@@ -143,6 +155,19 @@
         self.queue.finish(turn.work_id, clocks.read_clock())
         self.pump()
 
+    def claim_idle(self) -> links.Link | None:
+        """Return an idle connection, None without one."""
+        while self.idle:
+            link = self.idle.pop()
+            if not link.closed:
+                return link
+            self.open_links.discard(link)
+        return None
+
+    def adopt_link(self, link: links.Link) -> None:
+        """Count a connection that was opened outside the queue."""
+        self.open_links.add(link)
+
     def release_link(self, link: links.Link) -> None:
         """Give a connection back to the pool."""
         if link.closed or self.closed or self.endpoint.leaving:
@@ -175,6 +200,11 @@
                 self.opening += 1
             waiter.set_result(None)
 
+    def close_surplus(self, now: float) -> None:
+        """Close unused connections beyond the share, and long unused ones."""
+        self.close_idle(self.view.connections, now)
+        self.close_idle(1, now - IDLE_SECONDS)
+
     def close_idle(self, kept: int, before: float) -> None:
         """Close unused connections beyond a number."""
         self.idle = [link for link in self.idle if not link.closed]
@@ -189,7 +219,7 @@
         for item_id, waiter in list(self._waiters.items()):
             if not waiter.done() and self.queue.discard(item_id):
                 waiter.set_exception(
-                    Refused(exceptions.ErrorKind.UNAVAILABLE, "endpoint is gone")
+                    RefusalError(exceptions.ErrorKind.UNAVAILABLE, "endpoint is gone")
                 )
         for link in list(self.idle):
             self.discard_link(link)
@@ -235,7 +265,7 @@
         self.open_links.add(marker)
         try:
             link = await links.open_link(self.endpoint, self.wire, OPEN_SECONDS)
-        except links.Broken as error:
+        except links.LinkError as error:
             if error.reason == exceptions.ErrorKind.FULL.value:
                 self.refused_until = clocks.read_clock() + REFUSED_PAUSE_SECONDS
             raise
@@ -247,7 +277,7 @@
     def _refuse(self, item: work.Work, reason: str) -> None:
         waiter = self._waiters.get(item.id)
         if waiter is not None and not waiter.done():
-            waiter.set_exception(Refused(exceptions.ErrorKind.REFUSED, reason))
+            waiter.set_exception(RefusalError(exceptions.ErrorKind.REFUSED, reason))
 
     def _schedule_expiry(self) -> None:
         if self._expiry is None:
--- a/hyssopshelf/gateway/gateway.py
+++ b/hyssopshelf/gateway/gateway.py
@@ -26,6 +26,7 @@
         self.gates: dict[str, gates.Gate] = {}
         self.shares: dict[str, int] = {}
         self.nodes = 1
+        self.open_writes: dict[tuple[str, int], int] = {}
         self._changed: list[asyncio.Future] = []
 
     def get_gate(self, endpoint: catalog.Endpoint) -> gates.Gate:
@@ -128,6 +129,50 @@
             return 0.0
         return gate.estimate_wait(self.board.get_health(endpoint_id).latency)
 
+    def start_write(self, database: str, version: int) -> None:
+        """Count a write that runs at a primary under a version of its assignment."""
+        key = (database, version)
+        self.open_writes[key] = self.open_writes.get(key, 0) + 1
+
+    def end_write(self, database: str, version: int) -> None:
+        """Count a write as ended."""
+        key = (database, version)
+        self.open_writes[key] -= 1
+        if not self.open_writes[key]:
+            del self.open_writes[key]
+
+    def has_open_writes(self, database: str, version: int) -> bool:
+        """Return whether writes run under a version or an earlier one."""
+        return any(
+            name == database and number <= version for name, number in self.open_writes
+        )
+
+    def measure_demand(self, *, reset: bool = True) -> dict[str, int]:
+        """Return the connections that this node could use, by endpoint.
+
+        With ``reset`` a new measurement of the peaks starts.
+        """
+        return {
+            endpoint: gate.measure_demand(reset=reset)
+            for endpoint, gate in self.gates.items()
+        }
+
+    def list_limits(self) -> dict[str, int]:
+        """Return the connections that each endpoint accepts from all nodes."""
+        current = self.board.configuration
+        limits = current.connections if current is not None else {}
+        return {
+            endpoint.id: limits.get(endpoint.database, DEFAULT_CONNECTIONS)
+            for endpoint in self.board.endpoints.values()
+        }
+
+    def apply_shares(self, shares: dict[str, int]) -> None:
+        """Put this node's shares of the endpoints' connections in force."""
+        if shares == self.shares:
+            return
+        self.shares = shares
+        self.refresh_views()
+
     def _make_view(self, endpoint: catalog.Endpoint):
         current = self.board.configuration
         ranks = {0}
--- a/hyssopshelf/gateway/judgement.py
+++ b/hyssopshelf/gateway/judgement.py
@@ -16,22 +16,36 @@
 """Weight of a new sample in the moving average of latencies."""
 
 
-def record_answer(health, latency: float, now: float) -> None:
-    """Note that an endpoint answered."""
+def record_contact(health, now: float) -> None:
+    """Note that an endpoint answered a message that takes no slot."""
     health.failures = 0
     health.failing_since = None
     health.avoid_until = 0.0
     health.answered_at = now
+
+
+def record_answer(health, latency: float, now: float) -> None:
+    """Note that an endpoint answered a statement."""
+    record_contact(health, now)
     if health.latency == 0.0:
         health.latency = latency
     else:
         health.latency += SMOOTHING * (latency - health.latency)
 
 
-def record_failure(health, now: float) -> None:
-    """Note that an endpoint could not be reached or did not answer."""
+def record_failure(health, since: float, now: float) -> None:
+    """Note that an endpoint could not be reached or did not answer.
+
+    Parameters
+    ----------
+    since : float
+        Time at which the message or the attempt was sent.
+    """
+    if health.answered_at > since:
+        # Another connection got an answer meanwhile.
+        return
     if health.failures == 0:
-        health.failing_since = now
+        health.failing_since = since
     health.failures += 1
     pause = min(
         LONGEST_AVOIDANCE_SECONDS,
--- a/hyssopshelf/gateway/links.py
+++ b/hyssopshelf/gateway/links.py
@@ -4,7 +4,7 @@
 import socket
 
 from hyssopshelf import clocks, exceptions
-from hyssopshelf.gateway import states, statements
+from hyssopshelf.gateway import statements, states
 
 UNACKNOWLEDGED_MILLISECONDS = 2000
 """Time after which the system gives up a connection whose peer acknowledges
@@ -30,7 +30,7 @@
     )
 
 
-class Broken(Exception):
+class LinkError(Exception):
     """A connection ended before all replies had arrived.
 
     Parameters
@@ -102,12 +102,12 @@
     def exchange(self, data: bytes, replies: int) -> asyncio.Future:
         """Send messages; the future holds their replies in order.
 
-        The future fails with Broken if the connection ends first.
+        The future fails with LinkError if the connection ends first.
         """
         waiter = asyncio.get_running_loop().create_future()
         self.used_at = clocks.read_clock()
         if self.closed:
-            waiter.set_exception(Broken("already closed"))
+            waiter.set_exception(LinkError("already closed"))
             return waiter
         self._waiter = waiter
         self._expected = replies
@@ -140,7 +140,7 @@
         if self._transport is not None:
             self._transport.close()
         if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_exception(Broken(reason))
+            self._waiter.set_exception(LinkError(reason))
         self._waiter = None
 
 
@@ -149,7 +149,7 @@
 
     Raises
     ------
-    Broken
+    LinkError
         If the endpoint refuses or does not answer in time.
     """
     host, _, port = endpoint.address.rpartition(":")
@@ -161,7 +161,7 @@
             await link.exchange(wire.format_start(endpoint.database, endpoint.id), 1)
     except TimeoutError as error:
         link.close()
-        raise Broken("no answer to the start") from error
+        raise LinkError("no answer to the start") from error
     except OSError as error:
-        raise Broken(repr(error)) from error
+        raise LinkError(repr(error)) from error
     return link
--- /dev/null
+++ b/hyssopshelf/gateway/probes.py
@@ -0,0 +1,125 @@
+"""Probes that keep beliefs fresh where traffic does not.
+
+A reset of an idle connection takes no slot. At a primary its answer is an
+observation of the log; at a failing endpoint it shows a recovery.
+"""
+
+import asyncio
+
+from hyssopshelf import clocks, logs
+from hyssopshelf.gateway import execution, judgement, links
+
+INTERVAL_SECONDS = 0.2
+"""Time between two rounds."""
+
+OBSERVATION_SECONDS = 0.45
+"""Age of the newest observation above which the primary is probed; reads that may
+be 1.5 s old then have a position in time after a lost probe."""
+
+PROBE_SECONDS = 0.5
+"""Time for an answer; a round trip and a connection across regions fit."""
+
+FAILING_INTERVAL_SECONDS = 0.4
+"""Time between two probes of a failing endpoint."""
+
+
+class Prober:
+    """Probes primaries and failing endpoints.
+
+    Parameters
+    ----------
+    gateway : Gateway
+        The gateway whose endpoints are probed.
+    """
+
+    def __init__(self, *, gateway) -> None:
+        self.gateway = gateway
+        self._probing: set[str] = set()
+        self._probed_at: dict[str, float] = {}
+        self._tasks: set[asyncio.Task] = set()
+
+    def run_round(self) -> None:
+        """Start the probes that are due."""
+        board = self.gateway.board
+        now = clocks.read_clock()
+        due = set()
+        for database, tenure in board.tenures.items():
+            if tenure.valid_until <= now:
+                continue
+            if board.get_log(database).get_last_time() < now - OBSERVATION_SECONDS:
+                due.add(tenure.endpoint)
+        for endpoint_id, health in board.health.items():
+            last = self._probed_at.get(endpoint_id, 0.0)
+            if health.failures and now - last >= FAILING_INTERVAL_SECONDS:
+                due.add(endpoint_id)
+        for endpoint_id in due - self._probing:
+            endpoint = board.endpoints.get(endpoint_id)
+            if endpoint is None:
+                continue
+            self._probing.add(endpoint_id)
+            self._probed_at[endpoint_id] = now
+            task = asyncio.get_running_loop().create_task(self._probe(endpoint))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _probe(self, endpoint) -> None:
+        gateway = self.gateway
+        health = gateway.board.get_health(endpoint.id)
+        tenure = gateway.board.tenures.get(endpoint.database)
+        sent_at = clocks.read_clock()
+        try:
+            reply = await ask(gateway, endpoint, None, PROBE_SECONDS)
+        except links.LinkError as error:
+            if error.reason != execution.FULL_REASON:
+                judgement.record_failure(health, sent_at, clocks.read_clock())
+                logs.write_request(
+                    logs.LogEvent.PROBE_FAILED,
+                    {
+                        "endpoint": endpoint.id,
+                        "reason": error.reason,
+                        "failures": health.failures,
+                    },
+                )
+            return
+        finally:
+            self._probing.discard(endpoint.id)
+        judgement.record_contact(health, clocks.read_clock())
+        if tenure is not None and tenure.endpoint == endpoint.id:
+            gate = gateway.get_gate(endpoint)
+            execution.observe(gateway, gate, tenure.version, reply, sent_at)
+
+
+async def ask(gateway, endpoint, message: bytes | None, seconds: float):
+    """Send one message outside the queue; return its reply.
+
+    Parameters
+    ----------
+    message : bytes or None
+        The message; None for a reset of the connection, which takes no slot.
+
+    Raises
+    ------
+    LinkError
+        If the endpoint does not answer in time.
+    """
+    gate = gateway.get_gate(endpoint)
+    deadline = clocks.read_clock() + seconds
+    link = gate.claim_idle()
+    if link is None:
+        link = await links.open_link(endpoint, gateway.endpoint_wire, seconds)
+        gate.adopt_link(link)
+    if message is None:
+        message = gateway.endpoint_wire.format_reset()
+        link.state.values.clear()
+        link.state.prepared.clear()
+    try:
+        async with asyncio.timeout(max(0.0, deadline - clocks.read_clock())):
+            replies = await link.exchange(message, 1)
+    except TimeoutError as error:
+        gate.discard_link(link)
+        raise links.LinkError("no answer in time") from error
+    except BaseException:
+        gate.discard_link(link)
+        raise
+    gate.release_link(link)
+    return replies[0]
--- a/hyssopshelf/gateway/sessions.py
+++ b/hyssopshelf/gateway/sessions.py
@@ -4,7 +4,15 @@
 import functools
 
 from hyssopshelf import clocks, exceptions
-from hyssopshelf.gateway import catalog, execution, links, states, statements
+from hyssopshelf.gateway import (
+    catalog,
+    execution,
+    links,
+    single,
+    statements,
+    states,
+    transactions,
+)
 
 _KIND = exceptions.ErrorKind
 
@@ -37,7 +45,7 @@
         self.name = name
         self.state = states.SessionState()
         self.written: statements.LogPosition | None = None
-        self.transaction: execution.Transaction | None = None
+        self.transaction: transactions.Transaction | None = None
         self.failed = False
         self.trail = execution.Trail()
         self._cleanups: set[asyncio.Task] = set()
@@ -82,13 +90,13 @@
             transaction.link.in_transaction = False
             transaction.gate.release_link(transaction.link)
 
-    def _clean_up(self, transaction: execution.Transaction) -> None:
+    def _clean_up(self, transaction: transactions.Transaction) -> None:
         task = asyncio.get_running_loop().create_task(roll_back(transaction))
         self._cleanups.add(task)
         task.add_done_callback(self._cleanups.discard)
 
 
-async def roll_back(transaction: execution.Transaction) -> None:
+async def roll_back(transaction: transactions.Transaction) -> None:
     """Roll a transaction back; a connection that does not answer is closed."""
     link, gate = transaction.link, transaction.gate
     if link.closed:
@@ -97,7 +105,7 @@
     try:
         async with asyncio.timeout(ROLLBACK_SECONDS):
             replies = await link.exchange(gate.wire.format_rollback(), 1)
-    except (TimeoutError, links.Broken):
+    except (TimeoutError, links.LinkError):
         gate.discard_link(link)
         return
     if replies[0].error is not None:
@@ -122,7 +130,7 @@
     route = session.find_route()
     if route is None:
         return execution.fail(_KIND.NOT_FOUND, session.name)
-    session.transaction = execution.Transaction(
+    session.transaction = transactions.Transaction(
         read_only=statement.read_only, route=route, idle_since=clocks.read_clock()
     )
     return statements.Reply()
@@ -144,7 +152,7 @@
     transaction = session.transaction
     if transaction is None:
         return execution.fail(_KIND.BAD_REQUEST, "no transaction is open")
-    reply = await _run_in_transaction(session, request, None, True)
+    reply = await transactions.run(session, request, None, commit=True)
     if session.failed:
         # The client's COMMIT ends the transaction also when it fails.
         session.failed = False
@@ -206,209 +214,8 @@
     if session.failed:
         return execution.fail(_KIND.BAD_REQUEST, "the transaction has failed")
     if session.transaction is not None:
-        reply = await _run_in_transaction(session, request, shape, False)
+        reply = await transactions.run(session, request, shape, writes=writes)
         if reply.error is None and writes and session.transaction is not None:
             session.transaction.wrote = True
         return reply
-    return await _run_alone(session, request, writes, shape)
-
-
-def _make_message(session, request, position):
-    wire = session.gateway.endpoint_wire
-
-    def make_message(name: bytes) -> bytes:
-        text = request.text
-        if name:
-            text = wire.format_execute(name, request.statement)
-        return wire.format_request(request.id, text, position)
-
-    return make_message
-
-
-async def _run_alone(session, request, writes: bool, shape) -> statements.Reply:
-    """Run one statement outside a transaction."""
-    gateway = session.gateway
-    route = session.find_route()
-    if route is None:
-        return execution.fail(_KIND.NOT_FOUND, session.name)
-    need = execution.Need.PRIMARY if writes else execution.Need.ANY
-    deadline = clocks.read_clock() + route.statement_seconds
-    excluded: set[str] = set()
-    reply = execution.fail(_KIND.UNAVAILABLE)
-    for _ in range(execution.MAXIMUM_ATTEMPTS):
-        entered = await execution.enter(
-            gateway, session, route, need, deadline, excluded, session.trail
-        )
-        if isinstance(entered, statements.Reply):
-            if reply.error in (_KIND.UNAVAILABLE, None):
-                reply = entered
-            return reply
-        gate, turn, candidate, version = entered
-        link = turn.link
-        sent_at = clocks.read_clock()
-        make_message = _make_message(session, request, candidate.position)
-        try:
-            reply = await execution.exchange(
-                gateway, gate, link, session.state, shape, make_message, deadline
-            )
-        except links.Broken as error:
-            gate.discard_link(link)
-            gate.leave(turn)
-            session.trail.add(gate.endpoint.id, error.reason)
-            excluded.add(gate.endpoint.id)
-            kind = _KIND.OUTCOME_UNKNOWN if writes else _KIND.DEADLINE_PASSED
-            reply = execution.fail(kind, error.reason)
-            if writes or clocks.read_clock() >= deadline:
-                return reply
-            continue
-        except BaseException:
-            gate.discard_link(link)
-            gate.leave(turn)
-            raise
-        gate.release_link(link)
-        gate.leave(turn)
-        if reply.error is None:
-            session.trail.endpoint = gate.endpoint.id
-            return _accept(session, gate, candidate, version, reply, writes, sent_at)
-        session.trail.add(gate.endpoint.id, reply.error.value)
-        retry = reply.error in execution.NOT_RUN or not writes
-        if not retry:
-            return reply
-        if reply.error is _KIND.UNPREPARED:
-            gate.discard_link(link)
-        else:
-            excluded.add(gate.endpoint.id)
-    return reply
-
-
-def _accept(session, gate, candidate, version, reply, writes, sent_at):
-    gateway = session.gateway
-    if candidate.primary:
-        execution.observe(gateway, gate, version, reply, sent_at)
-    if writes:
-        database = gate.endpoint.database
-        if not execution.can_acknowledge(gateway, database, version):
-            session.trail.add(gate.endpoint.id, "belief lapsed")
-            return execution.fail(_KIND.OUTCOME_UNKNOWN, "primary may have changed")
-        session.written = reply.position
-    return reply
-
-
-async def _run_in_transaction(session, request, shape, commit: bool):
-    """Run a statement of the open transaction; a failure aborts it."""
-    gateway = session.gateway
-    transaction = session.transaction
-    route = transaction.route
-    deadline = clocks.read_clock() + route.statement_seconds
-    turn = None
-    if transaction.link is None:
-        started = await _start_transaction(session, transaction, deadline)
-        if isinstance(started, statements.Reply):
-            session.abort()
-            return started
-        turn = started
-    gate, link = transaction.gate, transaction.link
-    if (
-        commit
-        and transaction.wrote
-        and not execution.can_acknowledge(
-            gateway, route.database, transaction.tenure_version
-        )
-    ):
-        session.abort()
-        return execution.fail(_KIND.ABORTED, "primary may have changed")
-    sent = False
-    try:
-        if turn is None:
-            turn = await gate.enter(route.rank, deadline, session.state, link)
-        sent = True
-        sent_at = clocks.read_clock()
-        reply = await execution.exchange(
-            gateway,
-            gate,
-            link,
-            session.state,
-            shape,
-            _make_message(session, request, None),
-            deadline,
-        )
-    except links.Broken as error:
-        session.trail.add(gate.endpoint.id, error.reason)
-        gate.leave(turn)
-        session.abort()
-        if commit and transaction.wrote:
-            return execution.fail(_KIND.OUTCOME_UNKNOWN, error.reason)
-        return execution.fail(_KIND.ABORTED, error.reason)
-    except execution.gates.Refused as refusal:
-        session.trail.add(gate.endpoint.id, f"refused ({refusal.reason})")
-        session.abort()
-        return execution.fail(_KIND.ABORTED, refusal.reason)
-    except BaseException:
-        link.close()
-        if sent and turn is not None:
-            gate.leave(turn)
-        session.abort()
-        raise
-    gate.leave(turn)
-    transaction.idle_since = clocks.read_clock()
-    if reply.error is None:
-        session.trail.endpoint = gate.endpoint.id
-        if transaction.tenure_version:
-            execution.observe(gateway, gate, transaction.tenure_version, reply, sent_at)
-        return reply
-    session.trail.add(gate.endpoint.id, reply.error.value)
-    kind = reply.error
-    session.abort()
-    if commit and transaction.wrote and kind not in execution.NOT_RUN:
-        return execution.fail(_KIND.OUTCOME_UNKNOWN, kind.value)
-    # Nothing of a transaction without a COMMIT that ran is kept.
-    return execution.fail(_KIND.ABORTED, kind.value)
-
-
-async def _start_transaction(session, transaction, deadline: float):
-    """Open the transaction at an endpoint; return its turn or a reply."""
-    gateway = session.gateway
-    wire = gateway.endpoint_wire
-    route = transaction.route
-    need = execution.Need.ANY if transaction.read_only else execution.Need.PRIMARY
-    excluded: set[str] = set()
-    kind = _KIND.UNAVAILABLE
-    for _ in range(execution.MAXIMUM_ATTEMPTS):
-        entered = await execution.enter(
-            gateway, session, route, need, deadline, excluded, session.trail
-        )
-        if isinstance(entered, statements.Reply):
-            return entered
-        gate, turn, candidate, version = entered
-        link = turn.link
-
-        def make_message(
-            name: bytes, read_only=transaction.read_only, position=candidate.position
-        ) -> bytes:
-            return wire.format_begin(read_only, position)
-
-        try:
-            reply = await execution.exchange(
-                gateway, gate, link, session.state, None, make_message, deadline
-            )
-        except links.Broken as error:
-            gate.discard_link(link)
-            gate.leave(turn)
-            session.trail.add(gate.endpoint.id, error.reason)
-            excluded.add(gate.endpoint.id)
-            continue
-        except BaseException:
-            gate.discard_link(link)
-            gate.leave(turn)
-            raise
-        if reply.error is None:
-            link.in_transaction = True
-            transaction.gate, transaction.link = gate, link
-            transaction.tenure_version = version
-            return turn
-        kind = reply.error
-        session.trail.add(gate.endpoint.id, f"begin {kind.value}")
-        gate.release_link(link)
-        gate.leave(turn)
-        excluded.add(gate.endpoint.id)
-    return execution.fail(_KIND.UNAVAILABLE, kind.value)
+    return await single.run(session, request, writes, shape)
