Keep authority by promises of a majority; reopen assignments of abandoned changes

Ruled out: load (queues were empty). Change: promises of a majority of members extend the coordinator's authority for 20 s; a successor waits for that; members report versions that they gave back and the coordinator raises the version.

--- a/hyssopshelf/authority/change.py
+++ b/hyssopshelf/authority/change.py
@@ -121,11 +121,14 @@
             return
         if not endpoints:
             return
+        if self._is_abandoned(database, assigned.version):
+            self._start(database, self._reopen(database, assigned))
+            return
         lapsed = self._has_lapsed(database, endpoints.get(assigned.endpoint), now)
         reason = suspicion.find_reason(
             assigned, endpoints, self._collect_reports(now), lapsed
         )
-        if reason:
+        if reason and self.coordinator.ledger.is_settled(now):
             self._start(database, self._change(database, assigned, reason))
 
     def _has_lapsed(self, database: str, primary, now: float) -> bool:
@@ -135,6 +138,23 @@
         since = self._lapsed_since.setdefault(database, now)
         return now - since > LAPSE_SECONDS
 
+    def _is_abandoned(self, database: str, version: int) -> bool:
+        """Return whether a node gave the assignment back for a change that ended."""
+        if self.local.released.get(database, 0) >= version:
+            return True
+        members = self.coordinator.ledger.members.values()
+        return any(state.abandoned.get(database, 0) >= version for state in members)
+
+    async def _reopen(self, database: str, assigned) -> bool:
+        """Let all nodes use the same primary again, under a new version."""
+        entry = attrs.evolve(assigned, version=assigned.version + 1)
+        if not await self._record(database, entry):
+            return False
+        self.coordinator.closed.discard(database)
+        self.coordinator.renew_own_tenures()
+        self.coordinator.announce()
+        return True
+
     def _collect_reports(self, now: float) -> list:
         reports = [member.collect_reach(self.gateway.board, now)]
         reports += [
@@ -193,8 +213,16 @@
             return False
         self.coordinator.closed.add(database)
         await self._wait_for_release(database, assigned.version, planned)
-        if not self.coordinator.may_change(clocks.read_clock()):
+        now = clocks.read_clock()
+        if not self.coordinator.may_change(now) or not self._still_needs(
+            database, assigned, reason, now
+        ):
+            # The next look reopens the primary under a new version.
             self.coordinator.closed.discard(database)
+            logs.write(
+                logs.LogEvent.CHANGE_ABANDONED,
+                {"database": database, "reason": "no longer needed or allowed"},
+            )
             return False
         if planned:
             target = await self._catch_up(database, assigned, target)
@@ -208,13 +236,18 @@
             return False
         return await self._promote(database, entry)
 
+    def _still_needs(self, database: str, assigned, reason: str, now: float) -> bool:
+        """Return whether a change has a reason after the wait for its release."""
+        if reason != "gone":
+            return True
+        return assigned.endpoint not in self._list_endpoints(database)
+
     async def _resume(self, database: str, entry) -> bool:
         """Finish a change that was recorded, perhaps by an earlier coordinator."""
         now = clocks.read_clock()
-        wait = self.coordinator.ledger.predecessors_until - now
-        if wait > 0:
+        if now < self.coordinator.ledger.predecessors_until:
             # The earlier coordinator may still call.
-            await asyncio.sleep(wait)
+            return False
         self.coordinator.closed.add(database)
         endpoint = self._list_endpoints(database).get(entry.endpoint)
         if endpoint is not None and await self._promote(database, entry):
--- a/hyssopshelf/authority/coordinator.py
+++ b/hyssopshelf/authority/coordinator.py
@@ -75,7 +75,10 @@
         known.address = address
         self.ledger.record_ping(known, ping, now)
         self._observe(ping, now)
-        grant = ping.epoch == self.record.epoch and self.has_authority(now)
+        follows = ping.epoch == self.record.epoch
+        if follows:
+            self.ledger.record_follower(known, now)
+        grant = follows and self.has_authority(now)
         if grant:
             self.ledger.record_grant(known, now)
         self._answer(ping, host, address, now, grant=grant)
@@ -101,10 +104,7 @@
             )
         if not authority:
             return
-        until = self.ledger.confirmed_at + timing.AUTHORITY_SECONDS
-        members = self.ledger.members.values()
-        if members:
-            until = max(until, min(state.promised_until for state in members))
+        until = self.ledger.find_authority_end(now)
         self.local.answered_at = now
         self.local.apply_tenures(until, tuple(self.closed))
         found = self._collect_observations(now)
--- a/hyssopshelf/authority/exchange.py
+++ b/hyssopshelf/authority/exchange.py
@@ -53,6 +53,8 @@
         Time since that answer arrived, in seconds.
     promises : bool
         Whether the member promises not to take over for a time.
+    released : dict of str to int
+        Newest assignment version that the member does not use again, by database.
     """
 
     sequence: int
@@ -70,6 +72,7 @@
     observations: dict[str, Observation] = attrs.field(factory=dict)
     reach: dict[str, Reach] = attrs.field(factory=dict)
     demand: dict[str, int] = attrs.field(factory=dict)
+    released: dict[str, int] = attrs.field(factory=dict)
 
 
 @messages.register("authority.pong")
--- a/hyssopshelf/authority/member.py
+++ b/hyssopshelf/authority/member.py
@@ -133,6 +133,7 @@
             observations=collect_observations(self.gateway.board, now),
             reach=collect_reach(self.gateway.board, now),
             demand=self.gateway.measure_demand(),
+            released=self.released,
         )
         self.send(record.host, record.address, message)
 
--- a/hyssopshelf/authority/participant.py
+++ b/hyssopshelf/authority/participant.py
@@ -15,8 +15,9 @@
     timing,
 )
 
-INQUIRY_SECONDS = 0.15
-"""Time for the answers of other members; a round trip between regions fits."""
+INQUIRY_SECONDS = 0.4
+"""Time for the answers of other members. Members have no open connections to each
+other, so two are opened, each in one and a half round trips between regions."""
 
 LONGEST_SILENCE_SECONDS = 1e6
 """Silence that a node reports which never heard a coordinator."""
@@ -130,12 +131,12 @@
         current = None
         if entry is not None:
             current = assignments.decode_coordinator(entry.value)
-            if current.epoch > self.member.epoch:
-                self.member.follow(current)
-                if current.host != self.identity.host:
-                    self.member.started_at = clocks.read_clock()
-                    self.member.ping()
-                    return
+            unknown = current.epoch > self.member.epoch or reason == election.ABSENT
+            self.member.follow(current)
+            if unknown and current.host != self.identity.host:
+                self.member.started_at = clocks.read_clock()
+                self.member.ping()
+                return
         own_restart = current is not None and current.host == self.identity.host
         must_ask = current is not None and not own_restart
         if must_ask and reason == election.SILENT and not await self._others_agree():
@@ -193,12 +194,9 @@
             send=self.send,
         )
         leading.ledger.confirmed_at = now
-        if own_restart:
-            leading.ledger.predecessors_until = now + timing.GRANT_SECONDS
-        elif current is not None:
-            leading.ledger.predecessors_until = (
-                now + timing.AUTHORITY_SECONDS + timing.GRANT_SECONDS
-            )
+        if current is not None:
+            leading.ledger.predecessor_ended_at = now
+            leading.ledger.predecessor_lived = not own_restart
         logs.write(
             logs.LogEvent.COORDINATION_STARTED,
             {
@@ -328,7 +326,9 @@
         message = exchange.Inquire(number=self.inquiry, epoch=self.member.epoch)
         for record in others.values():
             self.send(record.host, record.address, message)
-        await asyncio.sleep(INQUIRY_SECONDS)
+        deadline = clocks.read_clock() + INQUIRY_SECONDS
+        while len(self.contacts) < len(others) and clocks.read_clock() < deadline:
+            await asyncio.sleep(member.RELEASE_CHECK_SECONDS)
         silence = clocks.read_clock() - max(
             self.member.answered_at, self.member.started_at
         )
--- a/hyssopshelf/authority/timing.py
+++ b/hyssopshelf/authority/timing.py
@@ -19,13 +19,18 @@
 SILENCE_SECONDS = 1.2
 """Time without an answer of the coordinator after which it is replaced."""
 
-ALONE_SECONDS = 6.0
+ALONE_SECONDS = 4.0
 """Silence after which a member that reaches no other one takes over. A live
 coordinator would have removed its registration by then."""
 
 AUTHORITY_SECONDS = 2.0
 """Validity of the coordinator's authority, from the sending of a renewal."""
 
+MAJORITY_AUTHORITY_SECONDS = 20.0
+"""Validity of its authority while a majority of the members promises not to take
+over. It bridges an outage of the store, and bounds the wait of a successor that
+reaches no majority."""
+
 RENEWAL_SECONDS = 0.5
 """Time between two renewals of the coordinator's lease."""
 
