Let a majority choose a caretaker while the store and the coordinator are away

Ruled out: the burst (waits were for a primary, not for slots). Restarted nodes find the coordinator through the seeds.

--- a/hyssopshelf/authority/change.py
+++ b/hyssopshelf/authority/change.py
@@ -245,8 +245,9 @@
     async def _resume(self, database: str, entry) -> bool:
         """Finish a change that was recorded, perhaps by an earlier coordinator."""
         now = clocks.read_clock()
-        if now < self.coordinator.ledger.predecessors_until:
-            # The earlier coordinator may still call.
+        holders = self.coordinator.ledger.find_holders(database, entry.version, now)
+        if any(not self.coordinator.ledger.members[host].follows for host in holders):
+            # An earlier coordinator may still call.
             return False
         self.coordinator.closed.add(database)
         endpoint = self._list_endpoints(database).get(entry.endpoint)
--- a/hyssopshelf/authority/coordinator.py
+++ b/hyssopshelf/authority/coordinator.py
@@ -33,9 +33,14 @@
         Client of the store.
     send : callable
         Takes host, address and message.
+    caretaker : bool
+        Whether the node was chosen by a majority while the store was away; it
+        grants the last assignments and changes none.
     """
 
-    def __init__(self, *, identity, local, record, revision, store, send) -> None:
+    def __init__(
+        self, *, identity, local, record, revision, store, send, caretaker=False
+    ) -> None:
         self.identity = identity
         self.local = local
         self.record = record
@@ -43,6 +48,7 @@
         self.store = store
         self.send = send
         self.ledger = ledger.Ledger()
+        self.caretaker = caretaker
         self.closed: set[str] = set()
         self.active = True
         self.resigning = False
@@ -60,24 +66,27 @@
 
     def may_change(self, now: float) -> bool:
         """Return whether the store confirmed this node a short time ago."""
-        return self.active and now < (
-            self.ledger.confirmed_at + timing.AUTHORITY_SECONDS / 2
+        return (
+            self.active
+            and not self.caretaker
+            and now < self.ledger.confirmed_at + timing.AUTHORITY_SECONDS / 2
         )
 
     def receive_ping(self, ping: exchange.Ping, host: str, address: str) -> None:
         """Answer a member's ping."""
         now = clocks.read_clock()
         known = self.ledger.members.get(host)
-        if known is None or known.incarnation != ping.incarnation:
+        if known is None:
             self._register(ping, host, address)
             self._answer(ping, host, address, now, grant=False)
             return
+        if known.incarnation != ping.incarnation:
+            self._replace_incarnation(known, ping, address)
+            known = self.ledger.members[host]
         known.address = address
-        self.ledger.record_ping(known, ping, now)
-        self._observe(ping, now)
         follows = ping.epoch == self.record.epoch
-        if follows:
-            self.ledger.record_follower(known, now)
+        self.ledger.record_ping(known, ping, follows, now)
+        self._observe(ping, now)
         grant = follows and self.has_authority(now)
         if grant:
             self.ledger.record_grant(known, now)
@@ -104,7 +113,7 @@
             )
         if not authority:
             return
-        until = self.ledger.find_authority_end(now)
+        until = self.ledger.find_authority_end()
         self.local.answered_at = now
         self.local.apply_tenures(until, tuple(self.closed))
         found = self._collect_observations(now)
@@ -238,7 +247,7 @@
 
     def _register(self, ping: exchange.Ping, host: str, address: str) -> None:
         """Register a member that the store does not list yet."""
-        if host in self._registering:
+        if host in self._registering or self.caretaker:
             return
         self._registering.add(host)
         record = assignments.MemberRecord(
@@ -259,6 +268,17 @@
         self.add_member(record)
         self.announce()
 
+    def _replace_incarnation(self, known, ping: exchange.Ping, address: str) -> None:
+        """Take a member over whose process has started again."""
+        self.add_member(
+            assignments.MemberRecord(
+                host=known.host,
+                address=address,
+                incarnation=ping.incarnation,
+                place=ping.place,
+            )
+        )
+
     def add_member(self, record: assignments.MemberRecord) -> None:
         """Add a registered member; a new incarnation keeps no grant."""
         before = self.ledger.members.get(record.host)
@@ -285,7 +305,7 @@
             state
             for state in self.ledger.members.values()
             if now - state.heard_at > timing.EXPULSION_SECONDS
-            and now > max(state.granted_until, self.ledger.predecessors_until)
+            and now > self.ledger.find_lapse(state)
         ]
         if not silent or not self.may_change(now):
             return
--- a/hyssopshelf/authority/election.py
+++ b/hyssopshelf/authority/election.py
@@ -6,6 +6,11 @@
 ABSENT = "no coordinator is known"
 RESIGNING = "coordinator resigns"
 CUT_OFF = "coordinator does not reach the store"
+STORE_LOST = "coordinator is silent and the store does not answer"
+
+EPOCH_STEP = 1000
+"""Step of the epochs that the store records. Caretakers use the numbers between, so
+a recorded coordinator goes before all caretakers before it."""
 
 NOT_FOUND_STATUS = 404
 CONFLICT_STATUS = 412
@@ -37,7 +42,7 @@
         return CUT_OFF
     if now < member.promised_until:
         return ""
-    if now - max(member.answered_at, member.started_at) > timing.SILENCE_SECONDS:
+    if now - max(member.answered_at, member.followed_at) > timing.SILENCE_SECONDS:
         return SILENT
     return ""
 
@@ -54,7 +59,14 @@
     return (len(member.successors) + position) * timing.TAKEOVER_STEP_SECONDS
 
 
-def is_agreed(others: int, contacts: dict[str, float], silence: float) -> bool:
+def find_next_epoch(epoch: int) -> int:
+    """Return the epoch of the coordinator that the store records next."""
+    return (epoch // EPOCH_STEP + 1) * EPOCH_STEP
+
+
+def is_agreed(
+    others: int, contacts: dict[str, float], silence: float, strict: bool
+) -> bool:
     """Return whether the other members miss the coordinator as well.
 
     Parameters
@@ -65,9 +77,13 @@
         Time since each member that answered heard the coordinator, in seconds.
     silence : float
         The same time of the member that asks.
+    strict : bool
+        Whether a majority must have answered.
     """
     if any(heard < timing.SILENCE_SECONDS / 2 for heard in contacts.values()):
         return False
+    if strict:
+        return 2 * (len(contacts) + 1) > others + 1
     if 2 * (len(contacts) + 1) >= others + 1:
         return True
     return not contacts and silence > timing.ALONE_SECONDS
--- a/hyssopshelf/authority/exchange.py
+++ b/hyssopshelf/authority/exchange.py
@@ -169,3 +169,20 @@
     number: int
     epoch: int
     silence: float
+
+
+@messages.register("authority.locate")
+@attrs.frozen(kw_only=True)
+class Locate:
+    """A node that has just started asks for the coordinator."""
+
+
+@messages.register("authority.located")
+@attrs.frozen(kw_only=True)
+class Located:
+    """Answer to Locate: the coordinator that the sender follows."""
+
+    host: str
+    address: str
+    incarnation: int
+    epoch: int
--- a/hyssopshelf/authority/ledger.py
+++ b/hyssopshelf/authority/ledger.py
@@ -9,6 +9,9 @@
 
 from hyssopshelf.authority import timing
 
+GRANT_SECONDS = timing.GRANT_SECONDS + timing.MARGIN_SECONDS
+"""Time from the sending of a grant to its certain lapse, in seconds."""
+
 
 @attrs.define(kw_only=True)
 class MemberState:
@@ -47,32 +50,32 @@
 class Ledger:
     """Grants and promises of one coordinator.
 
+    A majority of all members that follows one coordinator keeps any other one from
+    a majority of promises, so the two never extend grants at the same time.
+
     Attributes
     ----------
     members : dict of str to MemberState
         Registered members by host, this node left out.
     confirmed_at : float
-        Sending time of the last renewal that the store confirmed.
+        Time at which the store last confirmed a coordinator, a sending time.
     predecessor_ended_at : float
         Time at which the store ended the earlier coordinator's lease.
-    majority_at : float
-        Time at which a majority of the members followed this coordinator.
-    predecessor_lived : bool
-        Whether the earlier coordinator may still act; not after a restart of its
-        own process.
+    majority_since : float
+        Time since which a majority of the members has followed without a gap;
+        infinite while none does.
     """
 
     members: dict[str, MemberState] = attrs.field(factory=dict)
     confirmed_at: float = float("-inf")
     predecessor_ended_at: float = float("-inf")
-    majority_at: float = float("inf")
-    predecessor_lived: bool = True
+    majority_since: float = float("inf")
 
-    def find_authority_end(self, now: float) -> float:
+    def find_authority_end(self) -> float:
         """Return the time up to which no other coordinator can change anything.
 
         The store confirmed the lease a short time ago, or members that promised
-        not to take over keep a successor from the majority it needs.
+        not to follow another one keep it from the majority it needs.
         """
         end = self.confirmed_at + timing.AUTHORITY_SECONDS
         promises = sorted(
@@ -80,70 +83,75 @@
         )
         if not promises:
             return end
-        end = max(end, promises[-1])
         needed = (len(promises) + 1) // 2
         bound = self.confirmed_at + timing.MAJORITY_AUTHORITY_SECONDS
         return max(end, min(bound, promises[needed - 1]))
 
     def has_authority(self, now: float) -> bool:
         """Return whether no other coordinator can have changed anything."""
-        return now < self.find_authority_end(now)
+        return now < self.find_authority_end()
 
-    def record_ping(self, member: MemberState, ping, now: float) -> None:
-        """Apply a member's ping."""
+    def record_ping(self, member: MemberState, ping, follows: bool, now: float):
+        """Apply a member's ping; ``follows`` if it has this coordinator's epoch."""
         member.heard_at = now
+        member.follows = follows
         member.draining = ping.draining
         member.reach = ping.reach
         member.demand = ping.demand
         for database, version in ping.released.items():
             member.abandoned[database] = version
-        if ping.promises and ping.stamp:
+        member.promised_until = float("-inf")
+        if follows and ping.promises and ping.stamp:
             sent_after = min(now, ping.stamp + ping.held)
             member.promised_until = (
                 sent_after + timing.PROMISE_SECONDS - timing.MARGIN_SECONDS
             )
+        self.update_majority(now)
+
+    def update_majority(self, now: float) -> None:
+        """Note whether a majority of the members follows."""
+        followers = 1 + sum(
+            1
+            for state in self.members.values()
+            if state.follows and now - state.heard_at < timing.PROMISE_SECONDS
+        )
+        if 2 * followers <= len(self.members) + 1:
+            self.majority_since = float("inf")
         else:
-            member.promised_until = float("-inf")
-
-    def record_follower(self, member: MemberState, now: float) -> None:
-        """Note that a member answers to this coordinator."""
-        member.follows = True
-        followers = sum(1 for state in self.members.values() if state.follows) + 1
-        if 2 * followers > len(self.members) + 1:
-            self.majority_at = min(self.majority_at, now)
+            self.majority_since = min(self.majority_since, now)
 
     def record_grant(self, member: MemberState, now: float) -> None:
         """Note that an answer with a grant is sent."""
-        member.granted_until = now + timing.GRANT_SECONDS + timing.MARGIN_SECONDS
+        member.granted_until = now + GRANT_SECONDS
 
-    @property
-    def predecessors_until(self) -> float:
-        """Return the time at which all grants of earlier coordinators have lapsed.
+    def find_lapse(self, member: MemberState) -> float:
+        """Return the time at which the member's grants have lapsed.
 
-        An earlier coordinator acts on renewals before the end of its lease, and
-        on promises of a majority that does not follow its successor yet.
+        Earlier coordinators act on renewals before the end of their lease. Members
+        that this coordinator does not hear may follow one without the store,
+        which acts on the promises of a majority.
         """
-        ended_at = self.predecessor_ended_at
-        grants = timing.GRANT_SECONDS + timing.MARGIN_SECONDS
-        if not self.predecessor_lived:
-            return ended_at + grants
-        longest = ended_at + timing.MAJORITY_AUTHORITY_SECONDS
-        renewed = ended_at + timing.AUTHORITY_SECONDS
-        promised = self.majority_at + timing.PROMISE_SECONDS
-        return min(longest, max(renewed, promised)) + grants
+        renewed = self.predecessor_ended_at + timing.AUTHORITY_SECONDS + GRANT_SECONDS
+        promised = self.majority_since + timing.PROMISE_SECONDS + GRANT_SECONDS
+        longest = (
+            max(member.granted_until, self.predecessor_ended_at + GRANT_SECONDS)
+            + timing.MAJORITY_AUTHORITY_SECONDS
+        )
+        return min(longest, max(member.granted_until, renewed, promised))
 
     def is_settled(self, now: float) -> bool:
-        """Return whether a change would not wait for an unknown holder."""
-        if now >= self.predecessors_until:
-            return True
-        return all(state.follows for state in self.members.values())
+        """Return whether a change would not wait long for a silent member."""
+        return all(
+            state.follows or now >= self.find_lapse(state)
+            for state in self.members.values()
+        )
 
     def find_holders(self, database: str, version: int, now: float) -> list[str]:
         """Return the members that may still use an assignment."""
-        holders = []
-        for host, member in self.members.items():
-            if member.released.get(database, 0) >= version:
-                continue
-            if now < max(member.granted_until, self.predecessors_until):
-                holders.append(host)
-        return holders
+        self.update_majority(now)
+        return [
+            host
+            for host, member in self.members.items()
+            if member.released.get(database, 0) < version
+            and now < self.find_lapse(member)
+        ]
--- a/hyssopshelf/authority/member.py
+++ b/hyssopshelf/authority/member.py
@@ -68,7 +68,7 @@
         self.members: dict[str, assignments.MemberRecord] = {}
         self.successors: tuple[str, ...] = ()
         self.answered_at = float("-inf")
-        self.started_at = clocks.read_clock()
+        self.followed_at = clocks.read_clock()
         self.promised_until = float("-inf")
         self.store_age = float("inf")
         self.store_age_at = float("-inf")
@@ -94,6 +94,8 @@
             )
             self._stamp = 0.0
             self.resigning = False
+            self.store_age_at = float("-inf")
+            self.followed_at = clocks.read_clock()
         self.epoch = record.epoch
         self.coordinator = record
 
@@ -105,7 +107,7 @@
         now = clocks.read_clock()
         promises = (
             bool(self._stamp)
-            and now - self.answered_at < timing.PROMISE_CONTACT_SECONDS
+            and now - self._stamped_at < timing.PROMISE_CONTACT_SECONDS
         )
         if promises:
             self.promised_until = now + timing.PROMISE_SECONDS
--- a/hyssopshelf/authority/participant.py
+++ b/hyssopshelf/authority/participant.py
@@ -22,6 +22,9 @@
 LONGEST_SILENCE_SECONDS = 1e6
 """Silence that a node reports which never heard a coordinator."""
 
+STORE_RETRY_SECONDS = 1.0
+"""Pause between attempts to reach the store without a coordinator in it."""
+
 MEMBER_LIST_SECONDS = 2.0
 """Time between two reads of the registered members."""
 
@@ -43,12 +46,25 @@
         Clients of the platform.
     send : callable
         Takes host, address and message.
+    seeds : tuple of str
+        Addresses of nodes that may know the coordinator.
     """
 
     def __init__(
-        self, *, identity, gateway, documents, apply_document, feeds, store, duty, send
+        self,
+        *,
+        identity,
+        gateway,
+        documents,
+        apply_document,
+        feeds,
+        store,
+        duty,
+        send,
+        seeds: tuple[str, ...] = (),
     ) -> None:
         self.identity = identity
+        self.seeds = seeds
         self.gateway = gateway
         self.feeds = feeds
         self.store = store
@@ -74,7 +90,7 @@
 
     async def run(self) -> None:
         """Register, then ping and take over where needed, for ever."""
-        await self._register()
+        self.spawn(self._register())
         while True:
             try:
                 await self._step()
@@ -88,6 +104,9 @@
             self.coordinator = leading = None
         if leading is not None:
             return
+        if self.member.coordinator is None:
+            for address in self.seeds:
+                self.send("", address, exchange.Locate())
         self.member.ping()
         now = clocks.read_clock()
         if self._taking_over or self.gateway.board.draining:
@@ -102,14 +121,20 @@
             delay = election.find_delay(self.member, reason)
             if delay:
                 await asyncio.sleep(delay)
-            if not election.find_reason(self.member, clocks.read_clock()):
-                return
-            await self._take_over(reason)
+            if self._should_go_on(reason):
+                await self._take_over(reason)
         except exceptions.CodecError as error:
             logs.write(logs.LogEvent.DOCUMENT_UNREADABLE, {"reason": str(error)})
         finally:
             self._taking_over = False
 
+    def _should_go_on(self, reason: str) -> bool:
+        """Return whether an attempt to take over still has its reason."""
+        if reason == election.STORE_LOST:
+            leading = self.coordinator
+            return leading is not None and leading.active and leading.caretaker
+        return election.find_reason(self.member, clocks.read_clock()) == reason
+
     async def _register(self) -> None:
         """Write this node's registration to the store."""
         key = assignments.MEMBER_PREFIX + self.identity.host
@@ -126,6 +151,12 @@
         """Become the coordinator if the store and the other members allow it."""
         found = await self.store.get(assignments.COORDINATOR_KEY)
         if found.is_err():
+            if (
+                reason == election.SILENT
+                and await self._others_agree(strict=True)
+                and self._should_go_on(reason)
+            ):
+                self._become_caretaker()
             return
         entry = found.ok_value
         current = None
@@ -134,7 +165,6 @@
             unknown = current.epoch > self.member.epoch or reason == election.ABSENT
             self.member.follow(current)
             if unknown and current.host != self.identity.host:
-                self.member.started_at = clocks.read_clock()
                 self.member.ping()
                 return
         own_restart = current is not None and current.host == self.identity.host
@@ -142,13 +172,13 @@
         if must_ask and reason == election.SILENT and not await self._others_agree():
             return
         lease = await self.store.grant_lease(timing.LEASE_SECONDS)
-        if lease.is_err():
+        if lease.is_err() or not self._should_go_on(reason):
             return
         record = assignments.CoordinatorRecord(
             host=self.identity.host,
             address=self.identity.address,
             incarnation=self.identity.incarnation,
-            epoch=(current.epoch if current is not None else 0) + 1,
+            epoch=election.find_next_epoch(current.epoch if current else 0),
             lease=lease.ok_value,
         )
         expected = {assignments.COORDINATOR_KEY: entry.revision if entry else 0}
@@ -162,7 +192,7 @@
         if written.is_err():
             return
         await self._end_lease(current)
-        await self._start(record, written.ok_value, current, own_restart, reason)
+        await self._start(record, written.ok_value, current, reason)
 
     async def _find_own_revision(self) -> int:
         found = await self.store.get(assignments.MEMBER_PREFIX + self.identity.host)
@@ -183,7 +213,7 @@
                 return
             await asyncio.sleep(timing.PING_SECONDS)
 
-    async def _start(self, record, revision, current, own_restart, reason) -> None:
+    async def _start(self, record, revision, current, reason) -> None:
         now = clocks.read_clock()
         leading = coordinator.Coordinator(
             identity=self.identity,
@@ -196,34 +226,46 @@
         leading.ledger.confirmed_at = now
         if current is not None:
             leading.ledger.predecessor_ended_at = now
-            leading.ledger.predecessor_lived = not own_restart
+        self._lead(leading, reason)
+        leading.run_in_background(self._renew(leading))
+        leading.run_in_background(self._coordinate(leading))
+
+    def _lead(self, leading: coordinator.Coordinator, reason: str) -> None:
+        before = self.member.coordinator
+        if self.coordinator is not None:
+            self.coordinator.stop("continues with the store")
         logs.write(
             logs.LogEvent.COORDINATION_STARTED,
             {
-                "epoch": record.epoch,
+                "epoch": leading.record.epoch,
                 "reason": reason,
-                "before": current.host if current is not None else "",
+                "before": before.host if before is not None else "",
+                "caretaker": leading.caretaker,
             },
         )
-        self.member.follow(record)
+        self.member.follow(leading.record)
         self.coordinator = leading
-        leading.run_in_background(self._renew(leading))
-        leading.run_in_background(self._coordinate(leading))
 
     async def _coordinate(self, leading) -> None:
         """Load the state that earlier coordinators left, then serve it."""
         while not await self._load(leading):
             await asyncio.sleep(timing.PING_SECONDS)
         leading.publish_members()
-        leading.announce()
-        leading.renew_own_tenures()
         controller = change.ChangeController(coordinator=leading, duty=self.duty)
         leading.run_in_background(controller.run())
         leading.run_in_background(self.feeds.follow(leading))
+        await self._serve(leading)
+
+    async def _serve(self, leading) -> None:
+        leading.announce()
+        leading.renew_own_tenures()
         listed_at = clocks.read_clock()
         while leading.active:
             await asyncio.sleep(timing.PING_SECONDS / 2)
+            leading.ledger.update_majority(clocks.read_clock())
             leading.renew_own_tenures()
+            if leading.caretaker:
+                continue
             if clocks.read_clock() - listed_at > MEMBER_LIST_SECONDS:
                 listed_at = clocks.read_clock()
                 await self._list_members(leading)
@@ -306,8 +348,47 @@
                 leading.stop("replaced in the store")
                 self.member.follow(current)
 
-    async def _others_agree(self) -> bool:
-        """Ask the other members whether they miss the coordinator, too."""
+    def _become_caretaker(self) -> None:
+        """Grant the last assignments while nobody reaches the store."""
+        local = self.member
+        record = assignments.CoordinatorRecord(
+            host=self.identity.host,
+            address=self.identity.address,
+            incarnation=self.identity.incarnation,
+            epoch=local.epoch + 1,
+            lease=0,
+        )
+        leading = coordinator.Coordinator(
+            identity=self.identity,
+            local=local,
+            record=record,
+            revision=0,
+            store=self.store,
+            send=self.send,
+            caretaker=True,
+        )
+        leading.store_contact_at = local.store_age_at - local.store_age
+        leading.ledger.confirmed_at = leading.store_contact_at
+        for host, known in local.members.items():
+            if host != self.identity.host:
+                leading.add_member(known)
+        self._lead(leading, election.STORE_LOST)
+        leading.run_in_background(self._wait_for_store())
+        leading.run_in_background(self._serve(leading))
+
+    async def _wait_for_store(self) -> None:
+        """Become a regular coordinator as soon as the store answers."""
+        while True:
+            await asyncio.sleep(STORE_RETRY_SECONDS)
+            if not self._taking_over:
+                self._taking_over = True
+                self.spawn(self._try_take_over(election.STORE_LOST))
+
+    async def _others_agree(self, strict: bool = False) -> bool:
+        """Ask the other members whether they miss the coordinator, too.
+
+        ``strict`` asks for answers of a majority.
+        """
         others = {
             host: record
             for host, record in self.member.members.items()
@@ -330,9 +411,9 @@
         while len(self.contacts) < len(others) and clocks.read_clock() < deadline:
             await asyncio.sleep(member.RELEASE_CHECK_SECONDS)
         silence = clocks.read_clock() - max(
-            self.member.answered_at, self.member.started_at
+            self.member.answered_at, self.member.followed_at
         )
-        agreed = election.is_agreed(len(others), self.contacts, silence)
+        agreed = election.is_agreed(len(others), self.contacts, silence, strict)
         logs.write(
             logs.LogEvent.TAKEOVER_ASKED,
             {
@@ -445,3 +526,31 @@
         )
         node.member.follow(record)
     node.member.ping()
+
+
+@apply.register
+def _apply_locate(message: exchange.Locate, node, host: str, address: str) -> None:
+    record = node.member.coordinator
+    if record is not None and node.member.answered_at > 0.0:
+        located = exchange.Located(
+            host=record.host,
+            address=record.address,
+            incarnation=record.incarnation,
+            epoch=record.epoch,
+        )
+        node.send(host, address, located)
+
+
+@apply.register
+def _apply_located(message: exchange.Located, node, host: str, address: str) -> None:
+    if node.member.coordinator is not None or message.host == node.identity.host:
+        return
+    record = assignments.CoordinatorRecord(
+        host=message.host,
+        address=message.address,
+        incarnation=message.incarnation,
+        epoch=message.epoch,
+        lease=0,
+    )
+    node.member.follow(record)
+    node.member.ping()
