--- a/hyssopshelf/authority/participant.py
+++ b/hyssopshelf/authority/participant.py
@@ -272,8 +272,10 @@
                 await leading.expel_silent()
 
     async def _load(self, leading) -> bool:
-        found = await self.store.get(assignments.ASSIGNMENTS_KEY)
-        if found.is_err() or not await self._list_members(leading):
+        found, listed = await asyncio.gather(
+            self.store.get(assignments.ASSIGNMENTS_KEY), self._list_members(leading)
+        )
+        if found.is_err() or not listed:
             return False
         if found.ok_value is not None:
             loaded = assignments.decode_assignments(found.ok_value.value)
--- /dev/null
+++ b/hyssopshelf/authority/tests/test_rules.py
@@ -0,0 +1,166 @@
+"""Tests of takeovers, suspicion and the division of connections."""
+
+import types
+
+import hypothesis
+from hypothesis import strategies
+
+from hyssopshelf.authority import (
+    assignments,
+    election,
+    exchange,
+    shares,
+    suspicion,
+    timing,
+)
+from hyssopshelf.gateway import catalog
+
+NOW = 50.0
+
+
+def make_member(**fields):
+    coordinator = types.SimpleNamespace(host="c")
+    values = {
+        "identity": types.SimpleNamespace(host="me"),
+        "coordinator": coordinator,
+        "resigning": False,
+        "successors": ("me", "other"),
+        "members": {"me": None, "other": None, "third": None},
+        "store_age": 0.1,
+        "store_age_at": NOW,
+        "promised_until": NOW - 5,
+        "answered_at": NOW - 0.1,
+        "followed_at": NOW - 30,
+    }
+    return types.SimpleNamespace(**{**values, **fields})
+
+
+def test_nobody_takes_over_from_a_coordinator_that_answers():
+    assert election.find_reason(make_member(), NOW) == ""
+
+
+def test_a_silent_coordinator_is_replaced():
+    member = make_member(answered_at=NOW - timing.SILENCE_SECONDS - 0.01)
+    assert election.find_reason(member, NOW) == election.SILENT
+
+
+def test_a_promise_is_kept():
+    member = make_member(answered_at=NOW - 9, promised_until=NOW + 0.1)
+    assert election.find_reason(member, NOW) == ""
+
+
+def test_the_first_successor_relieves_one_that_resigns():
+    assert election.find_reason(make_member(resigning=True), NOW) == election.RESIGNING
+    later = make_member(resigning=True, successors=("other", "me"))
+    assert election.find_reason(later, NOW) == ""
+
+
+def test_a_successor_relieves_one_without_the_store():
+    member = make_member(store_age=timing.STORE_CONTACT_SECONDS + 0.1)
+    assert election.find_reason(member, NOW) == election.CUT_OFF
+
+
+def test_a_new_coordinator_gets_time_to_answer():
+    """A member that has just followed a caretaker must not start another one."""
+    member = make_member(answered_at=NOW - 9, followed_at=NOW - 0.3)
+    assert election.find_reason(member, NOW) == ""
+
+
+def test_a_contact_elsewhere_stops_a_takeover():
+    assert not election.is_agreed(5, {"a": 0.1, "b": 3.0, "c": 3.0}, 3.0, False)
+    assert election.is_agreed(5, {"a": 2.0, "b": 3.0, "c": 3.0}, 3.0, False)
+
+
+def test_one_that_reaches_few_waits():
+    silence = timing.SILENCE_SECONDS + 0.1
+    assert not election.is_agreed(5, {}, silence, False)
+    assert not election.is_agreed(5, {"a": 3.0}, silence, False)
+    assert election.is_agreed(5, {}, timing.ALONE_SECONDS + 0.1, False)
+
+
+def test_a_caretaker_needs_a_majority():
+    assert not election.is_agreed(5, {"a": 3.0, "b": 3.0}, 60.0, True)
+    assert election.is_agreed(5, {"a": 3.0, "b": 3.0, "c": 3.0}, 3.0, True)
+    assert not election.is_agreed(5, {}, 60.0, True)
+
+
+def test_recorded_epochs_go_before_those_of_caretakers():
+    assert election.find_next_epoch(3000 + 17) == 4000
+
+
+def make_reach(seconds: float) -> exchange.Reach:
+    return exchange.Reach(failing_seconds=seconds, failures=3)
+
+
+def test_one_node_alone_does_not_replace_a_primary_at_once():
+    reports = [{"p": make_reach(0.6)}] + [{}] * 5
+    assert not suspicion.is_suspected(reports, "p", ["a", "b"])
+
+
+def test_a_quarter_of_the_nodes_replaces_a_primary():
+    reports = [{"p": make_reach(0.6)}] * 2 + [{}] * 4
+    assert suspicion.is_suspected(reports, "p", ["a", "b"])
+
+
+def test_a_primary_is_kept_if_no_other_endpoint_is_reached_better():
+    reports = [{"p": make_reach(2), "a": make_reach(2), "b": make_reach(2)}] * 3
+    assert not suspicion.is_suspected(reports, "p", ["a", "b"])
+
+
+def test_a_flapping_primary_is_kept():
+    """A success between failures starts the time anew."""
+    reports = [{"p": make_reach(0.2)}] * 6
+    assert not suspicion.is_suspected(reports, "p", ["a"])
+
+
+def test_reasons_for_a_change():
+    def endpoint(name: str, leaving: bool = False):
+        return catalog.Endpoint(
+            id=name,
+            database="db",
+            address="127.0.0.1:1",
+            place="x",
+            slots=1,
+            leaving=leaving,
+            leads=True,
+            started=1,
+        )
+
+    assigned = assignments.Assignment(endpoint="p", term=1, version=1)
+    both = {"p": endpoint("p"), "a": endpoint("a")}
+    assert suspicion.find_reason(assigned, both, [{}], False) == ""
+    assert suspicion.find_reason(assigned, {"a": both["a"]}, [{}], False) == "gone"
+    leaving = {**both, "p": endpoint("p", leaving=True)}
+    assert suspicion.find_reason(assigned, leaving, [{}], False) == "leaving"
+    assert suspicion.find_reason(assigned, {"p": leaving["p"]}, [{}], False) == ""
+
+
+@hypothesis.given(
+    strategies.integers(min_value=0, max_value=60),
+    strategies.dictionaries(
+        strategies.text(min_size=1, max_size=2),
+        strategies.integers(min_value=0, max_value=30),
+        max_size=12,
+    ),
+)
+def test_shares_fit_the_limit_and_leave_nobody_out(limit, demand):
+    result = shares.divide(limit, demand)
+    assert set(result) == set(demand)
+    assert sum(result.values()) <= limit
+    if demand and limit >= len(demand):
+        assert min(result.values()) >= 1
+        assert sum(result.values()) == limit
+
+
+def test_shares_follow_the_demand():
+    """A third of the clients enters at a single node of its place."""
+    result = shares.divide(22, {"alone": 9, "b": 2, "c": 2, "d": 1, "e": 1, "f": 1})
+    assert result["alone"] >= 7
+
+
+def test_documents_survive_a_round_trip():
+    value = assignments.Assignments(
+        version=3,
+        databases={"db": assignments.Assignment(endpoint="e", term=2, version=1)},
+    )
+    assert assignments.decode_assignments(assignments.encode(value)) == value
--- a/hyssopshelf/gateway/gateway.py
+++ b/hyssopshelf/gateway/gateway.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from hyssopshelf import clocks, logs
-from hyssopshelf.gateway import boards, catalog, gates
+from hyssopshelf.gateway import boards, catalog, gates, meters
 
 DEFAULT_CONNECTIONS = 4
 """Connections to an endpoint whose database has no declared limit."""
@@ -23,6 +23,7 @@
     def __init__(self, *, board: boards.Board, endpoint_wire) -> None:
         self.board = board
         self.endpoint_wire = endpoint_wire
+        self.meters = meters.Meters()
         self.gates: dict[str, gates.Gate] = {}
         self.shares: dict[str, int] = {}
         self.nodes = 1
--- /dev/null
+++ b/hyssopshelf/gateway/meters.py
@@ -0,0 +1,111 @@
+"""Counters and latency histograms of one gateway."""
+
+import bisect
+import collections
+
+BOUNDS_SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+"""Upper bounds of the histogram buckets; the objectives of the known routes lie
+between 0.25 and 1.5 s."""
+
+
+class Histogram:
+    """Counts of observations by bucket."""
+
+    def __init__(self) -> None:
+        self.counts = [0] * (len(BOUNDS_SECONDS) + 1)
+        self.total_seconds = 0.0
+
+    def observe(self, seconds: float) -> None:
+        """Add an observation."""
+        self.counts[bisect.bisect_left(BOUNDS_SECONDS, seconds)] += 1
+        self.total_seconds += seconds
+
+
+class Meters:
+    """What a gateway counts.
+
+    Attributes
+    ----------
+    outcomes : Counter of (int, str)
+        Answered requests by rank and outcome.
+    latencies : dict of int to Histogram
+        Time to the answer by rank.
+    queued : dict of int to Histogram
+        Time in queues by rank.
+    """
+
+    def __init__(self) -> None:
+        self.outcomes: collections.Counter = collections.Counter()
+        self.latencies: dict[int, Histogram] = collections.defaultdict(Histogram)
+        self.queued: dict[int, Histogram] = collections.defaultdict(Histogram)
+
+    def record(self, rank: int, outcome: str, seconds: float, queued: float) -> None:
+        """Count an answered request."""
+        self.outcomes[rank, outcome] += 1
+        self.latencies[rank].observe(seconds)
+        self.queued[rank].observe(queued)
+
+
+def render(gateway) -> bytes:
+    """Return the metrics page of a gateway in the Prometheus text format."""
+    # The library is loaded with the first scrape: it costs memory on small hosts.
+    import aioprometheus
+    from aioprometheus import renderer
+
+    registry = aioprometheus.Registry()
+
+    def add(name: str, text: str, samples) -> None:
+        metric = aioprometheus.Counter(f"hyssopshelf_{name}", text, registry=registry)
+        for labels, value in samples:
+            metric.set(labels, value)
+
+    meters = gateway.meters
+    add(
+        "requests_total",
+        "Answered requests by rank and outcome",
+        [
+            ({"rank": str(rank), "outcome": outcome}, count)
+            for (rank, outcome), count in meters.outcomes.items()
+        ],
+    )
+    _add_histograms(add, "request_seconds", "Time to the answer", meters.latencies)
+    _add_histograms(add, "queue_seconds", "Time in queues", meters.queued)
+    gates = list(gateway.gates.items())
+    for name, text, read in (
+        ("handshakes_total", "Connections opened", lambda g: g.handshakes),
+        ("connections", "Open connections", lambda g: len(g.open_links)),
+        ("queue_waiting", "Waiting work", lambda g: g.queue.waiting),
+        ("slots_running", "Slots in use", lambda g: g.queue.running),
+        ("connection_share", "Connections allowed", lambda g: g.view.connections),
+    ):
+        add(name, text, [({"endpoint": key}, read(gate)) for key, gate in gates])
+    add(
+        "endpoint_failures",
+        "Failures in a row",
+        [({"endpoint": k}, h.failures) for k, h in gateway.board.health.items()],
+    )
+    current = gateway.board.configuration
+    add(
+        "configuration_version",
+        "Version in force",
+        [({}, current.version if current else 0)],
+    )
+    content, _ = renderer.render(registry, ["text/plain"])
+    return content
+
+
+def _add_histograms(add, name: str, text: str, histograms: dict) -> None:
+    buckets = []
+    sums = []
+    counts = []
+    for rank, histogram in histograms.items():
+        running = 0
+        bounds = [*(str(bound) for bound in BOUNDS_SECONDS), "+Inf"]
+        for bound, count in zip(bounds, histogram.counts, strict=True):
+            running += count
+            buckets.append(({"rank": str(rank), "le": bound}, running))
+        sums.append(({"rank": str(rank)}, histogram.total_seconds))
+        counts.append(({"rank": str(rank)}, running))
+    add(f"{name}_bucket", f"{text}, by bucket", buckets)
+    add(f"{name}_sum", f"{text}, sum", sums)
+    add(f"{name}_count", f"{text}, count", counts)
--- a/hyssopshelf/gateway/server.py
+++ b/hyssopshelf/gateway/server.py
@@ -12,6 +12,9 @@
 MAXIMUM_UNSENT_BYTES = 256 * 1024
 """Bytes of answers that a client has not read before its connection is closed."""
 
+UNKNOWN_RANK = -1
+"""Rank under which requests without a route are counted."""
+
 _KIND = exceptions.ErrorKind
 
 
@@ -175,6 +178,13 @@
 
     def _log(self, request, reply, session, seconds: float) -> None:
         trail = session.trail
+        route = session.find_route()
+        self.server.gateway.meters.record(
+            route.rank if route is not None else UNKNOWN_RANK,
+            reply.error.value if reply.error else "done",
+            seconds,
+            trail.queued,
+        )
         if reply.error is None and not trail.steps and not trail.endpoint:
             return
         current = self.server.gateway.board.configuration
--- /dev/null
+++ b/hyssopshelf/gateway/tests/test_freshness.py
@@ -0,0 +1,68 @@
+"""Tests of the lower bounds that make replica reads fresh enough."""
+
+import hypothesis
+from hypothesis import strategies
+
+from hyssopshelf.gateway import freshness, statements
+
+POSITION = statements.LogPosition
+
+
+def test_a_bound_covers_all_commits_before_its_time():
+    log = freshness.PrimaryLog()
+    log.start_term(1)
+    log.observe(POSITION(1, 10), 1.0)
+    log.observe(POSITION(1, 20), 2.0)
+    log.observe(POSITION(1, 30), 3.0)
+    assert log.find_bound(1.5) == (POSITION(1, 20), 2.0)
+    assert log.find_bound(2.0) == (POSITION(1, 20), 2.0)
+
+
+def test_no_observation_is_recent_enough():
+    log = freshness.PrimaryLog()
+    log.observe(POSITION(1, 10), 1.0)
+    assert log.find_bound(1.1) == (None, 0.0)
+
+
+def test_positions_of_an_earlier_term_are_translated():
+    """A position that a change of primary discarded is in no log any more."""
+    log = freshness.PrimaryLog()
+    log.start_term(2)
+    assert log.translate(POSITION(1, 99)) is None
+    log.observe(POSITION(1, 90), 1.0)
+    log.observe(POSITION(2, 91), 2.0)
+    assert log.translate(POSITION(1, 99)) == POSITION(1, 90)
+    assert log.translate(POSITION(2, 95)) == POSITION(2, 95)
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.floats(min_value=0, max_value=5),
+            strategies.integers(min_value=1, max_value=5),
+        ),
+        min_size=1,
+        max_size=40,
+    ),
+    strategies.floats(min_value=0, max_value=20),
+)
+def test_merged_observations_never_give_a_bound_that_is_too_low(steps, oldest):
+    """Compares with the log itself: a commit before the bound's time is covered.
+
+    The log grows with time; observations arrive in any order of their sending.
+    """
+    log = freshness.PrimaryLog()
+    truth = []
+    time = 0.0
+    number = 0
+    for pause, growth in steps:
+        time += pause
+        number += growth
+        truth.append((time, number))
+        log.observe(POSITION(1, number), time)
+    position, sent_at = log.find_bound(oldest)
+    if position is None:
+        return
+    assert sent_at >= oldest
+    covered = [0] + [n for at, n in truth if at < sent_at]
+    assert position.number >= max(covered)
--- /dev/null
+++ b/hyssopshelf/gateway/tests/test_routing.py
@@ -0,0 +1,128 @@
+"""Tests of where reads go, in load, lag and failure."""
+
+from hyssopshelf.gateway import boards, catalog, judgement, routing, statements
+
+POSITION = statements.LogPosition
+NOW = 100.0
+
+
+def make_endpoint(name: str, place: str, leaving: bool = False):
+    return catalog.Endpoint(
+        id=name,
+        database="db",
+        address="127.0.0.1:1",
+        place=place,
+        slots=3,
+        leaving=leaving,
+        leads=name == "p",
+        started=1,
+    )
+
+
+def make_route(rule: str = catalog.ReadRule.BOUNDED):
+    return catalog.Route(
+        name="r",
+        database="db",
+        read_rule=rule,
+        staleness_seconds=1.5,
+        statement_seconds=1.0,
+        objective_seconds=0.5,
+        rank=1,
+    )
+
+
+def make_board(**changes):
+    board = boards.Board(
+        place="a1", region="a", regions={"a1": "a", "b1": "b", "c1": "c"}
+    )
+    endpoints = [
+        make_endpoint("p", "b1"),
+        make_endpoint("near", "a1", **changes),
+        make_endpoint("far", "c1"),
+    ]
+    board.endpoints = {endpoint.id: endpoint for endpoint in endpoints}
+    board.tenures["db"] = boards.Tenure(
+        endpoint="p", term=1, version=1, valid_until=NOW + 1
+    )
+    log = board.get_log("db")
+    log.start_term(1)
+    log.observe(POSITION(1, 7), NOW - 0.5)
+    return board
+
+
+def choose(board, route=None, own=None, load=lambda _: 0.0, excluded=frozenset()):
+    return routing.list_candidates(
+        board, route or make_route(), own, load, set(excluded), NOW
+    )
+
+
+def test_a_read_goes_to_the_near_replica_with_a_position():
+    best = choose(make_board())[0]
+    assert (best.endpoint.id, best.position) == ("near", POSITION(1, 7))
+
+
+def test_reads_of_primary_routes_go_to_the_primary_only():
+    found = choose(make_board(), make_route(catalog.ReadRule.PRIMARY))
+    assert [c.endpoint.id for c in found] == ["p"]
+
+
+def test_own_writes_raise_the_position():
+    route = make_route(catalog.ReadRule.OWN_WRITES)
+    best = choose(make_board(), route, own=POSITION(1, 9))[0]
+    assert best.position == POSITION(1, 9)
+
+
+def test_bounded_reads_ignore_own_writes():
+    assert choose(make_board(), own=POSITION(1, 9))[0].position == POSITION(1, 7)
+
+
+def test_no_replica_is_used_without_a_recent_observation():
+    """A cut from the primary must not lead to reads that are too old."""
+    board = make_board()
+    board.get_log("db").start_term(1)
+    assert [c.endpoint.id for c in choose(board)] == ["p"]
+
+
+def test_no_primary_is_used_after_the_belief_has_lapsed():
+    board = make_board()
+    board.tenures["db"] = boards.Tenure(
+        endpoint="p", term=1, version=1, valid_until=NOW
+    )
+    assert all(not c.primary for c in choose(board))
+    route = make_route(catalog.ReadRule.PRIMARY)
+    assert choose(board, route) == []
+
+
+def test_no_primary_is_used_while_it_is_being_replaced():
+    board = make_board()
+    board.closing.add("db")
+    assert choose(board, make_route(catalog.ReadRule.PRIMARY)) == []
+
+
+def test_a_congested_near_replica_sends_reads_away():
+    def load(endpoint: str) -> float:
+        return 0.5 if endpoint == "near" else 0.0
+
+    assert choose(make_board(), load=load)[0].endpoint.id != "near"
+
+
+def test_a_failing_endpoint_is_the_last_choice_and_stays_one():
+    board = make_board()
+    judgement.record_failure(board.get_health("near"), NOW - 0.05, NOW)
+    assert [c.endpoint.id for c in choose(board)][-1] == "near"
+    later = NOW + judgement.FIRST_AVOIDANCE_SECONDS
+    found = routing.list_candidates(
+        board, make_route(), None, lambda _: 0.0, set(), later
+    )
+    assert found[0].endpoint.id == "near"
+
+
+def test_a_leaving_endpoint_is_used_only_without_another():
+    assert choose(make_board(leaving=True))[-1].endpoint.id == "near"
+
+
+def test_an_answer_of_another_connection_outweighs_an_older_failure():
+    health = boards.EndpointHealth()
+    judgement.record_answer(health, 0.01, NOW)
+    judgement.record_failure(health, NOW - 0.5, NOW + 0.1)
+    assert health.failures == 0
