Forward to few holders where an endpoint accepts fewer connections than nodes need

Change: large hosts near an endpoint hold its connections, the others forward units of work to them; messages leave out defaults and observations are reported by the nodes that made them.

--- a/hyssopshelf/authority/coordinator.py
+++ b/hyssopshelf/authority/coordinator.py
@@ -54,6 +54,10 @@
         self.resigning = False
         self.store_contact_at = clocks.read_clock()
         self.assignments_revision = 0
+        self.shares: dict[str, dict[str, int]] = {}
+        self.chosen_holders: dict[str, list[str]] = {}
+        self.holders: dict[str, list[tuple[str, str]]] = {}
+        self.holders_version = 0
         self._packed: dict[str, tuple[int, bytes]] = {}
         self._observations: dict[str, tuple[int, float, int, int]] = {}
         self._registering: set[str] = set()
@@ -86,6 +90,8 @@
         known.address = address
         follows = ping.epoch == self.record.epoch
         self.ledger.record_ping(known, ping, follows, now)
+        if ping.shares_version == shares.find_version(self.shares.get(host)):
+            known.sent_shares = self.shares.get(host)
         self._observe(ping, now)
         grant = follows and self.has_authority(now)
         if grant:
@@ -118,9 +124,6 @@
         self.local.apply_tenures(until, tuple(self.closed))
         found = self._collect_observations(now)
         member.merge_observations(self.local.gateway.board, found, now)
-        own_shares = self._divide_connections().get(self.identity.host)
-        if own_shares:
-            self.local.gateway.apply_shares(own_shares)
 
     def announce(self) -> None:
         """Make all members ping now."""
@@ -193,7 +196,11 @@
             members_version=held.members_version,
             successors=self.find_successors(now),
             observations=self._collect_observations(now),
-            shares=self._divide_connections().get(host, {}),
+            shares=self._pick_shares(host),
+            holders=(
+                self.holders if ping.holders_version != self.holders_version else None
+            ),
+            holders_version=self.holders_version,
         )
         self.send(host, address, pong)
 
@@ -211,39 +218,76 @@
             return
         # The ping was sent after ``stamp + held`` on this clock.
         sent_after = min(now, ping.stamp + ping.held)
-        for database, found in ping.observations.items():
-            at = sent_after - found.age
+        for database, (version, term, number, age) in ping.observations.items():
+            at = sent_after - age
             kept = self._observations.get(database)
-            if kept is None or (found.version, at) > kept[:2]:
-                self._observations[database] = (
-                    found.version,
-                    at,
-                    found.term,
-                    found.number,
-                )
+            if kept is None or (version, at) > kept[:2]:
+                self._observations[database] = (version, at, term, number)
 
-    def _collect_observations(self, now: float) -> dict[str, exchange.Observation]:
+    def _collect_observations(self, now: float) -> dict[str, tuple]:
         found = member.collect_observations(self.local.gateway.board, now)
         for database, (version, at, term, number) in self._observations.items():
-            age = now - at
+            age = round(now - at, 4)
             if age > OBSERVATION_SECONDS:
                 continue
             own = found.get(database)
-            if own is not None and (own.version, -own.age) >= (version, -age):
-                continue
-            found[database] = exchange.Observation(
-                version=version, term=term, number=number, age=age
-            )
+            if own is None or (own[0], -own[3]) < (version, -age):
+                found[database] = (version, term, number, age)
         return found
 
-    def _divide_connections(self) -> dict[str, dict[str, int]]:
-        gateway = self.local.gateway
-        demands = {self.identity.host: gateway.measure_demand(reset=False)}
+    def divide_connections(self) -> None:
+        """Decide which hosts hold how many connections to each endpoint."""
+        local = self.local
+        gateway = local.gateway
         now = clocks.read_clock()
-        for state in self.ledger.members.values():
-            if now - state.heard_at < timing.EXPULSION_SECONDS:
-                demands[state.host] = state.demand
-        return shares.divide_all(gateway.list_limits(), demands)
+        nodes = [
+            shares.Node(
+                host=self.identity.host,
+                address=self.identity.address,
+                place=self.identity.place,
+                region=gateway.board.region,
+                capacity=local.capacity,
+                demand=gateway.measure_demand(reset=False),
+            )
+        ]
+        nodes += [
+            shares.Node(
+                host=state.host,
+                address=state.address,
+                place=state.place,
+                region=gateway.board.regions.get(state.place, ""),
+                capacity=state.capacity,
+                demand=state.demand,
+            )
+            for state in self.ledger.members.values()
+            if now - state.heard_at < timing.SILENCE_SECONDS and not state.draining
+        ]
+        self.shares, chosen = shares.divide_all(
+            gateway.list_limits(), nodes, self.chosen_holders
+        )
+        self.chosen_holders = chosen
+        addresses = {node.host: node.address for node in nodes}
+        holders = {
+            endpoint: [(host, addresses[host]) for host in hosts]
+            for endpoint, hosts in chosen.items()
+        }
+        if holders != self.holders:
+            self.holders = holders
+            self.holders_version = zlib.crc32(repr(sorted(holders.items())).encode())
+            local.apply_holders(holders, self.holders_version)
+            logs.write(
+                logs.LogEvent.HOLDERS_CHOSEN,
+                {"endpoints": len(holders), "nodes": len(nodes)},
+            )
+        gateway.apply_shares(self.shares[self.identity.host])
+
+    def _pick_shares(self, host: str) -> dict[str, int] | None:
+        """Return a member's shares if it does not have them yet."""
+        current = self.shares.get(host)
+        state = self.ledger.members.get(host)
+        if current is None or state is None or state.sent_shares == current:
+            return None
+        return current
 
     def _register(self, ping: exchange.Ping, host: str, address: str) -> None:
         """Register a member that the store does not list yet."""
--- a/hyssopshelf/authority/exchange.py
+++ b/hyssopshelf/authority/exchange.py
@@ -5,25 +5,6 @@
 from hyssopshelf import messages
 
 
-@attrs.frozen(kw_only=True)
-class Observation:
-    """A position of a primary's log.
-
-    Attributes
-    ----------
-    version : int
-        Version of the assignment under which it was observed.
-    age : float
-        Time since the message that it answers was sent, in seconds, when this
-        message is sent.
-    """
-
-    version: int
-    term: int
-    number: int
-    age: float
-
-
 @attrs.frozen(kw_only=True)
 class Reach:
     """What a member sees of an endpoint.
@@ -53,6 +34,11 @@
         Time since that answer arrived, in seconds.
     promises : bool
         Whether the member promises not to take over for a time.
+    capacity : float
+        Processor share of the member's host, in cores.
+    observations : dict of str to (int, int, int, float)
+        Positions of primaries' logs by database: version of the assignment, term,
+        number, and time since the message that they answer was sent, in seconds.
     released : dict of str to int
         Newest assignment version that the member does not use again, by database.
     """
@@ -68,8 +54,11 @@
     configuration_version: int = 0
     registry_version: int = 0
     members_version: int = 0
+    holders_version: int = 0
+    shares_version: int = 0
+    capacity: float = 1.0
     draining: bool = False
-    observations: dict[str, Observation] = attrs.field(factory=dict)
+    observations: dict[str, tuple[int, int, int, float]] = attrs.field(factory=dict)
     reach: dict[str, Reach] = attrs.field(factory=dict)
     demand: dict[str, int] = attrs.field(factory=dict)
     released: dict[str, int] = attrs.field(factory=dict)
@@ -94,6 +83,11 @@
         Databases whose primary must not be used.
     assignments, configuration, registry, members : bytes or None
         Newer documents than the member has; None if it is up to date.
+    shares : dict of str to int or None
+        The member's connections by endpoint, None if they have not changed.
+    holders : dict or None
+        Hosts and addresses that hold the connections of endpoints with too few for
+        all; None if the member is up to date.
     """
 
     sequence: int
@@ -110,8 +104,10 @@
     members: bytes | None = None
     members_version: int = 0
     successors: tuple[str, ...] = ()
-    observations: dict[str, Observation] = attrs.field(factory=dict)
-    shares: dict[str, int] = attrs.field(factory=dict)
+    observations: dict[str, tuple[int, int, int, float]] = attrs.field(factory=dict)
+    shares: dict[str, int] | None = None
+    holders: dict[str, list[tuple[str, str]]] | None = None
+    holders_version: int = 0
 
 
 @messages.register("authority.release")
--- a/hyssopshelf/authority/ledger.py
+++ b/hyssopshelf/authority/ledger.py
@@ -19,6 +19,8 @@
 
     Attributes
     ----------
+    sent_shares : dict or None
+        Shares that the member was sent last.
     granted_until : float
         Time at which the last grant has certainly lapsed.
     promised_until : float
@@ -43,6 +45,8 @@
     released: dict[str, int] = attrs.field(factory=dict)
     reach: dict = attrs.field(factory=dict)
     demand: dict = attrs.field(factory=dict)
+    capacity: float = 1.0
+    sent_shares: dict | None = None
     abandoned: dict[str, int] = attrs.field(factory=dict)
 
 
@@ -98,6 +102,7 @@
         member.draining = ping.draining
         member.reach = ping.reach
         member.demand = ping.demand
+        member.capacity = ping.capacity
         for database, version in ping.released.items():
             member.abandoned[database] = version
         member.promised_until = float("-inf")
--- a/hyssopshelf/authority/member.py
+++ b/hyssopshelf/authority/member.py
@@ -6,12 +6,15 @@
 import attrs
 
 from hyssopshelf import clocks, logs
-from hyssopshelf.authority import assignments, exchange, timing
+from hyssopshelf.authority import assignments, exchange, shares, timing
 from hyssopshelf.gateway import boards, statements
 
 MAXIMUM_OBSERVATION_AGE_SECONDS = 1.0
 """Age above which an observation of a primary's log is not worth reporting."""
 
+ROUNDING_SECONDS = 0.0001
+"""Error of the ages in messages, which have four decimals."""
+
 RELEASE_CHECK_SECONDS = 0.01
 """Time between two looks at the writes that are still open, in seconds."""
 
@@ -73,6 +76,8 @@
         self.store_age = float("inf")
         self.store_age_at = float("-inf")
         self.resigning = False
+        self.holders_version = 0
+        self.capacity = 1.0
         self.released: dict[str, int] = {}
         self._sequence = 0
         self._sent: dict[int, float] = {}
@@ -131,10 +136,17 @@
             configuration_version=held.configuration_version,
             registry_version=held.registry_version,
             members_version=held.members_version,
+            holders_version=self.holders_version,
+            shares_version=shares.find_version(self.gateway.shares),
+            capacity=self.capacity,
             draining=self.gateway.board.draining,
             observations=collect_observations(self.gateway.board, now),
             reach=collect_reach(self.gateway.board, now),
-            demand=self.gateway.measure_demand(),
+            demand={
+                endpoint: count
+                for endpoint, count in self.gateway.measure_demand().items()
+                if count
+            },
             released=self.released,
         )
         self.send(record.host, record.address, message)
@@ -169,8 +181,18 @@
         self.answered_at = now
         self.apply_tenures(sent_at + timing.GRANT_SECONDS, pong.released)
         merge_observations(self.gateway.board, pong.observations, sent_at)
-        if pong.shares:
+        if pong.shares is not None:
             self.gateway.apply_shares(pong.shares)
+        if pong.holders is not None:
+            self.apply_holders(pong.holders, pong.holders_version)
+
+    def apply_holders(self, holders: dict, version: int) -> None:
+        """Use the hosts that hold scarce connections."""
+        self.holders_version = version
+        self.gateway.forwarder.holders = {
+            endpoint: [tuple(holder) for holder in found]
+            for endpoint, found in holders.items()
+        }
 
     def _apply_documents(self, pong: exchange.Pong, now: float) -> None:
         held = self.documents
@@ -261,21 +283,22 @@
     return {record.host: record for record in records}
 
 
-def collect_observations(board, now: float) -> dict[str, exchange.Observation]:
-    """Return this node's recent observations of primaries, to be reported."""
+def collect_observations(board, now: float) -> dict[str, tuple]:
+    """Return this node's own recent observations of primaries.
+
+    Each is a tuple of assignment version, term, number and age in seconds.
+    """
     found = {}
     for database, tenure in board.tenures.items():
-        log = board.get_log(database)
-        if not log.observations:
-            continue
-        sent_at, position = log.observations[-1]
-        if now - sent_at > MAXIMUM_OBSERVATION_AGE_SECONDS:
+        own = board.get_log(database).own
+        if own is None or now - own[0] > MAXIMUM_OBSERVATION_AGE_SECONDS:
             continue
-        found[database] = exchange.Observation(
-            version=tenure.version,
-            term=position.term,
-            number=position.number,
-            age=now - sent_at,
+        sent_at, position = own
+        found[database] = (
+            tenure.version,
+            position.term,
+            position.number,
+            round(now - sent_at, 4),
         )
     return found
 
@@ -286,19 +309,20 @@
     Their age counts from a time before ``sent_at`` on this node's clock, when
     the ping that they answer was sent.
     """
-    for database, observation in observations.items():
+    for database, (version, term, number, age) in observations.items():
         tenure = board.tenures.get(database)
-        if tenure is None or tenure.version != observation.version:
+        if tenure is None or tenure.version != version:
             continue
-        position = statements.LogPosition(observation.term, observation.number)
-        board.get_log(database).observe(position, sent_at - observation.age)
+        position = statements.LogPosition(term, number)
+        board.get_log(database).observe(position, sent_at - age - ROUNDING_SECONDS)
 
 
 def collect_reach(board, now: float) -> dict[str, exchange.Reach]:
     """Return what this node sees of failing endpoints."""
     return {
         endpoint: exchange.Reach(
-            failing_seconds=now - health.failing_since, failures=health.failures
+            failing_seconds=round(now - health.failing_since, 3),
+            failures=health.failures,
         )
         for endpoint, health in board.health.items()
         if health.failing_since is not None
--- a/hyssopshelf/authority/participant.py
+++ b/hyssopshelf/authority/participant.py
@@ -48,6 +48,8 @@
         Takes host, address and message.
     seeds : tuple of str
         Addresses of nodes that may know the coordinator.
+    capacity : float
+        Processor share of this host, in cores.
     """
 
     def __init__(
@@ -62,6 +64,7 @@
         duty,
         send,
         seeds: tuple[str, ...] = (),
+        capacity: float = 1.0,
     ) -> None:
         self.identity = identity
         self.seeds = seeds
@@ -77,6 +80,7 @@
             apply_document=apply_document,
             send=send,
         )
+        self.member.capacity = capacity
         self.coordinator: coordinator.Coordinator | None = None
         self.own_revision = 0
         self._tasks: set[asyncio.Task] = set()
@@ -264,6 +268,7 @@
             await asyncio.sleep(timing.PING_SECONDS / 2)
             leading.ledger.update_majority(clocks.read_clock())
             leading.renew_own_tenures()
+            leading.divide_connections()
             if leading.caretaker:
                 continue
             if clocks.read_clock() - listed_at > MEMBER_LIST_SECONDS:
--- a/hyssopshelf/authority/shares.py
+++ b/hyssopshelf/authority/shares.py
@@ -1,5 +1,23 @@
 """Pattern: scarce connections follow the demand, and nobody is left without one."""
 
+import zlib
+
+import attrs
+
+CONNECTIONS_FOR_ALL = 2
+"""Connections a node that an endpoint must accept for all nodes to hold some."""
+
+MINIMUM_HOLDERS = 2
+MAXIMUM_HOLDERS = 4
+"""Hosts that hold the connections of an endpoint that accepts fewer."""
+
+CONNECTIONS_A_HOLDER = 10
+"""Connections that make one more holder worthwhile."""
+
+SMALL_CAPACITY = 0.75
+"""Cores below which a host holds connections for others only if no larger one
+is left; forwarded statements of an endpoint need about a third of a core."""
+
 SPARE_WEIGHT = 1.0
 """Weight of a node without demand, in connections, so that it can start."""
 
@@ -36,13 +54,84 @@
     return shares
 
 
+def find_version(own: dict[str, int] | None) -> int:
+    """Return a number that tells one node's shares from others."""
+    return zlib.crc32(repr(sorted((own or {}).items())).encode())
+
+
+@attrs.frozen(kw_only=True)
+class Node:
+    """A node that may hold connections.
+
+    Attributes
+    ----------
+    capacity : float
+        Processor share of its host, in cores.
+    """
+
+    host: str
+    address: str
+    place: str
+    region: str
+    capacity: float
+    demand: dict[str, int]
+
+
+def choose_holders(
+    limit: int, place: str, region: str, nodes: list[Node], current: list[str]
+) -> list[str]:
+    """Return the hosts that hold an endpoint's connections.
+
+    All nodes hold some if there are enough for two each; a transaction of one client
+    then does not keep the others waiting. Otherwise few large hosts near the
+    endpoint hold them; present holders stay, so that connections stay open.
+    """
+    if limit >= CONNECTIONS_FOR_ALL * len(nodes):
+        return [node.host for node in nodes]
+    count = max(MINIMUM_HOLDERS, min(MAXIMUM_HOLDERS, limit // CONNECTIONS_A_HOLDER))
+    ranked = sorted(
+        nodes,
+        key=lambda node: (
+            node.capacity <= SMALL_CAPACITY,
+            node.place != place,
+            node.region != region,
+            node.host not in current,
+            -node.capacity,
+            node.host,
+        ),
+    )
+    return [node.host for node in ranked[: min(count, limit)]]
+
+
 def divide_all(
-    limits: dict[str, int], demands: dict[str, dict[str, int]]
-) -> dict[str, dict[str, int]]:
-    """Return the shares of each node by endpoint."""
-    result: dict[str, dict[str, int]] = {node: {} for node in demands}
-    for endpoint, limit in limits.items():
-        demand = {node: wanted.get(endpoint, 0) for node, wanted in demands.items()}
-        for node, share in divide(limit, demand).items():
-            result[node][endpoint] = share
-    return result
+    endpoints: list[tuple[str, str, str, int]],
+    nodes: list[Node],
+    current: dict[str, list[str]],
+) -> tuple[dict[str, dict[str, int]], dict[str, list[str]]]:
+    """Return the shares of each node, and the holders of each scarce endpoint.
+
+    Parameters
+    ----------
+    endpoints : list of (id, place, region, limit)
+        Endpoints with the connections that they accept.
+    nodes : list of Node
+        Nodes that are alive.
+    current : dict of str to list of str
+        Present holders.
+    """
+    shares: dict[str, dict[str, int]] = {node.host: {} for node in nodes}
+    holders: dict[str, list[str]] = {}
+    for endpoint, place, region, limit in endpoints:
+        chosen = choose_holders(limit, place, region, nodes, current.get(endpoint, []))
+        if len(chosen) < len(nodes):
+            holders[endpoint] = chosen
+        members = set(chosen)
+        demand = {
+            node.host: node.demand.get(endpoint, 0)
+            for node in nodes
+            if node.host in members
+        }
+        divided = divide(limit, demand)
+        for node in nodes:
+            shares[node.host][endpoint] = divided.get(node.host, 0)
+    return shares, holders
--- a/hyssopshelf/gateway/execution.py
+++ b/hyssopshelf/gateway/execution.py
@@ -1,6 +1,5 @@
 """Running statements of sessions at endpoints, with retries where they are safe."""
 
-import asyncio
 import enum
 
 import attrs
@@ -130,7 +129,9 @@
         if candidate.primary:
             version = gateway.board.tenures[route.database].version
         try:
-            turn = await gate.enter(route.rank, deadline, session.state)
+            turn = await gate.enter(
+                route.rank, deadline, session.state, version=version
+            )
         except gates.RefusalError as refusal:
             last, reason = refusal.kind, refusal.reason
             excluded.add(endpoint.id)
@@ -190,37 +191,17 @@
     LinkError
         If the connection ended or did not answer in time; it is closed.
     """
-    wire = gateway.endpoint_wire
-    correction = states.correct(link.state, state, shape)
-    parts = []
-    if correction.reset:
-        parts.append(wire.format_reset())
-    parts += [wire.format_value(name, value) for name, value in correction.values]
-    parts += [wire.format_prepare(name, text) for name, text in correction.prepare]
-    name = link.state.prepared.get(shape, b"") if shape is not None else b""
-    parts.append(make_message(name))
-    sent_at = clocks.read_clock()
     health = gateway.board.get_health(gate.endpoint.id)
+    sent_at = clocks.read_clock()
     try:
-        async with asyncio.timeout(max(0.0, deadline - sent_at)):
-            replies = await link.exchange(b"".join(parts), len(parts))
-    except TimeoutError as error:
-        link.close()
-        judgement.record_failure(health, sent_at, clocks.read_clock())
-        raise links.LinkError("no answer in time") from error
+        reply = await link.run(state, shape, make_message, deadline)
     except links.LinkError:
-        judgement.record_failure(health, sent_at, clocks.read_clock())
-        raise
-    except asyncio.CancelledError:
-        link.close()
+        if link.direct:
+            judgement.record_failure(health, sent_at, clocks.read_clock())
         raise
     now = clocks.read_clock()
     judgement.record_answer(health, now - sent_at, now)
-    for setup in replies[:-1]:
-        if setup.error is not None:
-            link.close()
-            raise links.LinkError(f"session state refused: {setup.error.value}")
-    return replies[-1]
+    return reply
 
 
 def observe(gateway, gate, version: int, reply, sent_at: float) -> None:
@@ -235,7 +216,7 @@
         or reply.position is None
     ):
         return
-    gateway.board.get_log(database).observe(reply.position, sent_at)
+    gateway.board.get_log(database).observe_own(reply.position, sent_at)
 
 
 def make_message(session, request, position):
--- a/hyssopshelf/gateway/gates.py
+++ b/hyssopshelf/gateway/gates.py
@@ -100,9 +100,12 @@
         deadline: float,
         session: states.SessionState,
         link: links.Link | None = None,
+        version: int = 0,
     ) -> Turn:
         """Wait for a slot and a connection.
 
+        ``version`` is for gates of other hosts' connections; the caller checks it.
+
         Raises
         ------
         RefusalError
--- a/hyssopshelf/gateway/gateway.py
+++ b/hyssopshelf/gateway/gateway.py
@@ -3,7 +3,13 @@
 import asyncio
 
 from hyssopshelf import clocks, logs
-from hyssopshelf.gateway import boards, catalog, gates, meters
+from hyssopshelf.gateway import boards, catalog, forwarding, gates, meters
+
+FIRST_SHARE = 1
+"""Connections that a node opens to an endpoint before it knows its share."""
+
+RESERVED_CONNECTIONS = 1
+"""Connections to each endpoint that stay free for the coordinator's questions."""
 
 DEFAULT_CONNECTIONS = 4
 """Connections to an endpoint whose database has no declared limit."""
@@ -26,12 +32,19 @@
         self.meters = meters.Meters()
         self.gates: dict[str, gates.Gate] = {}
         self.shares: dict[str, int] = {}
-        self.nodes = 1
+        self.forwarder: forwarding.Forwarder | None = None
         self.open_writes: dict[tuple[str, int], int] = {}
         self._changed: list[asyncio.Future] = []
 
-    def get_gate(self, endpoint: catalog.Endpoint) -> gates.Gate:
-        """Return the gate of an endpoint; a restarted endpoint gets a new one."""
+    def get_gate(self, endpoint: catalog.Endpoint):
+        """Return the way to an endpoint, through a holder where there is one."""
+        forwarder = self.forwarder
+        if forwarder is not None and forwarder.is_forwarded(endpoint.id):
+            return forwarding.RemoteGate(endpoint=endpoint, forwarder=forwarder)
+        return self.get_local_gate(endpoint)
+
+    def get_local_gate(self, endpoint: catalog.Endpoint) -> gates.Gate:
+        """Return this node's gate; a restarted endpoint gets a new one."""
         gate = self.gates.get(endpoint.id)
         if gate is not None and (
             gate.endpoint.address != endpoint.address
@@ -90,7 +103,7 @@
                 gate.shut()
         for endpoint_id, gate in list(self.gates.items()):
             endpoint = endpoints[endpoint_id]
-            gate = self.get_gate(endpoint)
+            gate = self.get_local_gate(endpoint)
             gate.endpoint = endpoint
             if endpoint.leaving:
                 gate.close_idle(0, clocks.read_clock())
@@ -158,14 +171,23 @@
             for endpoint, gate in self.gates.items()
         }
 
-    def list_limits(self) -> dict[str, int]:
-        """Return the connections that each endpoint accepts from all nodes."""
+    def list_limits(self) -> list[tuple[str, str, str, int]]:
+        """Return id, place, region and accepted connections of each endpoint."""
         current = self.board.configuration
         limits = current.connections if current is not None else {}
-        return {
-            endpoint.id: limits.get(endpoint.database, DEFAULT_CONNECTIONS)
+        return [
+            (
+                endpoint.id,
+                endpoint.place,
+                self.board.regions.get(endpoint.place, ""),
+                max(
+                    1,
+                    limits.get(endpoint.database, DEFAULT_CONNECTIONS)
+                    - RESERVED_CONNECTIONS,
+                ),
+            )
             for endpoint in self.board.endpoints.values()
-        }
+        ]
 
     def apply_shares(self, shares: dict[str, int]) -> None:
         """Put this node's shares of the endpoints' connections in force."""
@@ -181,7 +203,7 @@
         if current is not None:
             ranks = {route.rank for route in current.routes.values()} or ranks
             limit = current.connections.get(endpoint.database, limit)
-        share = self.shares.get(endpoint.id, max(1, limit // max(1, self.nodes)))
+        share = self.shares.get(endpoint.id, min(limit, FIRST_SHARE))
         return catalog.make_view(
             endpoint.database,
             current.version if current else 0,
--- a/hyssopshelf/gateway/links.py
+++ b/hyssopshelf/gateway/links.py
@@ -37,11 +37,14 @@
     ----------
     reason : str
         What was observed.
+    sent : bool
+        Whether the message may have reached the endpoint.
     """
 
-    def __init__(self, reason: str) -> None:
+    def __init__(self, reason: str, *, sent: bool = True) -> None:
         super().__init__(reason)
         self.reason = reason
+        self.sent = sent
 
 
 class Link(asyncio.Protocol):
@@ -60,6 +63,8 @@
         Values and prepared statements that the connection holds.
     used_at : float
         Time of the last exchange.
+    direct : bool
+        Whether this node holds the connection itself.
     """
 
     def __init__(self, *, endpoint, wire) -> None:
@@ -69,6 +74,7 @@
         self.used_at = clocks.read_clock()
         self.opened_at = self.used_at
         self.closed = False
+        self.direct = True
         self.in_transaction = False
         self._transport: asyncio.Transport | None = None
         self._buffer = b""
@@ -115,6 +121,40 @@
         self._transport.write(data)
         return waiter
 
+    async def run(
+        self, state: states.SessionState, shape, make_message, deadline: float
+    ) -> statements.Reply:
+        """Correct the session state, send one message and return its reply.
+
+        Raises
+        ------
+        LinkError
+            If the connection ended or did not answer in time; it is closed.
+        """
+        wire = self.wire
+        correction = states.correct(self.state, state, shape)
+        parts = []
+        if correction.reset:
+            parts.append(wire.format_reset())
+        parts += [wire.format_value(name, value) for name, value in correction.values]
+        parts += [wire.format_prepare(name, text) for name, text in correction.prepare]
+        name = self.state.prepared.get(shape, b"") if shape is not None else b""
+        parts.append(make_message(name))
+        try:
+            async with asyncio.timeout(max(0.0, deadline - clocks.read_clock())):
+                replies = await self.exchange(b"".join(parts), len(parts))
+        except TimeoutError as error:
+            self.close()
+            raise LinkError("no answer in time") from error
+        except asyncio.CancelledError:
+            self.close()
+            raise
+        for setup in replies[:-1]:
+            if setup.error is not None:
+                self.close()
+                raise LinkError(f"session state refused: {setup.error.value}")
+        return replies[-1]
+
     def close(self) -> None:
         """Close the connection; an open transaction rolls back."""
         self._fail("closed by the gateway")
--- a/hyssopshelf/gateway/probes.py
+++ b/hyssopshelf/gateway/probes.py
@@ -54,7 +54,7 @@
                 due.add(endpoint_id)
         for endpoint_id in due - self._probing:
             endpoint = board.endpoints.get(endpoint_id)
-            if endpoint is None:
+            if endpoint is None or self.gateway.shares.get(endpoint_id) == 0:
                 continue
             self._probing.add(endpoint_id)
             self._probed_at[endpoint_id] = now
@@ -85,7 +85,7 @@
             self._probing.discard(endpoint.id)
         judgement.record_contact(health, clocks.read_clock())
         if tenure is not None and tenure.endpoint == endpoint.id:
-            gate = gateway.get_gate(endpoint)
+            gate = gateway.get_local_gate(endpoint)
             execution.observe(gateway, gate, tenure.version, reply, sent_at)
 
 
@@ -102,7 +102,7 @@
     LinkError
         If the endpoint does not answer in time.
     """
-    gate = gateway.get_gate(endpoint)
+    gate = gateway.get_local_gate(endpoint)
     deadline = clocks.read_clock() + seconds
     link = gate.claim_idle()
     if link is None:
--- a/hyssopshelf/gateway/single.py
+++ b/hyssopshelf/gateway/single.py
@@ -52,6 +52,8 @@
         usable = reply.error is not _KIND.UNPREPARED
     except links.LinkError as error:
         session.trail.add(gate.endpoint.id, error.reason)
+        if not error.sent:
+            return execution.fail(_KIND.NOT_RUN, error.reason)
         kind = _KIND.OUTCOME_UNKNOWN if writes else _KIND.DEADLINE_PASSED
         return execution.fail(kind, error.reason)
     finally:
--- a/hyssopshelf/gateway/statements.py
+++ b/hyssopshelf/gateway/statements.py
@@ -130,8 +130,8 @@
         Kind of the failure, None for a success.
     detail : bytes
         Error line as received.
-    transaction_open : bool
-        Whether a transaction that accepts statements is open after it.
+    state : bytes
+        State letter of the connection after it: ``I`` without a transaction.
     position : LogPosition or None
         Position of the endpoint's log after the statement.
     """
@@ -140,5 +140,5 @@
     signature: bytes = b""
     error: exceptions.ErrorKind | None = None
     detail: bytes = b""
-    transaction_open: bool = False
+    state: bytes = b"I"
     position: LogPosition | None = None
--- a/hyssopshelf/gateway/transactions.py
+++ b/hyssopshelf/gateway/transactions.py
@@ -66,7 +66,8 @@
         return execution.fail(_KIND.ABORTED, refusal.reason)
     except links.LinkError as error:
         session.abort()
-        kind = _KIND.OUTCOME_UNKNOWN if commits_writes else _KIND.ABORTED
+        unknown = commits_writes and error.sent
+        kind = _KIND.OUTCOME_UNKNOWN if unknown else _KIND.ABORTED
         return execution.fail(kind, error.reason)
     except BaseException:
         transaction.link.close()
--- a/hyssopshelf/messages.py
+++ b/hyssopshelf/messages.py
@@ -11,7 +11,7 @@
 
 from hyssopshelf import exceptions
 
-_CONVERTER = msgpack_converter.make_converter()
+_CONVERTER = msgpack_converter.make_converter(omit_if_default=True)
 _JSON_CONVERTER = orjson_converter.make_converter(omit_if_default=True)
 _CLASSES: dict[str, type] = {}
 _NAMES: dict[type, str] = {}
