--- a/hyssopshelf/authority/participant.py
+++ b/hyssopshelf/authority/participant.py
@@ -87,6 +87,7 @@
         self.inquiry = 0
         self.contacts: dict[str, float] = {}
         self._taking_over = False
+        self._next_attempt_at = 0.0
 
     def receive(self, host: str, address: str, message) -> None:
         """Apply a message of another node."""
@@ -95,29 +96,39 @@
     async def run(self) -> None:
         """Register, then ping and take over where needed, for ever."""
         self.spawn(self._register())
+        ping_at = 0.0
         while True:
-            try:
-                await self._step()
-            except exceptions.CodecError as error:
-                logs.write(logs.LogEvent.DOCUMENT_UNREADABLE, {"reason": str(error)})
-            await asyncio.sleep(timing.PING_SECONDS * random.uniform(0.9, 1.1))
-
-    async def _step(self) -> None:
+            now = clocks.read_clock()
+            if now >= ping_at:
+                ping_at = now + timing.PING_SECONDS * random.uniform(0.9, 1.1)
+                self._ping()
+            self._check_election(now)
+            await asyncio.sleep(timing.ELECTION_CHECK_SECONDS)
+
+    def _ping(self) -> None:
         leading = self.coordinator
-        if leading is not None and not leading.active:
-            self.coordinator = leading = None
-        if leading is not None:
+        if leading is not None and leading.active:
             return
+        self.coordinator = None
         if self.member.coordinator is None:
             for address in self.seeds:
                 self.send("", address, exchange.Locate())
         self.member.ping()
-        now = clocks.read_clock()
-        if self._taking_over or self.gateway.board.draining:
+
+    def _check_election(self, now: float) -> None:
+        leading = self.coordinator
+        if leading is not None and leading.active:
+            return
+        if (
+            self._taking_over
+            or self.gateway.board.draining
+            or now < self._next_attempt_at
+        ):
             return
         reason = election.find_reason(self.member, now)
         if reason:
             self._taking_over = True
+            self._next_attempt_at = now + timing.PING_SECONDS
             self.spawn(self._try_take_over(reason))
 
     async def _try_take_over(self, reason: str) -> None:
@@ -415,7 +426,9 @@
         for record in others.values():
             self.send(record.host, record.address, message)
         deadline = clocks.read_clock() + INQUIRY_SECONDS
-        while len(self.contacts) < len(others) and clocks.read_clock() < deadline:
+        # The silent coordinator itself does not answer.
+        expected = len(others) - 1
+        while len(self.contacts) < expected and clocks.read_clock() < deadline:
             await asyncio.sleep(member.RELEASE_CHECK_SECONDS)
         silence = clocks.read_clock() - max(
             self.member.answered_at, self.member.followed_at
--- a/hyssopshelf/authority/tests/test_ledger.py
+++ b/hyssopshelf/authority/tests/test_ledger.py
@@ -75,8 +75,9 @@
     book.members["h0"].released["db"] = 3
     assert book.find_holders("db", 3, NOW + 0.1) == ["h1"]
     assert book.find_holders("db", 4, NOW + 0.1) == ["h0", "h1"]
-    hear(book, 1, NOW + 2)
-    assert book.find_holders("db", 3, NOW + 2) == []
+    lapsed = NOW + ledger.GRANT_SECONDS
+    hear(book, 1, lapsed)
+    assert book.find_holders("db", 3, lapsed) == []
 
 
 def test_silent_members_may_follow_a_caretaker_without_a_majority_here():
--- a/hyssopshelf/authority/timing.py
+++ b/hyssopshelf/authority/timing.py
@@ -7,16 +7,19 @@
 PING_SECONDS = 0.4
 """Time between two pings of a member."""
 
-GRANT_SECONDS = 1.6
+GRANT_SECONDS = 2.0
 """Validity of a grant, counted from the sending of the ping that it answers."""
 
-PROMISE_SECONDS = 1.0
+PROMISE_SECONDS = 0.8
 """Time for which a member promises not to take over, from the sending of a ping."""
 
 PROMISE_CONTACT_SECONDS = 0.55
 """Age of the last answer up to which a ping carries a promise."""
 
-SILENCE_SECONDS = 1.2
+ELECTION_CHECK_SECONDS = 0.1
+"""Time between two looks at whether the coordinator has to be replaced."""
+
+SILENCE_SECONDS = 1.1
 """Time without an answer of the coordinator after which it is replaced."""
 
 ALONE_SECONDS = 4.0
--- a/hyssopshelf/gateway/probes.py
+++ b/hyssopshelf/gateway/probes.py
@@ -9,17 +9,17 @@
 from hyssopshelf import clocks, logs
 from hyssopshelf.gateway import execution, judgement, links
 
-INTERVAL_SECONDS = 0.2
+INTERVAL_SECONDS = 0.1
 """Time between two rounds."""
 
-OBSERVATION_SECONDS = 0.45
+OBSERVATION_SECONDS = 0.3
 """Age of the newest observation above which the primary is probed; reads that may
 be 1.5 s old then have a position in time after a lost probe."""
 
-PROBE_SECONDS = 0.5
+PROBE_SECONDS = 0.4
 """Time for an answer; a round trip and a connection across regions fit."""
 
-FAILING_INTERVAL_SECONDS = 0.4
+FAILING_INTERVAL_SECONDS = 0.25
 """Time between two probes of a failing endpoint."""
 
 
--- a/hyssopshelf/logs.py
+++ b/hyssopshelf/logs.py
@@ -8,7 +8,6 @@
 
 import attrs
 import orjson
-from loguru import logger
 
 MAXIMUM_BUFFERED_LINES = 1000
 """Lines that are kept at most before they are written."""
@@ -133,6 +132,7 @@
         self.detailed = False
         self.structured = False
         self.source = ""
+        self.logger = None
         self._lines: list[str] = []
 
     def write(self, line: str) -> None:
@@ -235,7 +235,11 @@
     level : str
         Lowest level to write, such as ``INFO``.
     """
+    # Loaded here, as structured logs do without it and should start fast.
+    from loguru import logger
+
     logger.remove()
+    _OUTPUT.logger = logger
     _OUTPUT.stream = sys.stderr
     _OUTPUT.detailed = level == "DEBUG"
     atexit.register(_OUTPUT.flush)
@@ -259,7 +263,6 @@
     source : str
         Name of the host, a field of each line.
     """
-    logger.remove()
     os.set_blocking(1, False)
     _OUTPUT.stream = PipeOutput(descriptor=1)
     _OUTPUT.structured = True
@@ -305,4 +308,7 @@
     text = " ".join([f"{name}={value}" for name, value in fields.items()])
     message = f"{int(event)} {event.name.lower()} {text}"
     level = "DEBUG" if event in DETAIL_EVENTS else "INFO"
+    logger = _OUTPUT.logger
+    if logger is None:
+        from loguru import logger
     logger.bind(event=int(event), **fields).log(level, message)
