--- a/hyssopshelf/authority/participant.py
+++ b/hyssopshelf/authority/participant.py
@@ -93,6 +93,13 @@
         """Apply a message of another node."""
         apply(message, self, host, address)
 
+    def stop(self) -> None:
+        """End all work at once."""
+        if self.coordinator is not None:
+            self.coordinator.stop("process ends")
+        for task in self._tasks:
+            task.cancel()
+
     async def run(self) -> None:
         """Register, then ping and take over where needed, for ever."""
         self.spawn(self._register())
--- a/hyssopshelf/gateway/boards.py
+++ b/hyssopshelf/gateway/boards.py
@@ -39,6 +39,10 @@
         Time up to which other endpoints are preferred.
     latency : float
         Moving average of the time from sending to the answer, in seconds.
+    answered_at : float
+        Time of the last answer.
+    error_share : float
+        Moving share of statements that ran and failed.
     """
 
     failures: int = 0
@@ -46,6 +50,7 @@
     avoid_until: float = 0.0
     latency: float = 0.0
     answered_at: float = float("-inf")
+    error_share: float = 0.0
 
 
 @attrs.define(kw_only=True)
--- a/hyssopshelf/gateway/gateway.py
+++ b/hyssopshelf/gateway/gateway.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from hyssopshelf import clocks, logs
-from hyssopshelf.gateway import boards, catalog, forwarding, gates, meters
+from hyssopshelf.gateway import boards, catalog, forwarding, gates, hedging, meters
 
 FIRST_SHARE = 1
 """Connections that a node opens to an endpoint before it knows its share."""
@@ -30,6 +30,7 @@
         self.board = board
         self.endpoint_wire = endpoint_wire
         self.meters = meters.Meters()
+        self.hedges = hedging.HedgeBudget()
         self.gates: dict[str, gates.Gate] = {}
         self.shares: dict[str, int] = {}
         self.forwarder: forwarding.Forwarder | None = None
--- a/hyssopshelf/gateway/judgement.py
+++ b/hyssopshelf/gateway/judgement.py
@@ -15,6 +15,14 @@
 SMOOTHING = 0.1
 """Weight of a new sample in the moving average of latencies."""
 
+ERROR_SMOOTHING = 0.05
+"""Weight of a new sample in the moving share of failed statements."""
+
+ERROR_PENALTY_SECONDS = 0.6
+"""Cost of a failed statement against a late one: the time of a repeat by its
+client. An endpoint that fails a tenth of its reads loses them to one that is 60 ms
+further away."""
+
 
 def record_contact(health, now: float) -> None:
     """Note that an endpoint answered a message that takes no slot."""
@@ -52,3 +60,17 @@
         FIRST_AVOIDANCE_SECONDS * 2 ** min(health.failures - 1, 6),
     )
     health.avoid_until = now + pause
+
+
+def record_outcome(health, failed: bool) -> None:
+    """Note whether a statement that ran has failed.
+
+    An endpoint can fail part of its statements while its health page is good.
+    """
+    sample = 1.0 if failed else 0.0
+    health.error_share += ERROR_SMOOTHING * (sample - health.error_share)
+
+
+def find_error_cost(health) -> float:
+    """Return the expected cost of failures of a statement, in seconds."""
+    return health.error_share * ERROR_PENALTY_SECONDS
--- a/hyssopshelf/gateway/routing.py
+++ b/hyssopshelf/gateway/routing.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from hyssopshelf.gateway import catalog, statements
+from hyssopshelf.gateway import catalog, judgement, statements
 
 SAME_PLACE_SECONDS = 0.004
 SAME_REGION_SECONDS = 0.006
@@ -114,6 +114,8 @@
     else:
         seconds = SAME_REGION_SECONDS if same_region else OTHER_REGION_SECONDS
     seconds += load(endpoint.id)
+    if health is not None:
+        seconds += judgement.find_error_cost(health)
     if not same_region:
         seconds += REGION_PENALTY_SECONDS
     if candidate.primary:
--- a/hyssopshelf/gateway/server.py
+++ b/hyssopshelf/gateway/server.py
@@ -48,6 +48,28 @@
         if self._server is not None:
             self._server.close()
 
+    def abort(self) -> None:
+        """Close all sessions at once."""
+        for connection in list(self.connections):
+            connection.close()
+
+    def abort_idle_transactions(self, now: float) -> None:
+        """Roll back transactions that rest longer than the operator allows."""
+        current = self.gateway.board.configuration
+        if current is None:
+            return
+        limit = current.limits.idle_transaction_seconds
+        for connection in self.connections:
+            session = connection.session
+            if connection.working or session is None or session.transaction is None:
+                continue
+            if now - session.transaction.idle_since > limit:
+                logs.write_request(
+                    logs.LogEvent.TRANSACTION_TOO_IDLE,
+                    {"name": session.name, "limit": limit},
+                )
+                session.abort()
+
     def close_idle(self) -> int:
         """Close sessions without work; return how many are left."""
         for connection in list(self.connections):
--- a/hyssopshelf/gateway/single.py
+++ b/hyssopshelf/gateway/single.py
@@ -1,7 +1,9 @@
 """Single statements outside a transaction."""
 
+import asyncio
+
 from hyssopshelf import clocks, exceptions
-from hyssopshelf.gateway import execution, links, statements
+from hyssopshelf.gateway import execution, hedging, judgement, links, statements
 
 _KIND = exceptions.ErrorKind
 
@@ -14,27 +16,113 @@
     route = session.find_route()
     if route is None:
         return execution.fail(_KIND.NOT_FOUND, session.name)
-    need = execution.Need.PRIMARY if writes else execution.Need.ANY
     deadline = clocks.read_clock() + route.statement_seconds
+    if writes:
+        return await _run_write(session, request, shape, route, deadline)
+    return await _run_read(session, request, shape, route, deadline)
+
+
+async def _run_write(session, request, shape, route, deadline: float):
     excluded: set[str] = set()
     reply = execution.fail(_KIND.UNAVAILABLE)
     for _ in range(execution.MAXIMUM_ATTEMPTS):
         entered = await execution.enter(
-            session.gateway, session, route, need, deadline, excluded, session.trail
+            session.gateway,
+            session,
+            route,
+            execution.Need.PRIMARY,
+            deadline,
+            excluded,
+            session.trail,
         )
         if isinstance(entered, statements.Reply):
             return entered if reply.error is _KIND.UNAVAILABLE else reply
-        reply = await _offer(session, request, writes, shape, entered, deadline)
-        if reply.error is None:
-            return reply
-        retry = reply.error in execution.NOT_RUN or not writes
-        if not retry or clocks.read_clock() >= deadline:
+        reply = await _offer(session, request, True, shape, entered, deadline)
+        if reply.error not in execution.NOT_RUN or clocks.read_clock() >= deadline:
             return reply
         if reply.error is not _KIND.UNPREPARED:
             excluded.add(entered.gate.endpoint.id)
     return reply
 
 
+async def _run_read(session, request, shape, route, deadline: float):
+    """Offer a read until one endpoint answers it."""
+    gateway = session.gateway
+    gateway.hedges.earn()
+    excluded: set[str] = set()
+    offers: set[asyncio.Task] = set()
+    reply = execution.fail(_KIND.UNAVAILABLE)
+    for _ in range(execution.MAXIMUM_ATTEMPTS):
+        entered = await execution.enter(
+            gateway,
+            session,
+            route,
+            execution.Need.ANY,
+            deadline,
+            excluded,
+            session.trail,
+        )
+        if isinstance(entered, statements.Reply):
+            if reply.error is _KIND.UNAVAILABLE:
+                reply = entered
+            break
+        endpoint = entered.gate.endpoint.id
+        offer = asyncio.get_running_loop().create_task(
+            _offer(session, request, False, shape, entered, deadline)
+        )
+        offers.add(offer)
+        patience = hedging.find_patience(gateway.board.get_health(endpoint).latency)
+        answer, late = await _wait(gateway, offers, deadline, patience)
+        if answer is not None and answer.error is None:
+            return answer
+        if answer is not None:
+            reply = answer
+        if clocks.read_clock() >= deadline:
+            return reply
+        if reply.error is not _KIND.UNPREPARED and not (
+            late and route.read_rule == execution.catalog.ReadRule.PRIMARY
+        ):
+            excluded.add(endpoint)
+    if offers:
+        answer, _ = await _wait(gateway, offers, deadline, None)
+        return answer if answer is not None else reply
+    return reply
+
+
+async def _wait(gateway, offers: set, deadline: float, patience: float | None):
+    """Wait for an answer to one of the offers.
+
+    Returns
+    -------
+    reply : Reply or None
+        The first success, else the last failure.
+    late : bool
+        Whether an offer is still open and a second one may be made.
+    """
+    reply = None
+    while offers:
+        remaining = max(0.0, deadline - clocks.read_clock())
+        seconds = remaining if patience is None else min(remaining, patience)
+        done, _ = await asyncio.wait(
+            offers, timeout=seconds, return_when=asyncio.FIRST_COMPLETED
+        )
+        if not done:
+            if patience is None or remaining <= seconds:
+                return reply, False
+            if gateway.hedges.spend():
+                return reply, True
+            patience = None
+            continue
+        for offer in done:
+            offers.discard(offer)
+            reply = offer.result()
+            if reply.error is None:
+                return reply, False
+        if patience is not None:
+            return reply, False
+    return reply, False
+
+
 async def _offer(session, request, writes, shape, entered, deadline):
     """Send the statement to one endpoint and return its reply."""
     gateway = session.gateway
@@ -64,6 +152,9 @@
         else:
             gate.discard_link(link)
         gate.leave(entered.turn)
+    judgement.record_outcome(
+        gateway.board.get_health(gate.endpoint.id), reply.error is _KIND.FAILED
+    )
     if reply.error is not None:
         session.trail.add(gate.endpoint.id, reply.error.value)
         return reply
--- a/hyssopshelf/gateway/tests/test_routing.py
+++ b/hyssopshelf/gateway/tests/test_routing.py
@@ -1,6 +1,6 @@
 """Tests of where reads go, in load, lag and failure."""
 
-from hyssopshelf.gateway import boards, catalog, judgement, routing, statements
+from hyssopshelf.gateway import boards, catalog, hedging, judgement, routing, statements
 
 POSITION = statements.LogPosition
 NOW = 100.0
@@ -126,3 +126,30 @@
     judgement.record_answer(health, 0.01, NOW)
     judgement.record_failure(health, NOW - 0.5, NOW + 0.1)
     assert health.failures == 0
+
+
+def test_reads_leave_an_endpoint_that_fails_part_of_them():
+    """Its health page is good and its failures come between successes."""
+    board = make_board()
+    health = board.get_health("near")
+    for number in range(60):
+        judgement.record_outcome(health, failed=number % 5 == 0)
+    assert choose(board)[0].endpoint.id != "near"
+    for _ in range(60):
+        judgement.record_outcome(health, failed=False)
+    assert choose(board)[0].endpoint.id == "near"
+
+
+def test_second_offers_are_a_small_part_of_the_reads_when_all_are_late():
+    """A slow database must not get twice the load."""
+    budget = hedging.HedgeBudget()
+    made = 0
+    for _ in range(2000):
+        budget.earn()
+        made += budget.spend()
+    assert made <= hedging.BUDGET_BURST + 2000 * hedging.BUDGET_SHARE + 1
+
+
+def test_a_second_offer_waits_longer_where_answers_take_longer():
+    assert hedging.find_patience(0.0) == hedging.SHORTEST_SECONDS
+    assert hedging.find_patience(0.1) > 0.5
