Send callers elsewhere while a node is cut off from the coordinator

Change: after 1.5 s of silence a node is not ready, after 2.5 s it refuses what needs a primary at once, after 4 s it closes idle sessions.

--- a/hyssopshelf/authority/member.py
+++ b/hyssopshelf/authority/member.py
@@ -15,6 +15,9 @@
 ROUNDING_SECONDS = 0.0001
 """Error of the ages in messages, which have four decimals."""
 
+LONGEST_SILENCE_SECONDS = 1e6
+"""Silence that is reported of a node which never heard a coordinator."""
+
 RELEASE_CHECK_SECONDS = 0.01
 """Time between two looks at the writes that are still open, in seconds."""
 
@@ -176,7 +179,11 @@
         if silence > timing.SILENCE_SECONDS:
             logs.write(
                 logs.LogEvent.COORDINATOR_REGAINED,
-                {"coordinator": host, "epoch": self.epoch, "silence": silence},
+                {
+                    "coordinator": host,
+                    "epoch": self.epoch,
+                    "silence": round(min(silence, LONGEST_SILENCE_SECONDS), 2),
+                },
             )
         self.answered_at = now
         self.apply_tenures(sent_at + timing.GRANT_SECONDS, pong.released)
--- a/hyssopshelf/authority/participant.py
+++ b/hyssopshelf/authority/participant.py
@@ -19,9 +19,6 @@
 """Time for the answers of other members. Members have no open connections to each
 other, so two are opened, each in one and a half round trips between regions."""
 
-LONGEST_SILENCE_SECONDS = 1e6
-"""Silence that a node reports which never heard a coordinator."""
-
 STORE_RETRY_SECONDS = 1.0
 """Pause between attempts to reach the store without a coordinator in it."""
 
@@ -100,6 +97,13 @@
         for task in self._tasks:
             task.cancel()
 
+    def measure_silence(self, now: float) -> float:
+        """Return the time since a coordinator with authority was heard."""
+        leading = self.coordinator
+        if leading is not None and leading.has_authority(now):
+            return 0.0
+        return now - self.member.answered_at
+
     async def run(self) -> None:
         """Register, then ping and take over where needed, for ever."""
         self.spawn(self._register())
@@ -521,7 +525,7 @@
     answer = exchange.Contact(
         number=message.number,
         epoch=node.member.epoch,
-        silence=min(silence, LONGEST_SILENCE_SECONDS),
+        silence=min(silence, member.LONGEST_SILENCE_SECONDS),
     )
     node.send(host, address, answer)
 
--- a/hyssopshelf/gateway/boards.py
+++ b/hyssopshelf/gateway/boards.py
@@ -73,6 +73,8 @@
         Observed positions by database.
     health : dict of str to EndpointHealth
         Judgement of endpoints by id.
+    isolated : bool
+        Whether this node reaches no coordinator, so it cannot learn of a primary.
     closing : set of str
         Databases whose primary takes no new work because it is being replaced.
     """
@@ -87,6 +89,7 @@
     health: dict[str, EndpointHealth] = attrs.field(factory=dict)
     closing: set[str] = attrs.field(factory=set)
     draining: bool = False
+    isolated: bool = False
 
     def get_log(self, database: str) -> freshness.PrimaryLog:
         """Return the observations of a database."""
--- a/hyssopshelf/gateway/execution.py
+++ b/hyssopshelf/gateway/execution.py
@@ -120,7 +120,9 @@
         now = clocks.read_clock()
         candidate = choose(gateway, session, route, need, excluded, now)
         if candidate is None:
-            if excluded or not await gateway.wait_for_change(min(deadline, patience)):
+            if excluded or gateway.board.isolated:
+                break
+            if not await gateway.wait_for_change(min(deadline, patience)):
                 break
             continue
         endpoint = candidate.endpoint
--- a/hyssopshelf/gateway/forwarding.py
+++ b/hyssopshelf/gateway/forwarding.py
@@ -241,8 +241,8 @@
         if link is not None:
             return gates.Turn(work_id="", link=link)
         holder = self.forwarder.choose_holder(self.endpoint.id)
-        if holder is None:
-            raise links.LinkError("no host holds connections")
+        if holder is None or self.forwarder.gateway.board.isolated:
+            raise links.LinkError("no holder is reached", sent=False)
         remote = RemoteLink(
             forwarder=self.forwarder,
             endpoint=self.endpoint,
--- /dev/null
+++ b/hyssopshelf/gateway/tests/test_isolation.py
@@ -0,0 +1,61 @@
+"""Tests of what a node does that is cut off from the coordinator."""
+
+import asyncio
+
+from hyssopshelf import clocks
+from hyssopshelf.authority import timing
+from hyssopshelf.gateway import (
+    boards,
+    catalog,
+    execution,
+    gateway,
+    isolation,
+    sessions,
+    statements,
+)
+
+
+def test_stages_follow_each_other():
+    stages = [isolation.find_stage(s / 10) for s in range(60)]
+    assert stages == sorted(stages)
+    assert stages[0] is isolation.Stage.CONNECTED
+    assert stages[-1] is isolation.Stage.CLOSING
+
+
+def test_a_takeover_is_not_taken_for_isolation():
+    """A silent coordinator is replaced before the balancer could notice."""
+    longest = timing.PROMISE_CONTACT_SECONDS + timing.PROMISE_SECONDS
+    assert isolation.find_stage(longest + 0.5) < isolation.Stage.REFUSING
+
+
+def test_a_request_is_refused_at_once_without_hope_for_a_primary():
+    async def scenario():
+        board = boards.Board(place="a", region="r", regions={"a": "r"})
+        board.isolated = True
+        board.configuration = catalog.Catalog(
+            version=1,
+            routes={
+                "db": catalog.Route(
+                    name="db",
+                    database="db",
+                    read_rule=catalog.ReadRule.PRIMARY,
+                    statement_seconds=5.0,
+                    objective_seconds=1.0,
+                    rank=0,
+                )
+            },
+            connections={"db": 4},
+            limits=catalog.Limits(),
+        )
+        serving = gateway.Gateway(board=board, endpoint_wire=None)
+        session = sessions.Session(gateway=serving, name="db")
+        request = statements.Request(
+            id=b"1", text=b"WRITE a b", statement=statements.Access(writes=True)
+        )
+        started = clocks.read_clock()
+        reply = await session.answer(request)
+        assert reply.error is execution.fail(reply.error).error
+        assert reply.error.value == "unavailable"
+        assert clocks.read_clock() - started < 1.0
+
+    asyncio.run(scenario())
--- a/hyssopshelf/logs.py
+++ b/hyssopshelf/logs.py
@@ -85,6 +85,7 @@
     TRANSACTION_TOO_IDLE = 117
     HOLDER_AVOIDED = 116
     HOLDERS_CHOSEN = 224
+    ISOLATION_CHANGED = 225
     ENDPOINT_REGISTERED = 221
     ENDPOINT_REMOVED = 222
     ENTRY_IGNORED = 223
@@ -278,13 +279,11 @@
         write(event, fields)
 
 
-def report_suppressed() -> None:
-    """Write how many lines about requests were left out since the last call."""
-    successes, _SUCCESSES.suppressed = _SUCCESSES.suppressed, 0
-    failures, _FAILURES.suppressed = _FAILURES.suppressed, 0
-    if successes or failures:
-        fields = {"successes": successes, "failures": failures}
-        write(LogEvent.LINES_SUPPRESSED, fields)
+def collect_suppressed() -> dict[str, int]:
+    """Return how many lines about requests were left out since the last call."""
+    counts = {"successes": _SUCCESSES.suppressed, "failures": _FAILURES.suppressed}
+    _SUCCESSES.suppressed = _FAILURES.suppressed = 0
+    return counts
 
 
 def flush() -> None:
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -20,7 +20,8 @@
     """Guards against a number that nothing writes any more."""
     code = "".join(
         path.read_text(encoding="utf-8")
-        for path in (ROOT / "hyssopshelf").rglob("*.py")
+        for folder in ("hyssopshelf", "platform")
+        for path in (ROOT / folder).rglob("*.py")
         if path.name != "logs.py"
     )
     unused = [e.name for e in logs.LogEvent if f"LogEvent.{e.name}" not in code]
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,42 @@
+"""Tests that the log stays bounded under load and never blocks."""
+
+import os
+
+from hyssopshelf import logs
+
+
+def test_lines_about_requests_are_bounded():
+    """Ten thousand requests in a second leave a budgeted number of lines."""
+    budget = logs.LineBudget(rate=20.0, burst=40.0)
+    written = sum(budget.spend(number / 10_000) for number in range(10_000))
+    assert written <= 40 + 20
+    assert written + budget.suppressed == 10_000
+
+
+def test_a_reader_that_does_not_read_blocks_nothing():
+    """A full pipe drops whole lines and counts them."""
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    try:
+        output = logs.PipeOutput(descriptor=writer)
+        line = "x" * 99 + "\n"
+        for _ in range(10_000):
+            output.write(line)
+        assert output.dropped > 0
+        received = os.read(reader, 1 << 20)
+        output.write(line)
+        received += os.read(reader, 1 << 20)
+        lines = received.split(b"\n")
+        assert set(lines[:-1]) == {b"x" * 99}
+    finally:
+        os.close(reader)
+        os.close(writer)
+
+
+def test_a_closed_log_stops_nothing():
+    reader, writer = os.pipe()
+    os.close(reader)
+    output = logs.PipeOutput(descriptor=writer)
+    output.write("line\n")
+    assert output.dropped == 1
+    os.close(writer)
