--- a/hyssopshelf/authority/change.py
+++ b/hyssopshelf/authority/change.py
@@ -313,6 +313,7 @@
             self.local.release(database, version, finish)
         )
         send_at = 0.0
+        started = clocks.read_clock()
         while True:
             now = clocks.read_clock()
             holders = self.coordinator.ledger.find_holders(database, version, now)
@@ -322,6 +323,8 @@
                 send_at = now + REPEAT_SECONDS
                 for host in holders:
                     state = self.coordinator.ledger.members[host]
+                    if now - started > timing.STUCK_SECONDS:
+                        self.local.reset(state.address)
                     self.coordinator.send(host, state.address, message)
             await asyncio.sleep(member.RELEASE_CHECK_SECONDS)
 
--- a/hyssopshelf/authority/coordinator.py
+++ b/hyssopshelf/authority/coordinator.py
@@ -88,6 +88,9 @@
             self._replace_incarnation(known, ping, address)
             known = self.ledger.members[host]
         known.address = address
+        if ping.stamp and ping.held > timing.STUCK_SECONDS:
+            # The member has not had an answer for a while.
+            self.local.reset(address)
         follows = ping.epoch == self.record.epoch
         self.ledger.record_ping(known, ping, follows, now)
         if ping.shares_version == shares.find_version(self.shares.get(host)):
--- a/hyssopshelf/authority/member.py
+++ b/hyssopshelf/authority/member.py
@@ -58,16 +58,19 @@
         Newest documents; shared with the coordinator.
     apply_document : callable
         Takes ``configuration`` or ``registry`` and puts the document in force.
-    send : callable
-        Takes host, address and message.
+    send, reset : callable
+        Take host, address and message; the address of a stuck connection.
     """
 
-    def __init__(self, *, identity, gateway, documents, apply_document, send) -> None:
+    def __init__(
+        self, *, identity, gateway, documents, apply_document, send, reset
+    ) -> None:
         self.identity = identity
         self.gateway = gateway
         self.documents = documents
         self.apply_document = apply_document
         self.send = send
+        self.reset = reset
         self.coordinator: assignments.CoordinatorRecord | None = None
         self.epoch = 0
         self.assignments = assignments.Assignments()
@@ -119,6 +122,9 @@
         )
         if promises:
             self.promised_until = now + timing.PROMISE_SECONDS
+        heard_at = max(self._stamped_at, self.followed_at)
+        if now - heard_at > timing.STUCK_SECONDS:
+            self.reset(record.address)
         self._sequence += 1
         self._sent = {
             number: at
--- a/hyssopshelf/authority/participant.py
+++ b/hyssopshelf/authority/participant.py
@@ -41,8 +41,8 @@
         Reads documents from the store; ``read_all`` and ``follow`` coroutines.
     store, duty : object
         Clients of the platform.
-    send : callable
-        Takes host, address and message.
+    send, reset : callable
+        Take host, address and message; the address of a stuck connection.
     seeds : tuple of str
         Addresses of nodes that may know the coordinator.
     capacity : float
@@ -60,6 +60,7 @@
         store,
         duty,
         send,
+        reset,
         seeds: tuple[str, ...] = (),
         capacity: float = 1.0,
     ) -> None:
@@ -76,6 +77,7 @@
             documents=documents,
             apply_document=apply_document,
             send=send,
+            reset=reset,
         )
         self.member.capacity = capacity
         self.coordinator: coordinator.Coordinator | None = None
@@ -139,7 +141,10 @@
         reason = election.find_reason(self.member, now)
         if reason:
             self._taking_over = True
-            self._next_attempt_at = now + timing.PING_SECONDS
+            pause = timing.PING_SECONDS
+            if reason == election.CUT_OFF:
+                pause = STORE_RETRY_SECONDS
+            self._next_attempt_at = now + pause
             self.spawn(self._try_take_over(reason))
 
     async def _try_take_over(self, reason: str) -> None:
--- a/hyssopshelf/authority/timing.py
+++ b/hyssopshelf/authority/timing.py
@@ -54,3 +54,7 @@
 TAKEOVER_STEP_SECONDS = 0.25
 """Pause between the attempts of successors; a round trip between regions and a call
 to the store fit into it, so that one wins without a race."""
+
+STUCK_SECONDS = 0.9
+"""Age of the last answer above which the connection to a peer is opened anew; two
+pings and their answers fit into it."""
--- a/hyssopshelf/gateway/forwarding.py
+++ b/hyssopshelf/gateway/forwarding.py
@@ -193,7 +193,7 @@
             async with asyncio.timeout(max(0.0, remaining)):
                 answer = await self.waiter
         except TimeoutError as error:
-            self.forwarder.avoid(self.holder[0])
+            self.forwarder.avoid(*self.holder)
             self.close()
             raise links.LinkError("no answer of the holder in time") from error
         except asyncio.CancelledError:
@@ -282,14 +282,15 @@
         The gateway of this node.
     host : str
         Name of this host.
-    send : callable
-        Takes host, address and message.
+    send, reset : callable
+        Take host, address and message; the address of a stuck connection.
     """
 
-    def __init__(self, *, gateway, host: str, send) -> None:
+    def __init__(self, *, gateway, host: str, send, reset) -> None:
         self.gateway = gateway
         self.host = host
         self.send = send
+        self.reset = reset
         self.holders: dict[str, list[tuple[str, str]]] = {}
         self._units: dict[int, RemoteLink] = {}
         self._numbers = itertools.count(1)
@@ -312,8 +313,9 @@
             return None
         return candidates[next(self._numbers) % len(candidates)]
 
-    def avoid(self, host: str) -> None:
-        """Prefer other holders for a time."""
+    def avoid(self, host: str, address: str) -> None:
+        """Prefer other holders for a time, and connect to this one anew."""
+        self.reset(address)
         self._avoided[host] = clocks.read_clock() + AVOIDANCE_SECONDS
         logs.write_request(logs.LogEvent.HOLDER_AVOIDED, {"holder": host})
 
--- a/hyssopshelf/runtime/peers.py
+++ b/hyssopshelf/runtime/peers.py
@@ -26,6 +26,10 @@
 MAXIMUM_BATCH_BYTES = 256 * 1024
 """Bytes of the messages that travel together at most."""
 
+RESET_SECONDS = 0.7
+"""Least age of a connection that is reset; opening one and an answer fit into it
+across regions and on a slow host."""
+
 RECONNECT_MILLISECONDS = 100
 """First pause between attempts to reach a peer, in milliseconds."""
 
@@ -81,6 +85,19 @@
         self.sent_bytes += len(data)
         dialer.send(host, message, data)
 
+    def reset(self, address: str) -> None:
+        """Close the connection to a peer that does not answer; a send opens another.
+
+        After a partition an old connection waits for its next retransmission, or is
+        silent for good, while a new one works.
+        """
+        loop = asyncio.get_running_loop()
+        dialer = self._dialers.get(address)
+        if dialer is None or loop.time() < dialer.opened_at + RESET_SECONDS:
+            return
+        del self._dialers[address]
+        dialer.close()
+
     def close(self) -> None:
         """Close the inbox and all dialers."""
         if self._inbox is not None:
@@ -157,9 +174,11 @@
         self._unsent: collections.deque[Unsent] = collections.deque()
         self._scheduled = False
         self._timer: asyncio.TimerHandle | None = None
+        self.opened_at = 0.0
 
     def open(self) -> None:
         """Start to connect."""
+        self.opened_at = asyncio.get_running_loop().time()
         self._socket = pynng.Push0(
             send_buffer_size=0,
             reconnect_time_min=RECONNECT_MILLISECONDS,
