--- a/hyssopshelf/authority/coordinator.py
+++ b/hyssopshelf/authority/coordinator.py
@@ -58,6 +58,8 @@
         self.chosen_holders: dict[str, list[str]] = {}
         self.holders: dict[str, list[tuple[str, str]]] = {}
         self.holders_version = 0
+        self.members_changed = False
+        self._published_at = float("-inf")
         self._packed: dict[str, tuple[int, bytes]] = {}
         self._observations: dict[str, tuple[int, float, int, int]] = {}
         self._registering: set[str] = set()
@@ -155,7 +157,13 @@
             for state in self.ledger.members.values()
             if now - state.heard_at < timing.SILENCE_SECONDS and not state.draining
         ]
-        alive.sort(key=lambda state: (state.place == self.identity.place, state.host))
+        alive.sort(
+            key=lambda state: (
+                state.capacity <= shares.SMALL_CAPACITY,
+                state.place == self.identity.place,
+                state.host,
+            )
+        )
         return tuple(state.host for state in alive[:SUCCESSORS])
 
     def run_in_background(self, work) -> None:
@@ -180,13 +188,8 @@
                 if ping.assignments_version < newer.version
                 else None
             ),
-            configuration=(
-                self._compress(
-                    "configuration", held.configuration_version, held.configuration
-                )
-                if ping.configuration_version < held.configuration_version
-                else None
-            ),
+            configuration=self._pick_configuration(ping),
+            configuration_version=held.configuration_version,
             registry=(
                 self._compress("registry", held.registry_version, held.registry)
                 if ping.registry_version != held.registry_version
@@ -207,6 +210,46 @@
         )
         self.send(host, address, pong)
 
+    def _pick_configuration(self, ping: exchange.Ping) -> bytes | None:
+        """Return the configuration for a member that has an older one.
+
+        A large one would keep the answers to pings waiting on a narrow link.
+        """
+        held = self.local.documents
+        if ping.configuration_version >= held.configuration_version:
+            return None
+        data = self._compress(
+            "configuration", held.configuration_version, held.configuration
+        )
+        if data is None or ping.wants_configuration:
+            return data
+        return data if len(data) <= timing.SMALL_DOCUMENT_BYTES else None
+
+    def publish_configuration(self) -> None:
+        """Send a large configuration to one member of each place, and announce."""
+        held = self.local.documents
+        data = self._compress(
+            "configuration", held.configuration_version, held.configuration
+        )
+        if data is not None and len(data) > timing.SMALL_DOCUMENT_BYTES:
+            now = clocks.read_clock()
+            relays: dict[str, ledger.MemberState] = {}
+            for state in self.ledger.members.values():
+                if now - state.heard_at > timing.SILENCE_SECONDS:
+                    continue
+                best = relays.get(state.place)
+                if best is None or state.capacity > best.capacity:
+                    relays[state.place] = state
+            message = exchange.Document(
+                epoch=self.record.epoch,
+                version=held.configuration_version,
+                data=data,
+                relay=True,
+            )
+            for state in relays.values():
+                self.send(state.host, state.address, message)
+        self.announce()
+
     def _compress(self, name: str, version: int, data: bytes | None) -> bytes | None:
         if data is None:
             return None
@@ -372,7 +415,13 @@
         self.publish_members()
 
     def publish_members(self) -> None:
-        """Bring the list of members that pongs carry up to date."""
+        """Bring the list of members that pongs carry up to date, not too often."""
+        now = clocks.read_clock()
+        if now < self._published_at + timing.MEMBERS_SECONDS:
+            self.members_changed = True
+            return
+        self._published_at = now
+        self.members_changed = False
         records = [self.identity] + [
             assignments.MemberRecord(
                 host=state.host,
@@ -385,4 +434,4 @@
         self.local.members = {record.host: record for record in records}
         data = msgpack.packb({"members": [attrs.asdict(record) for record in records]})
         held = self.local.documents
-        held.members, held.members_version = data, zlib.crc32(data)
+        held.members, held.members_version = zlib.compress(data, 1), zlib.crc32(data)
--- a/hyssopshelf/authority/exchange.py
+++ b/hyssopshelf/authority/exchange.py
@@ -36,6 +36,8 @@
         Whether the member promises not to take over for a time.
     capacity : float
         Processor share of the member's host, in cores.
+    wants_configuration : bool
+        Whether the member misses a configuration that it should have by now.
     observations : dict of str to (int, int, int, float)
         Positions of primaries' logs by database: version of the assignment, term,
         number, and time since the message that they answer was sent, in seconds.
@@ -57,6 +59,7 @@
     holders_version: int = 0
     shares_version: int = 0
     capacity: float = 1.0
+    wants_configuration: bool = False
     draining: bool = False
     observations: dict[str, tuple[int, int, int, float]] = attrs.field(factory=dict)
     reach: dict[str, Reach] = attrs.field(factory=dict)
@@ -99,6 +102,7 @@
     released: tuple[str, ...] = ()
     assignments: bytes | None = None
     configuration: bytes | None = None
+    configuration_version: int = 0
     registry: bytes | None = None
     registry_version: int = 0
     members: bytes | None = None
@@ -182,3 +186,22 @@
     address: str
     incarnation: int
     epoch: int
+
+
+@messages.register("authority.document")
+@attrs.frozen(kw_only=True)
+class Document:
+    """A large configuration, sent to one node of each place and passed on there.
+
+    Attributes
+    ----------
+    data : bytes
+        The compressed document.
+    relay : bool
+        Whether the receiver passes it on to the members of its place.
+    """
+
+    epoch: int
+    version: int
+    data: bytes
+    relay: bool
--- a/hyssopshelf/authority/member.py
+++ b/hyssopshelf/authority/member.py
@@ -82,6 +82,7 @@
         self.store_age = float("inf")
         self.store_age_at = float("-inf")
         self.resigning = False
+        self._missing_since: float | None = None
         self.holders_version = 0
         self.capacity = 1.0
         self.released: dict[str, int] = {}
@@ -148,6 +149,9 @@
             holders_version=self.holders_version,
             shares_version=shares.find_version(self.gateway.shares),
             capacity=self.capacity,
+            wants_configuration=self.misses_configuration(
+                now, timing.MISSING_SECONDS * 1.5
+            ),
             draining=self.gateway.board.draining,
             observations=collect_observations(self.gateway.board, now),
             reach=collect_reach(self.gateway.board, now),
@@ -199,6 +203,24 @@
         if pong.holders is not None:
             self.apply_holders(pong.holders, pong.holders_version)
 
+    def misses_configuration(self, now: float, seconds: float) -> bool:
+        """Return whether a known configuration has not come for a time."""
+        return self._missing_since is not None and now - self._missing_since > seconds
+
+    def receive_document(self, document: exchange.Document) -> None:
+        """Use a large configuration and pass it on to the members of this place."""
+        if document.epoch < self.epoch:
+            return
+        held = self.documents
+        if document.version > held.configuration_version:
+            self.apply_document("configuration", zlib.decompress(document.data))
+        if not document.relay:
+            return
+        message = attrs.evolve(document, relay=False)
+        for record in self.members.values():
+            if record.place == self.identity.place and record != self.identity:
+                self.send(record.host, record.address, message)
+
     def apply_holders(self, holders: dict, version: int) -> None:
         """Use the hosts that hold scarce connections."""
         self.holders_version = version
@@ -218,6 +240,11 @@
             self.members = decode_members(pong.members)
         if pong.configuration is not None:
             self.apply_document("configuration", zlib.decompress(pong.configuration))
+        if pong.configuration_version > held.configuration_version:
+            if self._missing_since is None:
+                self._missing_since = now
+        else:
+            self._missing_since = None
         read_at = now - pong.store_age
         if pong.registry is not None and read_at > held.registry_read_at:
             held.registry_read_at = read_at
@@ -291,7 +318,7 @@
 
 def decode_members(data: bytes) -> dict[str, assignments.MemberRecord]:
     """Decode the list of members."""
-    fields = assignments.unpack(data)
+    fields = assignments.unpack(zlib.decompress(data))
     records = [assignments.MemberRecord(**entry) for entry in fields["members"]]
     return {record.host: record for record in records}
 
--- a/hyssopshelf/authority/participant.py
+++ b/hyssopshelf/authority/participant.py
@@ -12,6 +12,7 @@
     election,
     exchange,
     member,
+    shares,
     timing,
 )
 
@@ -150,6 +151,11 @@
     async def _try_take_over(self, reason: str) -> None:
         try:
             delay = election.find_delay(self.member, reason)
+            if (
+                reason == election.ABSENT
+                and self.member.capacity <= shares.SMALL_CAPACITY
+            ):
+                delay += timing.SMALL_HOST_SECONDS
             if delay:
                 await asyncio.sleep(delay)
             if self._should_go_on(reason):
@@ -296,6 +302,8 @@
             leading.ledger.update_majority(clocks.read_clock())
             leading.renew_own_tenures()
             leading.divide_connections()
+            if leading.members_changed:
+                leading.publish_members()
             if leading.caretaker:
                 continue
             if clocks.read_clock() - listed_at > MEMBER_LIST_SECONDS:
@@ -590,3 +598,8 @@
     )
     node.member.follow(record)
     node.member.ping()
+
+
+@apply.register
+def _apply_document(message: exchange.Document, node, host: str, address: str) -> None:
+    node.member.receive_document(message)
--- a/hyssopshelf/authority/tests/test_rules.py
+++ b/hyssopshelf/authority/tests/test_rules.py
@@ -1,14 +1,19 @@
 """Tests of takeovers, suspicion and the division of connections."""
 
+import os
 import types
 
 import hypothesis
 from hypothesis import strategies
 
+from hyssopshelf import clocks
 from hyssopshelf.authority import (
     assignments,
+    coordinator,
     election,
     exchange,
+    ledger,
+    member,
     shares,
     suspicion,
     timing,
@@ -19,10 +24,10 @@
 
 
 def make_member(**fields):
-    coordinator = types.SimpleNamespace(host="c")
+    record = types.SimpleNamespace(host="c")
     values = {
         "identity": types.SimpleNamespace(host="me"),
-        "coordinator": coordinator,
+        "coordinator": record,
         "resigning": False,
         "successors": ("me", "other"),
         "members": {"me": None, "other": None, "third": None},
@@ -40,13 +45,13 @@
 
 
 def test_a_silent_coordinator_is_replaced():
-    member = make_member(answered_at=NOW - timing.SILENCE_SECONDS - 0.01)
-    assert election.find_reason(member, NOW) == election.SILENT
+    one = make_member(answered_at=NOW - timing.SILENCE_SECONDS - 0.01)
+    assert election.find_reason(one, NOW) == election.SILENT
 
 
 def test_a_promise_is_kept():
-    member = make_member(answered_at=NOW - 9, promised_until=NOW + 0.1)
-    assert election.find_reason(member, NOW) == ""
+    one = make_member(answered_at=NOW - 9, promised_until=NOW + 0.1)
+    assert election.find_reason(one, NOW) == ""
 
 
 def test_the_first_successor_relieves_one_that_resigns():
@@ -56,14 +61,14 @@
 
 
 def test_a_successor_relieves_one_without_the_store():
-    member = make_member(store_age=timing.STORE_CONTACT_SECONDS + 0.1)
-    assert election.find_reason(member, NOW) == election.CUT_OFF
+    one = make_member(store_age=timing.STORE_CONTACT_SECONDS + 0.1)
+    assert election.find_reason(one, NOW) == election.CUT_OFF
 
 
 def test_a_new_coordinator_gets_time_to_answer():
     """A member that has just followed a caretaker must not start another one."""
-    member = make_member(answered_at=NOW - 9, followed_at=NOW - 0.3)
-    assert election.find_reason(member, NOW) == ""
+    one = make_member(answered_at=NOW - 9, followed_at=NOW - 0.3)
+    assert election.find_reason(one, NOW) == ""
 
 
 def test_a_contact_elsewhere_stops_a_takeover():
@@ -164,3 +169,55 @@
         databases={"db": assignments.Assignment(endpoint="e", term=2, version=1)},
     )
     assert assignments.decode_assignments(assignments.encode(value)) == value
+
+
+def make_coordinator(sent: list, members: int):
+    """Return a coordinator of members in three places that holds a configuration."""
+    local = types.SimpleNamespace(
+        documents=member.Documents(
+            configuration=os.urandom(100_000), configuration_version=7
+        ),
+        reset=None,
+    )
+    leading = coordinator.Coordinator(
+        identity=assignments.MemberRecord(host="c", address="", incarnation=1),
+        local=local,
+        record=types.SimpleNamespace(epoch=1000),
+        revision=1,
+        store=None,
+        send=lambda host, address, message: sent.append((host, message)),
+    )
+    for number in range(members):
+        leading.ledger.members[f"h{number}"] = ledger.MemberState(
+            host=f"h{number}",
+            address="",
+            incarnation=1,
+            place=f"p{number % 3}",
+            heard_at=clocks.read_clock(),
+            capacity=2.0 if number < 3 else 0.5,
+        )
+    return leading
+
+
+def test_a_large_configuration_leaves_the_coordinator_once_for_each_place():
+    """On a narrow link 76 copies would keep grants waiting for seconds."""
+    sent: list = []
+    leading = make_coordinator(sent, 76)
+    leading.publish_configuration()
+    documents = [m for _, m in sent if isinstance(m, exchange.Document)]
+    assert len(documents) == 3
+    assert {host for host, m in sent if isinstance(m, exchange.Document)} == {
+        "h0",
+        "h1",
+        "h2",
+    }
+    ping = exchange.Ping(sequence=1, incarnation=1, place="", epoch=1000)
+    assert leading._pick_configuration(ping) is None
+
+
+def test_a_member_that_misses_a_large_configuration_gets_it():
+    leading = make_coordinator([], 4)
+    ping = exchange.Ping(
+        sequence=1, incarnation=1, place="", epoch=1000, wants_configuration=True
+    )
+    assert leading._pick_configuration(ping) is not None
