--- a/hyssopshelf/authority/change.py
+++ b/hyssopshelf/authority/change.py
@@ -467,9 +467,16 @@
             reply = await probes.ask(
                 self.gateway, endpoint, wire.format_status(), STATUS_SECONDS
             )
-        except links.LinkError:
+        except links.LinkError as error:
+            self._log_no_status(endpoint, error.reason)
             return None
         if reply.error is not None or not reply.rows:
+            self._log_no_status(endpoint, reply.error.value if reply.error else "empty")
             return None
         role, term, position = wire.parse_status(reply.rows[0])
         return Status(role=role, term=term, position=position)
+
+    def _log_no_status(self, endpoint, reason: str) -> None:
+        logs.write_request(
+            logs.LogEvent.STATUS_UNKNOWN, {"endpoint": endpoint.id, "reason": reason}
+        )
--- a/hyssopshelf/gateway/server.py
+++ b/hyssopshelf/gateway/server.py
@@ -109,6 +109,13 @@
         lines = (self._buffer + data).split(b"\r\n")
         self._buffer = lines.pop()
         if len(self._buffer) > self.server.wire.maximum_bytes:
+            logs.write_request(
+                logs.LogEvent.SESSION_REFUSED,
+                {
+                    "name": self.session.name if self.session else "",
+                    "reason": "message is too long",
+                },
+            )
             self.close()
             return
         self._pending.extend(lines)
--- a/hyssopshelf/gateway/sessions.py
+++ b/hyssopshelf/gateway/sessions.py
@@ -3,7 +3,7 @@
 import asyncio
 import functools
 
-from hyssopshelf import clocks, exceptions
+from hyssopshelf import clocks, exceptions, logs
 from hyssopshelf.gateway import (
     catalog,
     execution,
@@ -105,7 +105,11 @@
     try:
         async with asyncio.timeout(ROLLBACK_SECONDS):
             replies = await link.exchange(gate.wire.format_rollback(), 1)
-    except (TimeoutError, links.LinkError):
+    except (TimeoutError, links.LinkError) as error:
+        logs.write_request(
+            logs.LogEvent.CONNECTION_DISCARDED,
+            {"endpoint": gate.endpoint.id, "reason": f"rollback failed: {error!r}"},
+        )
         gate.discard_link(link)
         return
     if replies[0].error is not None:
--- a/hyssopshelf/gateway/single.py
+++ b/hyssopshelf/gateway/single.py
@@ -3,7 +3,14 @@
 import asyncio
 
 from hyssopshelf import clocks, exceptions
-from hyssopshelf.gateway import execution, hedging, judgement, links, statements
+from hyssopshelf.gateway import (
+    catalog,
+    execution,
+    hedging,
+    judgement,
+    links,
+    statements,
+)
 
 _KIND = exceptions.ErrorKind
 
@@ -80,7 +87,7 @@
         if clocks.read_clock() >= deadline:
             return reply
         if reply.error is not _KIND.UNPREPARED and not (
-            late and route.read_rule == execution.catalog.ReadRule.PRIMARY
+            late and route.read_rule == catalog.ReadRule.PRIMARY
         ):
             excluded.add(endpoint)
     if offers:
