--- a/hyssopshelf/runtime/tests/test_peers.py
+++ b/hyssopshelf/runtime/tests/test_peers.py
@@ -68,3 +68,33 @@
     """Guards against a cut batch taken for whole messages."""
     with pytest.raises(exceptions.CodecError):
         messages.split_batch(data)
+
+
+def test_a_stuck_connection_is_opened_anew_but_not_at_once(monkeypatch):
+    """After a cut an old connection waits seconds for its next retransmission."""
+
+    async def scenario():
+        first, second = find_addresses(2)
+        events: list = []
+        sender = peers.PeerTransport(host="h1", address=first, emit=lambda _: None)
+        receiver = peers.PeerTransport(host="h2", address=second, emit=events.append)
+        sender.listen()
+        receiver.listen()
+        try:
+            sender.send("h2", second, make_message(1))
+            await wait_for(events, 1)
+            before = sender._dialers[second]
+            sender.reset(second)
+            assert sender._dialers[second] is before
+            monkeypatch.setattr(peers, "RESET_SECONDS", 0.0)
+            sender.reset(second)
+            assert second not in sender._dialers
+            sender.send("h2", second, make_message(2))
+            await wait_for(events, 2)
+            received = [e.message.request_id for e in events]
+            assert received == ["h1.1.1", "h1.1.2"]
+        finally:
+            sender.close()
+            receiver.close()
+
+    asyncio.run(scenario())
