--- a/hyssopshelf/authority/coordinator.py
+++ b/hyssopshelf/authority/coordinator.py
@@ -53,7 +53,6 @@
         self.active = True
         self.resigning = False
         self.store_contact_at = clocks.read_clock()
-        self.assignments_revision = 0
         self.shares: dict[str, dict[str, int]] = {}
         self.chosen_holders: dict[str, list[str]] = {}
         self.holders: dict[str, list[tuple[str, str]]] = {}
--- a/hyssopshelf/gateway/forwarding.py
+++ b/hyssopshelf/gateway/forwarding.py
@@ -126,7 +126,6 @@
         self.unit = forwarder.start_unit(self)
         self.closed = False
         self.direct = False
-        self.in_transaction = False
         self.held = False
         self.step = 0
         self.waiter: asyncio.Future | None = None
--- a/hyssopshelf/gateway/links.py
+++ b/hyssopshelf/gateway/links.py
@@ -72,10 +72,8 @@
         self.wire = wire
         self.state = states.ConnectionState()
         self.used_at = clocks.read_clock()
-        self.opened_at = self.used_at
         self.closed = False
         self.direct = True
-        self.in_transaction = False
         self._transport: asyncio.Transport | None = None
         self._buffer = b""
         self._expected = 0
--- a/hyssopshelf/gateway/sessions.py
+++ b/hyssopshelf/gateway/sessions.py
@@ -87,7 +87,6 @@
         """Return the connection of an ended transaction to the pool."""
         transaction, self.transaction = self.transaction, None
         if transaction is not None and transaction.link is not None:
-            transaction.link.in_transaction = False
             transaction.gate.release_link(transaction.link)
 
     def _clean_up(self, transaction: transactions.Transaction) -> None:
@@ -115,7 +114,6 @@
     if replies[0].error is not None:
         gate.discard_link(link)
         return
-    link.in_transaction = False
     gate.release_link(link)
 
 
--- a/hyssopshelf/gateway/transactions.py
+++ b/hyssopshelf/gateway/transactions.py
@@ -172,7 +172,6 @@
     if not begun:
         session.trail.add(gate.endpoint.id, f"begin {reply.error.value}")
         return reply
-    link.in_transaction = True
     transaction.gate, transaction.link = gate, link
     transaction.tenure_version = entered.version
     return reply
