Let work that waits for a primary follow it to the next one

Cause: work queued at a silent primary stayed in that queue to its deadline when the primary was released, work at a crashed primary was refused after the first failed connection, although the next primary is there about a second later, and a read that was offered again did not look at its first offer while it queued. Ruled out: cancelling work that was sent (a write's outcome is unknown then, and a broken off statement costs the endpoint); endless repeats (they are 0.15 s apart, at most 6, and end at nine tenths of the statement's time); waiting at an overloaded primary (refused at once as before). Change: gateway.searches decides where work that needs the primary goes after a failure; a release sends waiting work back to the search (Gateway.supersede), also at a holder of scarce connections. A connection whose opening is cancelled is closed.

--- a/hyssopshelf/authority/member.py
+++ b/hyssopshelf/authority/member.py
@@ -283,6 +283,7 @@
         board = self.gateway.board
         board.get_log(database).start_term(entry.term)
         board.closing.discard(database)
+        self.gateway.supersede(database)
         logs.write(
             logs.LogEvent.PRIMARY_FOLLOWED,
             {
@@ -310,6 +311,7 @@
         tenure = board.tenures.get(database)
         if tenure is not None and tenure.version <= version:
             del board.tenures[database]
+            self.gateway.supersede(database)
         board.closing.discard(database)
         logs.write(
             logs.LogEvent.PRIMARY_RELEASED, {"database": database, "version": version}
--- a/hyssopshelf/gateway/execution.py
+++ b/hyssopshelf/gateway/execution.py
@@ -11,6 +11,7 @@
     judgement,
     links,
     routing,
+    searches,
     statements,
     states,
 )
@@ -31,9 +32,10 @@
         _KIND.WRONG_ENDPOINT,
         _KIND.UNPREPARED,
         _KIND.FULL,
+        _KIND.UNAVAILABLE,
     }
 )
-"""Answers of an endpoint that did not run the statement."""
+"""Outcomes of an offer that did not run the statement."""
 
 
 FULL_REASON = _KIND.FULL.value
@@ -82,6 +84,14 @@
         self.steps.append(f"{endpoint}:{outcome}")
 
 
+def start_search(route: catalog.Route, need: Need) -> searches.Search:
+    """Return the search for an endpoint of a unit of work."""
+    return searches.Search(
+        needs_primary=need is Need.PRIMARY
+        or route.read_rule == catalog.ReadRule.PRIMARY
+    )
+
+
 def fail(kind: exceptions.ErrorKind, detail: str = "") -> statements.Reply:
     """Return a reply with an error."""
     return statements.Reply(error=kind, detail=detail.encode())
@@ -103,7 +113,7 @@
     route: catalog.Route,
     need: Need,
     deadline: float,
-    excluded: set[str],
+    search: searches.Search,
     trail: Trail,
 ):
     """Choose an endpoint and wait for a slot and a connection there.
@@ -113,49 +123,80 @@
     Entered or Reply
         The way to the endpoint; a reply if the work cannot start.
     """
-    last = _KIND.UNAVAILABLE
-    reason = "no primary is known"
-    patience = clocks.read_clock() + route.statement_seconds * PATIENCE_SHARE
-    for _ in range(MAXIMUM_ATTEMPTS):
+    refusal = fail(_KIND.UNAVAILABLE, "no primary is known")
+    patience = deadline - route.statement_seconds * (1.0 - PATIENCE_SHARE)
+    offers = 0
+    while offers < MAXIMUM_ATTEMPTS:
         now = clocks.read_clock()
-        candidate = choose(gateway, session, route, need, excluded, now)
-        if candidate is None:
-            if excluded or gateway.board.isolated:
-                break
-            if not await gateway.wait_for_change(min(deadline, patience)):
-                break
-            continue
-        endpoint = candidate.endpoint
-        gate = gateway.get_gate(endpoint)
+        candidate = choose(gateway, session, route, need, search.excluded, now)
         version = 0
-        if candidate.primary:
+        start_at = now
+        if candidate is not None and candidate.primary:
             version = gateway.board.tenures[route.database].version
-        try:
-            turn = await gate.enter(
-                route.rank, deadline, session.state, version=version
+            start_at = search.find_start(version, now)
+        if candidate is None or start_at > now:
+            if search.excluded or gateway.board.isolated:
+                break
+            await gateway.wait_for_change(
+                patience if candidate is None else min(start_at, patience)
             )
-        except gates.RefusalError as refusal:
-            last, reason = refusal.kind, refusal.reason
-            excluded.add(endpoint.id)
-            trail.add(endpoint.id, f"refused ({reason})")
-            continue
-        except links.LinkError as error:
-            last, reason = _KIND.UNAVAILABLE, error.reason
-            excluded.add(endpoint.id)
-            trail.add(endpoint.id, f"unreachable ({reason})")
-            if reason != FULL_REASON:
-                judgement.record_failure(
-                    gateway.board.get_health(endpoint.id), now, clocks.read_clock()
-                )
-            continue
-        trail.queued += clocks.read_clock() - now
-        if candidate.primary and not can_acknowledge(gateway, route.database, version):
-            gate.release_link(turn.link)
-            gate.leave(turn)
-            trail.add(endpoint.id, "no longer the valid primary")
+            if clocks.read_clock() >= patience:
+                break
             continue
-        return Entered(gate=gate, turn=turn, candidate=candidate, version=version)
-    return fail(last, reason)
+        offers += 1
+        entered = await _enter_at(
+            gateway, session, route, candidate, version, deadline, search, trail
+        )
+        if isinstance(entered, Entered):
+            return entered
+        if entered is not None:
+            refusal = entered
+    return refusal
+
+
+async def _enter_at(
+    gateway, session, route, candidate, version: int, deadline: float, search, trail
+):
+    """Wait for a slot and a connection at one endpoint.
+
+    Returns
+    -------
+    Entered, Reply or None
+        The way to the endpoint; the reason why there is none; None if another
+        endpoint became the primary meanwhile.
+    """
+    now = clocks.read_clock()
+    endpoint = candidate.endpoint
+    gate = gateway.get_gate(endpoint)
+    try:
+        turn = await gateway.enter_gate(
+            gate, route.rank, deadline, session.state, version=version
+        )
+    except gates.SupersededError:
+        trail.add(endpoint.id, "replaced as the primary")
+        return None
+    except gates.RefusalError as refusal:
+        ended = clocks.read_clock()
+        search.record_failure(endpoint.id, version, refusal.kind, ended)
+        trail.add(endpoint.id, f"refused ({refusal.reason})")
+        return fail(refusal.kind, refusal.reason)
+    except links.LinkError as error:
+        ended = clocks.read_clock()
+        full = error.reason == FULL_REASON
+        kind = _KIND.FULL if full else _KIND.UNAVAILABLE
+        search.record_failure(endpoint.id, version, kind, ended)
+        trail.add(endpoint.id, f"unreachable ({error.reason})")
+        if not full:
+            health = gateway.board.get_health(endpoint.id)
+            judgement.record_failure(health, now, ended)
+        return fail(_KIND.UNAVAILABLE, error.reason)
+    trail.queued += clocks.read_clock() - now
+    if candidate.primary and not can_acknowledge(gateway, route.database, version):
+        gate.release_link(turn.link)
+        gate.leave(turn)
+        trail.add(endpoint.id, "no longer the valid primary")
+        return None
+    return Entered(gate=gate, turn=turn, candidate=candidate, version=version)
 
 
 def choose(gateway, session, route, need: Need, excluded: set[str], now: float):
--- a/hyssopshelf/gateway/forwarding.py
+++ b/hyssopshelf/gateway/forwarding.py
@@ -23,6 +23,9 @@
 ANSWER_MARGIN_SECONDS = 0.02
 """Time that the holder leaves for its answer before the statement's deadline."""
 
+NOT_LEADING = "no longer the valid primary"
+"""Reason of a holder that does not send work to a former primary."""
+
 _MARK = b"\0"
 """Stands for the statement's name on the connection in a message; no message of
 a line protocol contains it."""
@@ -409,10 +412,17 @@
                 raise links.LinkError("unit is not known", sent=False)
             gate, link = gateway.get_local_gate(endpoint), None
         try:
-            turn = await gate.enter(message.rank, deadline, state, link)
+            if link is None:
+                turn = await gateway.enter_gate(
+                    gate, message.rank, deadline, state, version=message.version
+                )
+            else:
+                turn = await gate.enter(message.rank, deadline, state, link)
         except BaseException as error:
             if link is not None:
                 gate.discard_link(link)
+            if isinstance(error, gates.SupersededError):
+                raise links.LinkError(NOT_LEADING, sent=False) from error
             if isinstance(error, links.LinkError):
                 raise links.LinkError(error.reason, sent=False) from error
             raise
@@ -422,7 +432,7 @@
         reply = None
         try:
             if message.version and not self._leads(message):
-                raise links.LinkError("no longer the valid primary", sent=False)
+                raise links.LinkError(NOT_LEADING, sent=False)
             reply = await link.run(
                 state, shape, lambda name: message.head + name + message.tail, deadline
             )
--- a/hyssopshelf/gateway/gates.py
+++ b/hyssopshelf/gateway/gates.py
@@ -42,6 +42,10 @@
         self.reason = reason
 
 
+class SupersededError(Exception):
+    """The work waits no more because its endpoint is replaced as the primary."""
+
+
 @attrs.define(kw_only=True)
 class Turn:
     """A slot of an endpoint, with the connection that uses it."""
--- a/hyssopshelf/gateway/gateway.py
+++ b/hyssopshelf/gateway/gateway.py
@@ -36,6 +36,7 @@
         self.forwarder: forwarding.Forwarder | None = None
         self.open_writes: dict[tuple[str, int], int] = {}
         self._changed: list[asyncio.Future] = []
+        self._waiting: dict[str, set[asyncio.Timeout]] = {}
 
     def get_gate(self, endpoint: catalog.Endpoint):
         """Return the way to an endpoint, through a holder where there is one."""
@@ -137,6 +138,42 @@
             return False
         return True
 
+    async def enter_gate(
+        self, gate, rank: int, deadline: float, state, *, version: int
+    ) -> gates.Turn:
+        """Wait for a slot and a connection as long as the endpoint may be used.
+
+        Parameters
+        ----------
+        version : int
+            Version of the belief in the primary that the work needs, 0 for none.
+
+        Raises
+        ------
+        SupersededError
+            If another endpoint becomes the primary first.
+        RefusalError, LinkError
+            As :meth:`gates.Gate.enter`.
+        """
+        if not version:
+            return await gate.enter(rank, deadline, state)
+        waiting = self._waiting.setdefault(gate.endpoint.database, set())
+        try:
+            async with asyncio.timeout(None) as scope:
+                waiting.add(scope)
+                try:
+                    return await gate.enter(rank, deadline, state, version=version)
+                finally:
+                    waiting.discard(scope)
+        except TimeoutError as error:
+            raise gates.SupersededError from error
+
+    def supersede(self, database: str) -> None:
+        """Send work that waits for a primary back to the search for an endpoint."""
+        now = asyncio.get_running_loop().time()
+        for scope in self._waiting.pop(database, set()):
+            scope.reschedule(now)
+
     def estimate_wait(self, endpoint_id: str) -> float:
         """Return the expected wait for a slot of an endpoint in seconds."""
         gate = self.gates.get(endpoint_id)
--- a/hyssopshelf/gateway/links.py
+++ b/hyssopshelf/gateway/links.py
@@ -202,4 +202,7 @@
         raise LinkError("no answer to the start") from error
     except OSError as error:
         raise LinkError(repr(error)) from error
+    except asyncio.CancelledError:
+        link.close()
+        raise
     return link
--- a/hyssopshelf/gateway/single.py
+++ b/hyssopshelf/gateway/single.py
@@ -4,7 +4,6 @@
 
 from hyssopshelf import clocks, exceptions
 from hyssopshelf.gateway import (
-    catalog,
     execution,
     hedging,
     judgement,
@@ -30,7 +29,7 @@
 
 
 async def _run_write(session, request, shape, route, deadline: float):
-    excluded: set[str] = set()
+    search = execution.start_search(route, execution.Need.PRIMARY)
     reply = execution.fail(_KIND.UNAVAILABLE)
     for _ in range(execution.MAXIMUM_ATTEMPTS):
         entered = await execution.enter(
@@ -39,16 +38,18 @@
             route,
             execution.Need.PRIMARY,
             deadline,
-            excluded,
+            search,
             session.trail,
         )
         if isinstance(entered, statements.Reply):
             return entered if reply.error is _KIND.UNAVAILABLE else reply
         reply = await _offer(session, request, True, shape, entered, deadline)
-        if reply.error not in execution.NOT_RUN or clocks.read_clock() >= deadline:
+        now = clocks.read_clock()
+        if reply.error not in execution.NOT_RUN or now >= deadline:
             return reply
         if reply.error is not _KIND.UNPREPARED:
-            excluded.add(entered.gate.endpoint.id)
+            endpoint = entered.gate.endpoint.id
+            search.record_failure(endpoint, entered.version, reply.error, now)
     return reply
 
 
@@ -56,21 +57,13 @@
     """Offer a read until one endpoint answers it."""
     gateway = session.gateway
     gateway.hedges.earn()
-    excluded: set[str] = set()
+    search = execution.start_search(route, execution.Need.ANY)
     offers: set[asyncio.Task] = set()
     reply = execution.fail(_KIND.UNAVAILABLE)
     for _ in range(execution.MAXIMUM_ATTEMPTS):
-        entered = await execution.enter(
-            gateway,
-            session,
-            route,
-            execution.Need.ANY,
-            deadline,
-            excluded,
-            session.trail,
-        )
+        entered = await _enter_or_answer(session, route, deadline, search, offers)
         if isinstance(entered, statements.Reply):
-            if reply.error is _KIND.UNAVAILABLE:
+            if entered.error is None or reply.error is _KIND.UNAVAILABLE:
                 reply = entered
             break
         endpoint = entered.gate.endpoint.id
@@ -84,18 +77,64 @@
             return answer
         if answer is not None:
             reply = answer
-        if clocks.read_clock() >= deadline:
+        now = clocks.read_clock()
+        if now >= deadline:
             return reply
-        if reply.error is not _KIND.UNPREPARED and not (
-            late and route.read_rule == catalog.ReadRule.PRIMARY
-        ):
-            excluded.add(endpoint)
-    if offers:
+        repeatable = late and search.needs_primary
+        if not repeatable and reply.error is not _KIND.UNPREPARED:
+            search.record_failure(endpoint, entered.version, reply.error, now)
+    if offers and reply.error is not None:
         answer, _ = await _wait(gateway, offers, deadline, None)
         return answer if answer is not None else reply
     return reply
 
 
+async def _enter_or_answer(session, route, deadline: float, search, offers: set):
+    """Wait for a way to an endpoint or for a success of an open offer.
+
+    Returns
+    -------
+    Entered or Reply
+        The way to the endpoint; the answer that made it needless, or a failure if
+        there is no way.
+    """
+    work = execution.enter(
+        session.gateway,
+        session,
+        route,
+        execution.Need.ANY,
+        deadline,
+        search,
+        session.trail,
+    )
+    if not offers:
+        return await work
+    entering = asyncio.get_running_loop().create_task(work)
+    while not entering.done():
+        done, _ = await asyncio.wait(
+            {entering, *offers}, return_when=asyncio.FIRST_COMPLETED
+        )
+        for offer in done & offers:
+            offers.discard(offer)
+            reply = offer.result()
+            if reply.error is None:
+                await _withdraw(entering)
+                return reply
+    return entering.result()
+
+
+async def _withdraw(entering: asyncio.Task) -> None:
+    """Give up the way to an endpoint."""
+    entering.cancel()
+    await asyncio.wait({entering})
+    if entering.cancelled():
+        return
+    entered = entering.result()
+    if isinstance(entered, execution.Entered):
+        entered.gate.release_link(entered.turn.link)
+        entered.gate.leave(entered.turn)
+
+
 async def _wait(gateway, offers: set, deadline: float, patience: float | None):
     """Wait for an answer to one of the offers.
 
@@ -148,7 +187,7 @@
     except links.LinkError as error:
         session.trail.add(gate.endpoint.id, error.reason)
         if not error.sent:
-            return execution.fail(_KIND.NOT_RUN, error.reason)
+            return execution.fail(_KIND.UNAVAILABLE, error.reason)
         kind = _KIND.OUTCOME_UNKNOWN if writes else _KIND.DEADLINE_PASSED
         return execution.fail(kind, error.reason)
     finally:
--- /dev/null
+++ b/hyssopshelf/gateway/tests/test_searches.py
@@ -0,0 +1,243 @@
+"""Tests of work that waits for a primary which is slow, gone or replaced."""
+
+import asyncio
+
+import pytest
+
+from hyssopshelf import clocks, exceptions
+from hyssopshelf.gateway import (
+    boards,
+    catalog,
+    gateway,
+    links,
+    searches,
+    sessions,
+    statements,
+    states,
+)
+
+STATEMENT_SECONDS = 0.8
+"""Time for a statement on the site with the shortest timeouts."""
+
+
+class FakeWire:
+    """Formats messages that the fake links ignore."""
+
+    def format_request(self, *_) -> bytes:
+        return b""
+
+    def format_rollback(self) -> bytes:
+        return b""
+
+
+class FakeLink:
+    """A connection whose answers come after a time, or never."""
+
+    def __init__(self, *, endpoint, answer_after: float | None) -> None:
+        self.endpoint = endpoint
+        self.answer_after = answer_after
+        self.state = states.ConnectionState()
+        self.closed = False
+        self.direct = True
+        self.used_at = 0.0
+
+    async def run(self, state, shape, make_message, deadline):
+        if self.answer_after is None:
+            await asyncio.sleep(max(0.0, deadline - clocks.read_clock()))
+            self.close()
+            raise links.LinkError("no answer in time")
+        await asyncio.sleep(self.answer_after)
+        return statements.Reply(position=statements.LogPosition(1, 1), state=b"I")
+
+    def close(self) -> None:
+        self.closed = True
+
+
+class FakeEndpoints:
+    """What connections to each endpoint do; counts the attempts."""
+
+    def __init__(self, behaviours: dict) -> None:
+        self.behaviours = behaviours
+        self.opened: list[str] = []
+
+    async def open_link(self, endpoint, wire, seconds):
+        self.opened.append(endpoint.id)
+        behaviour = self.behaviours[endpoint.id]
+        if isinstance(behaviour, str):
+            raise links.LinkError(behaviour, sent=False)
+        return FakeLink(endpoint=endpoint, answer_after=behaviour)
+
+
+def make_gateway(read_rule=catalog.ReadRule.PRIMARY):
+    board = boards.Board(place="a", region="r", regions={"a": "r"})
+    board.configuration = catalog.Catalog(
+        version=1,
+        routes={
+            "db": catalog.Route(
+                name="db",
+                database="db",
+                read_rule=read_rule,
+                statement_seconds=STATEMENT_SECONDS,
+                objective_seconds=0.4,
+                rank=0,
+            )
+        },
+        connections={"db": 8},
+        limits=catalog.Limits(),
+    )
+    for name in ("one", "two"):
+        board.endpoints[name] = catalog.Endpoint(
+            id=name,
+            database="db",
+            address=f"{name}:1",
+            place="a",
+            slots=1,
+            leaving=False,
+            leads=name == "one",
+            started=1,
+        )
+    serving = gateway.Gateway(board=board, endpoint_wire=FakeWire())
+    serving.apply_shares({"one": 4, "two": 4})
+    return serving
+
+
+def lead(serving, endpoint: str, version: int) -> None:
+    serving.board.tenures["db"] = boards.Tenure(
+        endpoint=endpoint,
+        term=version,
+        version=version,
+        valid_until=clocks.read_clock() + 10.0,
+    )
+    serving.notify()
+
+
+def release(serving) -> None:
+    del serving.board.tenures["db"]
+    serving.supersede("db")
+
+
+async def ask(serving, text: str) -> tuple[statements.Reply, float]:
+    session = sessions.Session(gateway=serving, name="db")
+    request = statements.Request(
+        id=b"1",
+        text=text.encode(),
+        statement=statements.Access(writes=text.startswith("WRITE")),
+    )
+    started = clocks.read_clock()
+    reply = await session.answer(request)
+    return reply, clocks.read_clock() - started
+
+
+@pytest.fixture
+def endpoints(monkeypatch):
+    found = FakeEndpoints({})
+    monkeypatch.setattr(links, "open_link", found.open_link)
+    return found
+
+
+def test_queued_work_follows_the_primary(endpoints):
+    """Work behind a silent primary runs at the next one, not at its deadline."""
+    endpoints.behaviours = {"one": None, "two": 0.005}
+
+    async def scenario():
+        serving = make_gateway()
+        lead(serving, "one", 1)
+        asked = [
+            asyncio.create_task(ask(serving, text))
+            for text in ["WRITE a 1"] * 6 + ["READ a"] * 6
+        ]
+        await asyncio.sleep(0.2)
+        release(serving)
+        await asyncio.sleep(0.1)
+        lead(serving, "two", 2)
+        answers = await asyncio.gather(*asked)
+        unknown = exceptions.ErrorKind.OUTCOME_UNKNOWN
+        assert [reply.error for reply, _ in answers] == [unknown] + [None] * 11
+        assert max(seconds for _, seconds in answers[1:]) < 0.6
+        assert serving.gates["one"].queue.waiting == 0
+        assert serving.gates["one"].opening == 0
+
+    asyncio.run(scenario())
+
+
+def test_work_waits_for_the_successor_of_a_crashed_primary(endpoints):
+    """A refused connection is no answer: the next primary is near."""
+    endpoints.behaviours = {"one": "connection refused", "two": 0.005}
+
+    async def scenario():
+        serving = make_gateway()
+        lead(serving, "one", 1)
+        asked = [
+            asyncio.create_task(ask(serving, text)) for text in ("WRITE a 1", "READ a")
+        ]
+        await asyncio.sleep(0.4)
+        release(serving)
+        lead(serving, "two", 2)
+        for reply, seconds in await asyncio.gather(*asked):
+            assert reply.error is None
+            assert seconds < 0.5
+        # Repeats are paced.
+        assert len(endpoints.opened) <= 10
+
+    asyncio.run(scenario())
+
+
+def test_a_restarted_primary_is_used_again(endpoints):
+    endpoints.behaviours = {"one": "connection refused"}
+
+    async def scenario():
+        serving = make_gateway()
+        lead(serving, "one", 1)
+        asked = asyncio.create_task(ask(serving, "WRITE a 1"))
+        await asyncio.sleep(0.2)
+        endpoints.behaviours["one"] = 0.005
+        reply, seconds = await asked
+        assert reply.error is None
+        assert seconds < 0.2 + 2 * searches.RETRY_PAUSE_SECONDS
+
+    asyncio.run(scenario())
+
+
+def test_a_full_primary_refuses_at_once(endpoints):
+    endpoints.behaviours = {"one": exceptions.ErrorKind.FULL.value}
+
+    async def scenario():
+        serving = make_gateway()
+        lead(serving, "one", 1)
+        reply, seconds = await ask(serving, "WRITE a 1")
+        assert reply.error is exceptions.ErrorKind.UNAVAILABLE
+        assert seconds < 0.1
+
+    asyncio.run(scenario())
+
+
+def test_work_is_refused_in_time_without_a_successor(endpoints):
+    endpoints.behaviours = {"one": "connection refused"}
+
+    async def scenario():
+        serving = make_gateway()
+        lead(serving, "one", 1)
+        reply, seconds = await ask(serving, "WRITE a 1")
+        assert reply.error is exceptions.ErrorKind.UNAVAILABLE
+        assert seconds <= STATEMENT_SECONDS
+
+    asyncio.run(scenario())
+
+
+def test_an_answer_is_not_held_up_by_a_second_offer(endpoints):
+    """A read that is offered again and queues returns with its first answer."""
+    endpoints.behaviours = {"one": 0.3}
+
+    async def scenario():
+        serving = make_gateway()
+        lead(serving, "one", 1)
+        first = asyncio.create_task(ask(serving, "READ a"))
+        await asyncio.sleep(0.01)
+        others = [asyncio.create_task(ask(serving, "WRITE a 1")) for _ in range(2)]
+        reply, seconds = await first
+        assert reply.error is None
+        assert seconds < 0.4
+        await asyncio.gather(*others)
+        assert serving.gates["one"].queue.running == 0
+
+    asyncio.run(scenario())
--- a/hyssopshelf/gateway/transactions.py
+++ b/hyssopshelf/gateway/transactions.py
@@ -124,7 +124,7 @@
 async def _start(session, transaction: Transaction, deadline: float):
     """Open the transaction at an endpoint; return its turn or a reply."""
     need = execution.Need.ANY if transaction.read_only else execution.Need.PRIMARY
-    excluded: set[str] = set()
+    search = execution.start_search(transaction.route, need)
     reply = execution.fail(_KIND.UNAVAILABLE)
     for _ in range(execution.MAXIMUM_ATTEMPTS):
         entered = await execution.enter(
@@ -133,7 +133,7 @@
             transaction.route,
             need,
             deadline,
-            excluded,
+            search,
             session.trail,
         )
         if isinstance(entered, statements.Reply):
@@ -141,7 +141,12 @@
         reply = await _begin(session, transaction, entered, deadline)
         if reply.error is None:
             return entered.turn
-        excluded.add(entered.gate.endpoint.id)
+        search.record_failure(
+            entered.gate.endpoint.id,
+            entered.version,
+            reply.error,
+            clocks.read_clock(),
+        )
     return execution.fail(_KIND.UNAVAILABLE, reply.error.value)
 
 
