Bound the memory of all clients together

Cause: each connection may buffer 1 MiB of half a message and 256 KiB of unread answers; 300 such clients exceed a host of 200 MB, whose process the platform ends. Ruled out: a smaller bound for each connection (the protocol allows messages of 1 MiB); an equal part for each (well-behaved clients hold next to nothing). Change: gateway.memory: a fifth of the host's memory for all clients; beyond, the largest holders are closed, with a log line.

--- a/hyssopshelf/gateway/server.py
+++ b/hyssopshelf/gateway/server.py
@@ -4,7 +4,7 @@
 import collections
 
 from hyssopshelf import clocks, exceptions, logs
-from hyssopshelf.gateway import execution, links, sessions
+from hyssopshelf.gateway import execution, links, memory, sessions
 
 MAXIMUM_PENDING = 32
 """Requests of one client that wait for their turn; beyond, reading pauses."""
@@ -27,11 +27,14 @@
         Where statements run.
     wire : object
         Codec of the clients' protocol.
+    limit : int
+        Bytes that all clients may have sent and not read together.
     """
 
-    def __init__(self, *, gateway, wire) -> None:
+    def __init__(self, *, gateway, wire, limit: int) -> None:
         self.gateway = gateway
         self.wire = wire
+        self.budget = memory.ByteBudget(limit=limit)
         self.connections: set[ClientConnection] = set()
         self._server: asyncio.Server | None = None
 
@@ -70,6 +73,18 @@
                 )
                 session.abort()
 
+    def hold(self, connection: "ClientConnection", count: int) -> None:
+        """Note the bytes of a connection; close the largest holders if needed."""
+        for other in self.budget.hold(connection, count):
+            logs.write_request(
+                logs.LogEvent.SESSION_REFUSED,
+                {
+                    "name": other.session.name if other.session else "",
+                    "reason": "clients hold too much memory",
+                },
+            )
+            other.abort()
+
     def close_idle(self) -> int:
         """Close sessions without work; return how many are left."""
         for connection in list(self.connections):
@@ -94,6 +109,7 @@
         self._transport: asyncio.Transport | None = None
         self._buffer = b""
         self._pending: collections.deque[bytes] = collections.deque()
+        self._pending_bytes = 0
         self._task: asyncio.Task | None = None
         self._closed = False
         self._paused = False
@@ -106,6 +122,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Queue complete lines."""
+        if self._closed:
+            return
         lines = (self._buffer + data).split(b"\r\n")
         self._buffer = lines.pop()
         if len(self._buffer) > self.server.wire.maximum_bytes:
@@ -119,6 +137,8 @@
             self.close()
             return
         self._pending.extend(lines)
+        self._pending_bytes += sum(map(len, lines))
+        self._count_bytes()
         if len(self._pending) > MAXIMUM_PENDING and not self._paused:
             self._paused = True
             self._transport.pause_reading()
@@ -131,6 +151,7 @@
         """Release the session once its statement has ended."""
         self._closed = True
         self.server.connections.discard(self)
+        self.server.budget.release(self)
         if not self.working and self.session is not None:
             self.session.close()
 
@@ -145,10 +166,22 @@
         self._closed = True
         self._transport.close()
 
+    def abort(self) -> None:
+        """Close the connection and drop what is buffered."""
+        self._closed = True
+        self._buffer = b""
+        self._pending.clear()
+        self._transport.abort()
+
+    def _count_bytes(self) -> None:
+        unsent = self._transport.get_write_buffer_size()
+        self.server.hold(self, len(self._buffer) + self._pending_bytes + unsent)
+
     async def _work(self) -> None:
         try:
             while self._pending and not self._closed:
                 line = self._pending.popleft()
+                self._pending_bytes -= len(line)
                 if self._paused and len(self._pending) <= MAXIMUM_PENDING // 2:
                     self._paused = False
                     self._transport.resume_reading()
@@ -236,6 +269,6 @@
         if self._closed:
             return
         self._transport.write(data)
+        self._count_bytes()
         if self._transport.get_write_buffer_size() > MAXIMUM_UNSENT_BYTES:
-            self._closed = True
-            self._transport.abort()
+            self.abort()
--- /dev/null
+++ b/hyssopshelf/gateway/tests/test_memory.py
@@ -0,0 +1,101 @@
+"""Tests of the common bound on what clients have sent and not read."""
+
+import asyncio
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hyssopshelf.gateway import boards, gateway, memory, server
+
+LIMIT_BYTES = 40 * 1024 * 1024
+"""Limit on the smallest known host, which has 200 MB."""
+
+
+class FakeTransport:
+    """The socket of a client that never reads."""
+
+    def __init__(self) -> None:
+        self.unsent = 0
+        self.ended = False
+
+    def get_extra_info(self, _):
+        return self
+
+    def setsockopt(self, *_) -> None:
+        return
+
+    def get_write_buffer_size(self) -> int:
+        return self.unsent
+
+    def write(self, data: bytes) -> None:
+        self.unsent += len(data)
+
+    def abort(self) -> None:
+        self.ended = True
+
+    close = abort
+
+
+class FakeWire:
+    """Accepts messages of at most 1 MiB."""
+
+    maximum_bytes = 1024 * 1024
+
+
+def connect(listener) -> tuple[server.ClientConnection, FakeTransport]:
+    transport = FakeTransport()
+    connection = server.ClientConnection(server=listener)
+    connection.connection_made(transport)
+    return connection, transport
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 9), st.integers(0, 3 * memory.COUNTED_BYTES)),
+        max_size=80,
+    )
+)
+def test_the_total_matches_and_stays_within_the_limit(steps):
+    budget = memory.ByteBudget(limit=5 * memory.COUNTED_BYTES)
+    held = {}
+    for holder, count in steps:
+        held[holder] = count if count > memory.COUNTED_BYTES else 0
+        for closed in budget.hold(holder, count):
+            held[closed] = 0
+        assert budget.total == sum(held.values())
+        assert budget.total <= budget.limit
+
+
+def test_half_sent_messages_of_many_clients_stay_within_the_bound():
+    """Each client is within its own bound; all of them are not."""
+
+    async def scenario():
+        board = boards.Board(place="a", region="r", regions={"a": "r"})
+        listener = server.ClientServer(
+            gateway=gateway.Gateway(board=board, endpoint_wire=None),
+            wire=FakeWire(),
+            limit=LIMIT_BYTES,
+        )
+        usual = [connect(listener) for _ in range(200)]
+        rude = [connect(listener) for _ in range(300)]
+        for connection, _ in usual:
+            connection.data_received(b"START db\r")
+        for _ in range(12):
+            for connection, transport in rude:
+                if not transport.ended:
+                    connection.data_received(b"x" * 64 * 1024)
+                else:
+                    connection.connection_lost(None)
+            assert listener.budget.total <= LIMIT_BYTES
+            buffered = sum(len(c._buffer) for c in listener.connections)
+            assert buffered <= LIMIT_BYTES + 500 * memory.COUNTED_BYTES
+        assert not any(transport.ended for _, transport in usual)
+        for connection, _ in usual + rude:
+            connection.connection_lost(None)
+        assert listener.budget.total == 0
+
+    asyncio.run(scenario())
+
+
+def test_the_limit_follows_the_host():
+    assert memory.find_limit(200) == LIMIT_BYTES
