Write assignments one at a time, each on the revision of the one before

Changes of several databases wrote the whole document at the same time, and the last write left out what the others had written. Had the lost entry been a promotion, the next coordinator would have granted the old primary. A write without an answer could also take effect seconds later and undo a newer one, as only the coordinator's record was a condition. Ruled out: one document for each database (more calls, and a change of the format); a longer wait for the answer. Change: authority.recorder writes in turn and expects the revision that the write before it left; after a conflict it reads the revision once. The renewal of the lease is a module of its own. A restarted coordinator goes on at once: the pause of small hosts holds only for a fleet without a record, and the old lease of its own host is ended in the background.

--- a/hyssopshelf/authority/change.py
+++ b/hyssopshelf/authority/change.py
@@ -74,12 +74,15 @@
     ----------
     coordinator : Coordinator
         The coordinator whose authority the changes use.
+    recorder : AssignmentRecorder
+        Writes the assignments to the store.
     duty : object
         Client of the platform's promote call.
     """
 
-    def __init__(self, *, coordinator, duty) -> None:
+    def __init__(self, *, coordinator, recorder, duty) -> None:
         self.coordinator = coordinator
+        self.recorder = recorder
         self.duty = duty
         self.local = coordinator.local
         self.gateway = coordinator.local.gateway
@@ -406,7 +409,7 @@
 
     async def _settle(self, database: str, done) -> None:
         """Record the end of a change and make old primaries follow."""
-        await self._write(self.local.assignments)
+        await self.recorder.save()
         for _ in range(DEMOTE_ATTEMPTS):
             others = [
                 endpoint
@@ -440,26 +443,7 @@
         """Write an assignment to the store, then use it."""
         if self.coordinator.closed.isdisjoint({database}) and entry.promoting:
             raise exceptions.InvariantError("a promotion starts without a release")
-        newer = self.local.assignments.replace(database, entry)
-        if not await self._write(newer):
-            return False
-        # Another database may have changed while the store was called.
-        self.local.assignments = self.local.assignments.replace(database, entry)
-        return True
-
-    async def _write(self, newer) -> bool:
-        coordinator = self.coordinator
-        written = await coordinator.store.change(
-            {assignments.COORDINATOR_KEY: coordinator.revision},
-            {assignments.ASSIGNMENTS_KEY: assignments.encode(newer)},
-        )
-        if written.is_ok():
-            return True
-        logs.write(
-            logs.LogEvent.ASSIGNMENT_UNRECORDED,
-            {"status": written.err_value.status, "reason": written.err_value.reason},
-        )
-        return False
+        return await self.recorder.record(database, entry)
 
     async def _ask_status(self, endpoint) -> Status | None:
         wire = self.gateway.endpoint_wire
--- a/hyssopshelf/authority/participant.py
+++ b/hyssopshelf/authority/participant.py
@@ -12,6 +12,8 @@
     election,
     exchange,
     member,
+    recorder,
+    renewal,
     shares,
     timing,
 )
@@ -151,11 +153,6 @@
     async def _try_take_over(self, reason: str) -> None:
         try:
             delay = election.find_delay(self.member, reason)
-            if (
-                reason == election.ABSENT
-                and self.member.capacity <= shares.SMALL_CAPACITY
-            ):
-                delay += timing.SMALL_HOST_SECONDS
             if delay:
                 await asyncio.sleep(delay)
             if self._should_go_on(reason):
@@ -186,7 +183,7 @@
 
     async def _take_over(self, reason: str) -> None:
         """Become the coordinator if the store and the other members allow it."""
-        found = await self.store.get(assignments.COORDINATOR_KEY)
+        found = await self._find_record()
         if found.is_err():
             if (
                 reason == election.SILENT
@@ -228,9 +225,22 @@
         )
         if written.is_err():
             return
-        await self._end_lease(current)
+        if own_restart:
+            # The process that held the lease has ended.
+            self.spawn(self._end_lease(current))
+        else:
+            await self._end_lease(current)
         await self._start(record, written.ok_value, current, reason)
 
+    async def _find_record(self):
+        """Read who coordinates; a small host gives others time to be the first."""
+        found = await self.store.get(assignments.COORDINATOR_KEY)
+        small = self.member.capacity <= shares.SMALL_CAPACITY
+        if small and found.is_ok() and found.ok_value is None:
+            await asyncio.sleep(timing.SMALL_HOST_SECONDS)
+            found = await self.store.get(assignments.COORDINATOR_KEY)
+        return found
+
     async def _find_own_revision(self) -> int:
         found = await self.store.get(assignments.MEMBER_PREFIX + self.identity.host)
         if found.is_err() or found.ok_value is None:
@@ -264,7 +274,7 @@
         if current is not None:
             leading.ledger.predecessor_ended_at = now
         self._lead(leading, reason)
-        leading.run_in_background(self._renew(leading))
+        leading.run_in_background(renewal.renew(leading))
         leading.run_in_background(self._coordinate(leading))
 
     def _lead(self, leading: coordinator.Coordinator, reason: str) -> None:
@@ -285,10 +295,16 @@
 
     async def _coordinate(self, leading) -> None:
         """Load the state that earlier coordinators left, then serve it."""
-        while not await self._load(leading):
+        while (revision := await self._load(leading)) is None:
             await asyncio.sleep(timing.PING_SECONDS)
         leading.publish_members()
-        controller = change.ChangeController(coordinator=leading, duty=self.duty)
+        controller = change.ChangeController(
+            coordinator=leading,
+            recorder=recorder.AssignmentRecorder(
+                coordinator=leading, revision=revision
+            ),
+            duty=self.duty,
+        )
         leading.run_in_background(controller.run())
         leading.run_in_background(self.feeds.follow(leading))
         await self._serve(leading)
@@ -311,17 +327,19 @@
                 await self._list_members(leading)
                 await leading.expel_silent()
 
-    async def _load(self, leading) -> bool:
+    async def _load(self, leading) -> int | None:
+        """Load assignments and members; return the revision of the assignments."""
         found, listed = await asyncio.gather(
             self.store.get(assignments.ASSIGNMENTS_KEY), self._list_members(leading)
         )
         if found.is_err() or not listed:
-            return False
-        if found.ok_value is not None:
-            loaded = assignments.decode_assignments(found.ok_value.value)
-            if loaded.version > self.member.assignments.version:
-                self.member.assignments = loaded
-        return True
+            return None
+        if found.ok_value is None:
+            return 0
+        loaded = assignments.decode_assignments(found.ok_value.value)
+        if loaded.version > self.member.assignments.version:
+            self.member.assignments = loaded
+        return found.ok_value.revision
 
     async def _list_members(self, leading) -> bool:
         page = await self.store.list(assignments.MEMBER_PREFIX)
@@ -333,63 +351,6 @@
                 leading.add_member(record)
         return True
 
-    async def _renew(self, leading) -> None:
-        """Renew the lease; its answers carry the coordinator's authority."""
-        while leading.active:
-            sent_at = clocks.read_clock()
-            renewed = await self.store.renew_lease(
-                leading.record.lease, timing.RENEWAL_SECONDS * 2
-            )
-            if renewed.is_ok():
-                leading.ledger.confirmed_at = max(leading.ledger.confirmed_at, sent_at)
-                leading.store_contact_at = clocks.read_clock()
-            elif renewed.err_value.status == election.NOT_FOUND_STATUS:
-                await self._replace_lease(leading)
-            pause = timing.RENEWAL_SECONDS - (clocks.read_clock() - sent_at)
-            await asyncio.sleep(max(0.05, pause))
-
-    async def _replace_lease(self, leading) -> None:
-        """Get a new lease, or stop if another node coordinates."""
-        lease = await self.store.grant_lease(timing.LEASE_SECONDS)
-        if lease.is_err():
-            return
-        record = assignments.CoordinatorRecord(
-            host=leading.record.host,
-            address=leading.record.address,
-            incarnation=leading.record.incarnation,
-            epoch=leading.record.epoch,
-            lease=lease.ok_value,
-        )
-        sent_at = clocks.read_clock()
-        written = await self.store.change(
-            {assignments.COORDINATOR_KEY: leading.revision},
-            {assignments.COORDINATOR_KEY: assignments.encode(record)},
-        )
-        if written.is_ok():
-            leading.record = record
-            leading.revision = written.ok_value
-            leading.ledger.confirmed_at = sent_at
-            self.member.follow(record)
-        elif written.err_value.status == election.CONFLICT_STATUS:
-            found = await self.store.get(assignments.COORDINATOR_KEY)
-            if found.is_err() or found.ok_value is None:
-                return
-            current = assignments.decode_coordinator(found.ok_value.value)
-            if current == record:
-                leading.record = record
-                leading.revision = found.ok_value.revision
-                self.member.follow(record)
-            elif current.epoch == leading.record.epoch and (
-                current.incarnation == leading.record.incarnation
-            ):
-                # An earlier replacement took effect without an answer.
-                leading.record = current
-                leading.revision = found.ok_value.revision
-                self.member.follow(current)
-            else:
-                leading.stop("replaced in the store")
-                self.member.follow(current)
-
     def _become_caretaker(self) -> None:
         """Grant the last assignments while nobody reaches the store."""
         local = self.member
--- /dev/null
+++ b/hyssopshelf/authority/tests/test_participant.py
@@ -0,0 +1,92 @@
+"""Tests of the start of coordination after all nodes were away."""
+
+import asyncio
+
+import attrs
+import result
+
+from hyssopshelf import clocks, platform
+from hyssopshelf.authority import assignments, election, member, participant, timing
+from hyssopshelf.gateway import boards, gateway
+
+
+@attrs.define(kw_only=True)
+class FakeStore:
+    """A store that answers at once and keeps no leases."""
+
+    entries: dict = attrs.field(factory=dict)
+    revision: int = 10
+
+    async def get(self, key):
+        return result.Ok(self.entries.get(key))
+
+    async def list(self, prefix):
+        return result.Err(None)
+
+    async def grant_lease(self, seconds):
+        return result.Ok(2)
+
+    async def renew_lease(self, lease, seconds):
+        return result.Ok({})
+
+    async def end_lease(self, lease):
+        await asyncio.sleep(1.0)
+        return result.Ok({})
+
+    async def change(self, expected, writes):
+        self.revision += 1
+        for key, value in writes.items():
+            self.entries[key] = platform.Entry(
+                key=key, value=value, revision=self.revision
+            )
+        return result.Ok(self.revision)
+
+
+def make_participant(store, capacity: float) -> participant.Participant:
+    board = boards.Board(place="a", region="r", regions={"a": "r"})
+    return participant.Participant(
+        identity=assignments.MemberRecord(host="h", address="h:1", incarnation=5),
+        gateway=gateway.Gateway(board=board, endpoint_wire=None),
+        documents=member.Documents(),
+        apply_document=None,
+        feeds=None,
+        store=store,
+        duty=None,
+        send=lambda host, address, message: None,
+        reset=lambda address: None,
+        capacity=capacity,
+    )
+
+
+async def measure_start(store, capacity: float) -> float:
+    node = make_participant(store, capacity)
+    started = clocks.read_clock()
+    await node._try_take_over(election.ABSENT)
+    assert node.coordinator is not None
+    seconds = clocks.read_clock() - started
+    node.stop()
+    return seconds
+
+
+def test_a_restarted_coordinator_goes_on_without_a_pause():
+    """All nodes wait for it, also if its host is small."""
+
+    async def scenario():
+        store = FakeStore()
+        record = assignments.CoordinatorRecord(
+            host="h", address="h:1", incarnation=1, epoch=1000, lease=1
+        )
+        await store.change(
+            {}, {assignments.COORDINATOR_KEY: assignments.encode(record)}
+        )
+        assert await measure_start(store, 0.5) < timing.SMALL_HOST_SECONDS / 2
+
+    asyncio.run(scenario())
+
+
+def test_a_small_host_lets_others_coordinate_a_new_fleet():
+    async def scenario():
+        assert await measure_start(FakeStore(), 0.5) >= timing.SMALL_HOST_SECONDS
+        assert await measure_start(FakeStore(), 2.0) < timing.SMALL_HOST_SECONDS / 2
+
+    asyncio.run(scenario())
