--- a/hyssopshelf/gateway/execution.py
+++ b/hyssopshelf/gateway/execution.py
@@ -92,6 +92,13 @@
     )
 
 
+def describe_error(reply: statements.Reply, position) -> str:
+    """Return an endpoint's error with the positions that it is about."""
+    if reply.error is _KIND.BEHIND and position is not None and reply.position:
+        return f"behind (needs {position}, holds {reply.position})"
+    return reply.error.value
+
+
 def fail(kind: exceptions.ErrorKind, detail: str = "") -> statements.Reply:
     """Return a reply with an error."""
     return statements.Reply(error=kind, detail=detail.encode())
--- a/hyssopshelf/gateway/single.py
+++ b/hyssopshelf/gateway/single.py
@@ -202,7 +202,10 @@
         gateway.board.get_health(gate.endpoint.id), reply.error is _KIND.FAILED
     )
     if reply.error is not None:
-        session.trail.add(gate.endpoint.id, reply.error.value)
+        session.trail.add(
+            gate.endpoint.id,
+            execution.describe_error(reply, entered.candidate.position),
+        )
         return reply
     session.trail.endpoint = gate.endpoint.id
     if entered.candidate.primary:
--- a/hyssopshelf/gateway/statements.py
+++ b/hyssopshelf/gateway/statements.py
@@ -21,6 +21,10 @@
     term: int
     number: int
 
+    def __str__(self) -> str:
+        """Return the position as endpoints write it."""
+        return f"{self.term}.{self.number}"
+
 
 @attrs.frozen(kw_only=True)
 class Begin:
--- a/hyssopshelf/gateway/transactions.py
+++ b/hyssopshelf/gateway/transactions.py
@@ -175,7 +175,8 @@
                 gate.discard_link(link)
             gate.leave(entered.turn)
     if not begun:
-        session.trail.add(gate.endpoint.id, f"begin {reply.error.value}")
+        reason = execution.describe_error(reply, entered.candidate.position)
+        session.trail.add(gate.endpoint.id, f"begin {reason}")
         return reply
     transaction.gate, transaction.link = gate, link
     transaction.tenure_version = entered.version
