Skip replicas that are known to lag; close connections that a burst left over

Change: a replica that refuses a read as lagging gets no read that needs more than it held, for 0.1 s and doubling to 0.8 s. Idle connections are used last in, first out, and closed after 5 s.

--- a/hyssopshelf/gateway/boards.py
+++ b/hyssopshelf/gateway/boards.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from hyssopshelf.gateway import catalog, freshness
+from hyssopshelf.gateway import catalog, freshness, statements
 
 
 @attrs.frozen(kw_only=True)
@@ -43,6 +43,12 @@
         Time of the last answer.
     error_share : float
         Moving share of statements that ran and failed.
+    held : LogPosition or None
+        Position of its log when it last refused a read because it lags.
+    refusals : int
+        Such refusals in a row.
+    lags_until : float
+        Time up to which reads that need more than ``held`` go elsewhere.
     """
 
     failures: int = 0
@@ -51,6 +57,9 @@
     latency: float = 0.0
     answered_at: float = float("-inf")
     error_share: float = 0.0
+    held: statements.LogPosition | None = None
+    refusals: int = 0
+    lags_until: float = 0.0
 
 
 @attrs.define(kw_only=True)
--- a/hyssopshelf/gateway/execution.py
+++ b/hyssopshelf/gateway/execution.py
@@ -92,6 +92,17 @@
     )
 
 
+def record_freshness(gateway, entered: Entered, reply: statements.Reply) -> None:
+    """Note whether a replica held the position that a read needed."""
+    if entered.candidate.position is None:
+        return
+    health = gateway.board.get_health(entered.candidate.endpoint.id)
+    if reply.error is None:
+        judgement.end_lag(health)
+    elif reply.error is _KIND.BEHIND and reply.position is not None:
+        judgement.record_lag(health, reply.position, clocks.read_clock())
+
+
 def describe_error(reply: statements.Reply, position) -> str:
     """Return an endpoint's error with the positions that it is about."""
     if reply.error is _KIND.BEHIND and position is not None and reply.position:
--- a/hyssopshelf/gateway/gates.py
+++ b/hyssopshelf/gateway/gates.py
@@ -16,8 +16,10 @@
 REFUSED_PAUSE_SECONDS = 0.2
 """Pause after an endpoint refused a connection because it has too many."""
 
-IDLE_SECONDS = 20.0
-"""Time after which an unused connection beyond the share is closed."""
+IDLE_SECONDS = 5.0
+"""Time after which an unused connection is closed. An endpoint counts connections
+of a host that lost power for some seconds, so the rest of its limit must do for the
+restart."""
 
 EXPIRY_SECONDS = 0.05
 """Time between two searches for waiting work that is too late, in seconds."""
@@ -251,7 +253,8 @@
         try:
             best = None
             best_cost = 0
-            for link in self.idle:
+            # The last used ones first, so that a surplus stays unused and is closed.
+            for link in reversed(self.idle):
                 if link.closed:
                     continue
                 cost = states.estimate_cost(link.state, session)
--- a/hyssopshelf/gateway/judgement.py
+++ b/hyssopshelf/gateway/judgement.py
@@ -1,7 +1,9 @@
 """Pattern: an endpoint is judged by its own answers, not by its health page.
 
 A failure makes other endpoints preferred for a time that doubles with each
-failure in a row; one success ends it. The last endpoint is still used.
+failure in a row; one success ends it. The last endpoint is still used. A replica
+that refused a read because it lags gets no read that needs a later position, for a
+time that doubles, too.
 """
 
 FIRST_AVOIDANCE_SECONDS = 0.15
@@ -12,6 +14,14 @@
 """Longest preference of other endpoints, in seconds; bounds the time in which a
 recovered endpoint is left unused."""
 
+FIRST_LAG_SECONDS = 0.1
+"""First time without reads that a lagging replica cannot serve, in seconds; twice
+the usual lag."""
+
+LONGEST_LAG_SECONDS = 0.8
+"""Longest such time, in seconds; bounds how long a replica that has caught up is
+left unused."""
+
 SMOOTHING = 0.1
 """Weight of a new sample in the moving average of latencies."""
 
@@ -74,3 +84,22 @@
 def find_error_cost(health) -> float:
     """Return the expected cost of failures of a statement, in seconds."""
     return health.error_share * ERROR_PENALTY_SECONDS
+
+
+def record_lag(health, held, now: float) -> None:
+    """Note that a replica refused a read because its log ends at a position."""
+    health.held = held
+    health.refusals += 1
+    pause = FIRST_LAG_SECONDS * 2 ** min(health.refusals - 1, 6)
+    health.lags_until = now + min(LONGEST_LAG_SECONDS, pause)
+
+
+def end_lag(health) -> None:
+    """Note that a replica served a read that needed a position."""
+    health.refusals = 0
+    health.lags_until = 0.0
+
+
+def is_lagging(health, position, now: float) -> bool:
+    """Return whether a replica is known not to hold a position yet."""
+    return health.lags_until > now and position > health.held
--- a/hyssopshelf/gateway/routing.py
+++ b/hyssopshelf/gateway/routing.py
@@ -95,7 +95,11 @@
             candidates += [
                 Candidate(endpoint=endpoint, position=position, primary=False)
                 for endpoint in board.endpoints.values()
-                if endpoint.database == route.database and endpoint != primary
+                if endpoint.database == route.database
+                and endpoint != primary
+                and not judgement.is_lagging(
+                    board.get_health(endpoint.id), position, now
+                )
             ]
     candidates = [c for c in candidates if c.endpoint.id not in excluded]
     candidates.sort(key=lambda c: estimate_cost(board, c, load, now))
--- a/hyssopshelf/gateway/single.py
+++ b/hyssopshelf/gateway/single.py
@@ -201,6 +201,7 @@
     judgement.record_outcome(
         gateway.board.get_health(gate.endpoint.id), reply.error is _KIND.FAILED
     )
+    execution.record_freshness(gateway, entered, reply)
     if reply.error is not None:
         session.trail.add(
             gate.endpoint.id,
--- a/hyssopshelf/gateway/tests/test_routing.py
+++ b/hyssopshelf/gateway/tests/test_routing.py
@@ -153,3 +153,44 @@
 def test_a_second_offer_waits_longer_where_answers_take_longer():
     assert hedging.find_patience(0.0) == hedging.SHORTEST_SECONDS
     assert hedging.find_patience(0.1) > 0.5
+
+
+def test_a_lagging_replica_is_asked_rarely_and_used_again_soon():
+    """Reads of a second do not each ask a replica that is three seconds behind."""
+    board = make_board()
+    log = board.get_log("db")
+    refused = 0
+    used_at = None
+    for step in range(600):
+        now = NOW + step / 100
+        log.observe(POSITION(1, 8 + step), now - 0.2)
+        board.tenures["db"] = boards.Tenure(
+            endpoint="p", term=1, version=1, valid_until=now + 1
+        )
+        held = POSITION(1, 7 + max(0, step - 300) if step < 500 else 8 + step)
+        candidates = routing.list_candidates(
+            board, make_route(), None, lambda _: 0.0, set(), now
+        )
+        near = next((c for c in candidates if c.endpoint.id == "near"), None)
+        if near is None:
+            continue
+        health = board.get_health("near")
+        if held >= near.position:
+            judgement.end_lag(health)
+            if step >= 500:
+                used_at = used_at or now
+        else:
+            refused += 1
+            judgement.record_lag(health, held, now)
+    # Four doublings, then one each 0.8 s.
+    assert refused <= 4 + 5.0 / judgement.LONGEST_LAG_SECONDS
+    assert used_at - (NOW + 5.0) <= judgement.LONGEST_LAG_SECONDS + 0.01
+
+
+def test_a_lagging_replica_serves_reads_that_need_less():
+    board = make_board()
+    judgement.record_lag(board.get_health("near"), POSITION(1, 7), NOW)
+    assert choose(board)[0].endpoint.id == "near"
+    route = make_route(catalog.ReadRule.OWN_WRITES)
+    found = choose(board, route, own=POSITION(1, 9))
+    assert "near" not in [c.endpoint.id for c in found]
--- a/hyssopshelf/gateway/tests/test_searches.py
+++ b/hyssopshelf/gateway/tests/test_searches.py
@@ -2,12 +2,14 @@
 
 import asyncio
 
+import attrs
 import pytest
 
 from hyssopshelf import clocks, exceptions
 from hyssopshelf.gateway import (
     boards,
     catalog,
+    gates,
     gateway,
     links,
     searches,
@@ -241,3 +243,26 @@
         assert serving.gates["one"].queue.running == 0
 
     asyncio.run(scenario())
+
+
+def test_connections_beyond_the_need_are_closed(endpoints):
+    """A burst opens connections; the last used ones go on, the rest ends."""
+    endpoints.behaviours = {"one": 0.005}
+
+    async def scenario():
+        serving = make_gateway()
+        lead(serving, "one", 1)
+        gate = serving.get_local_gate(serving.board.endpoints["one"])
+        gate.view = attrs.evolve(gate.view, slots=4)
+        await asyncio.gather(*(ask(serving, "WRITE a 1") for _ in range(8)))
+        assert len(gate.open_links) == 4
+        opened = clocks.read_clock()
+        for link in gate.open_links:
+            link.used_at = opened - gates.IDLE_SECONDS
+        for _ in range(6):
+            await ask(serving, "WRITE a 1")
+            next(reversed(gate.idle)).used_at = clocks.read_clock()
+        gate.close_surplus(clocks.read_clock())
+        assert len(gate.open_links) == 1
+
+    asyncio.run(scenario())
--- a/hyssopshelf/gateway/transactions.py
+++ b/hyssopshelf/gateway/transactions.py
@@ -174,6 +174,7 @@
             else:
                 gate.discard_link(link)
             gate.leave(entered.turn)
+    execution.record_freshness(gateway, entered, reply)
     if not begun:
         reason = execution.describe_error(reply, entered.candidate.position)
         session.trail.add(gate.endpoint.id, f"begin {reason}")
