Judge a primary by the nodes that hold its connections

Three of 77 nodes held its connections and failed at it, and a quarter of all nodes was needed; the rule for a single node asks that nobody fails at another endpoint, and a grey one failed, too. Ruled out: reports that came late (probes failed each 0.25 s at three holders); the time of the change itself (0.6 s). Change: a primary is suspected when a quarter of the nodes that use it, and two of them if there are two, fail at it.

--- a/hyssopshelf/authority/change.py
+++ b/hyssopshelf/authority/change.py
@@ -128,9 +128,10 @@
             self._start(database, self._reopen(database, assigned))
             return
         lapsed = self._has_lapsed(database, endpoints.get(assigned.endpoint), now)
-        reason = suspicion.find_reason(
-            assigned, endpoints, self._collect_reports(now), lapsed
-        )
+        reports = self._collect_reports(now)
+        holders = self.coordinator.holders.get(assigned.endpoint)
+        users = len(holders) if holders else len(reports)
+        reason = suspicion.find_reason(assigned, endpoints, reports, lapsed, users)
         if reason and self.coordinator.ledger.is_settled(now):
             self._start(database, self._change(database, assigned, reason))
 
--- a/hyssopshelf/authority/suspicion.py
+++ b/hyssopshelf/authority/suspicion.py
@@ -1,7 +1,8 @@
 """Pattern: a primary is replaced on the evidence of several nodes.
 
 One node that does not reach a primary may be cut off itself. A primary is
-replaced when enough nodes fail at it and another endpoint is reached by more.
+replaced when enough of the nodes that use it fail at it and another endpoint is
+reached by more. Where few hosts hold its connections, only they can tell.
 """
 
 import math
@@ -14,7 +15,10 @@
 """Failures in a row of a node that counts as failing."""
 
 FAILING_SHARE = 0.25
-"""Part of the nodes that must fail at a primary."""
+"""Part of the nodes that use a primary which must fail at it."""
+
+MINIMUM_WITNESSES = 2
+"""Nodes that must fail at a primary if more than one uses it."""
 
 PATIENT_SECONDS = 1.5
 """Time after which failures of a single node are enough, if all nodes reach
@@ -38,19 +42,33 @@
     )
 
 
-def is_suspected(reports: list, primary: str, others: list[str]) -> bool:
-    """Return whether a primary should be replaced because nodes do not reach it."""
+def count_witnesses(users: int) -> int:
+    """Return how many nodes must fail at a primary that a number of nodes use."""
+    witnesses = max(MINIMUM_WITNESSES, math.ceil(FAILING_SHARE * users))
+    return max(1, min(users, witnesses))
+
+
+def is_suspected(reports: list, primary: str, others: list[str], users: int) -> bool:
+    """Return whether a primary should be replaced because nodes do not reach it.
+
+    Parameters
+    ----------
+    users : int
+        Nodes that hold connections to the primary.
+    """
     if not reports or not others:
         return False
     failing = count_failing(reports, primary, SUSPECT_SECONDS)
     best = min(count_failing(reports, other, 0.0) for other in others)
-    if failing >= max(1, math.ceil(FAILING_SHARE * len(reports))) and best < failing:
+    if failing >= count_witnesses(users) and best < failing:
         return True
     patient = count_failing(reports, primary, PATIENT_SECONDS)
     return patient > 0 and best == 0
 
 
-def find_reason(assigned, endpoints: dict, reports: list, lapsed: bool) -> str:
+def find_reason(
+    assigned, endpoints: dict, reports: list, lapsed: bool, users: int
+) -> str:
     """Return why the primary of a database should be replaced, empty if not.
 
     Parameters
@@ -63,6 +81,8 @@
         What each node sees of failing endpoints.
     lapsed : bool
         Whether the primary has reported itself as a replica for a while.
+    users : int
+        Nodes that hold connections to the primary.
     """
     primary = endpoints.get(assigned.endpoint)
     others = [
@@ -76,7 +96,7 @@
         return "gone"
     if lapsed:
         return "reports itself as a replica"
-    if is_suspected(reports, assigned.endpoint, others):
+    if is_suspected(reports, assigned.endpoint, others, users):
         return "unreachable"
     if primary.leaving:
         return "leaving"
