Count broken connections as failures of an endpoint, and forget failures in time

Besides, an endpoint whose share of failures had become large got no reads any more, so its share never fell. Ruled out: counting a holder that does not answer (it says nothing of the endpoint). Change: every broken exchange counts in the share; the belief halves each 2 s without a statement.

--- a/hyssopshelf/gateway/boards.py
+++ b/hyssopshelf/gateway/boards.py
@@ -42,7 +42,9 @@
     answered_at : float
         Time of the last answer.
     error_share : float
-        Moving share of statements that ran and failed.
+        Moving share of statements that ran and failed or broke.
+    judged_at : float
+        Time of the last such statement.
     held : LogPosition or None
         Position of its log when it last refused a read because it lags.
     refusals : int
@@ -57,6 +59,7 @@
     latency: float = 0.0
     answered_at: float = float("-inf")
     error_share: float = 0.0
+    judged_at: float = 0.0
     held: statements.LogPosition | None = None
     refusals: int = 0
     lags_until: float = 0.0
--- a/hyssopshelf/gateway/execution.py
+++ b/hyssopshelf/gateway/execution.py
@@ -256,12 +256,16 @@
     sent_at = clocks.read_clock()
     try:
         reply = await link.run(state, shape, make_message, deadline)
-    except links.LinkError:
+    except links.LinkError as error:
+        now = clocks.read_clock()
         if link.direct:
-            judgement.record_failure(health, sent_at, clocks.read_clock())
+            judgement.record_failure(health, sent_at, now)
+        if error.sent and error.witnessed:
+            judgement.record_outcome(health, True, now)
         raise
     now = clocks.read_clock()
     judgement.record_answer(health, now - sent_at, now)
+    judgement.record_outcome(health, reply.error is _KIND.FAILED, now)
     return reply
 
 
--- a/hyssopshelf/gateway/forwarding.py
+++ b/hyssopshelf/gateway/forwarding.py
@@ -197,7 +197,9 @@
         except TimeoutError as error:
             self.forwarder.avoid(*self.holder)
             self.close()
-            raise links.LinkError("no answer of the holder in time") from error
+            raise links.LinkError(
+                "no answer of the holder in time", witnessed=False
+            ) from error
         except asyncio.CancelledError:
             self.close()
             raise
--- a/hyssopshelf/gateway/judgement.py
+++ b/hyssopshelf/gateway/judgement.py
@@ -28,6 +28,10 @@
 ERROR_SMOOTHING = 0.05
 """Weight of a new sample in the moving share of failed statements."""
 
+ERROR_HALF_LIFE_SECONDS = 2.0
+"""Time in which the belief in failures halves without a statement, in seconds; as
+long as the longest avoidance of an endpoint that does not answer."""
+
 ERROR_PENALTY_SECONDS = 0.6
 """Cost of a failed statement against a late one: the time of a repeat by its
 client. An endpoint that fails a tenth of its reads loses them to one that is 60 ms
@@ -72,18 +76,29 @@
     health.avoid_until = now + pause
 
 
-def record_outcome(health, failed: bool) -> None:
-    """Note whether a statement that ran has failed.
+def record_outcome(health, failed: bool, now: float) -> None:
+    """Note whether a statement that ran has failed, or its connection broke.
 
     An endpoint can fail part of its statements while its health page is good.
     """
     sample = 1.0 if failed else 0.0
-    health.error_share += ERROR_SMOOTHING * (sample - health.error_share)
+    share = find_error_share(health, now)
+    health.error_share = share + ERROR_SMOOTHING * (sample - share)
+    health.judged_at = now
+
+
+def find_error_share(health, now: float) -> float:
+    """Return the share of failures that is believed now.
+
+    Reads leave an endpoint that fails, so only time can show that it is well.
+    """
+    age = max(0.0, now - health.judged_at)
+    return health.error_share * 0.5 ** (age / ERROR_HALF_LIFE_SECONDS)
 
 
-def find_error_cost(health) -> float:
+def find_error_cost(health, now: float) -> float:
     """Return the expected cost of failures of a statement, in seconds."""
-    return health.error_share * ERROR_PENALTY_SECONDS
+    return find_error_share(health, now) * ERROR_PENALTY_SECONDS
 
 
 def record_lag(health, held, now: float) -> None:
--- a/hyssopshelf/gateway/links.py
+++ b/hyssopshelf/gateway/links.py
@@ -39,12 +39,17 @@
         What was observed.
     sent : bool
         Whether the message may have reached the endpoint.
+    witnessed : bool
+        Whether it tells about the endpoint, not about a host on the way.
     """
 
-    def __init__(self, reason: str, *, sent: bool = True) -> None:
+    def __init__(
+        self, reason: str, *, sent: bool = True, witnessed: bool = True
+    ) -> None:
         super().__init__(reason)
         self.reason = reason
         self.sent = sent
+        self.witnessed = witnessed
 
 
 class Link(asyncio.Protocol):
--- a/hyssopshelf/gateway/routing.py
+++ b/hyssopshelf/gateway/routing.py
@@ -119,7 +119,7 @@
         seconds = SAME_REGION_SECONDS if same_region else OTHER_REGION_SECONDS
     seconds += load(endpoint.id)
     if health is not None:
-        seconds += judgement.find_error_cost(health)
+        seconds += judgement.find_error_cost(health, now)
     if not same_region:
         seconds += REGION_PENALTY_SECONDS
     if candidate.primary:
--- a/hyssopshelf/gateway/single.py
+++ b/hyssopshelf/gateway/single.py
@@ -6,7 +6,6 @@
 from hyssopshelf.gateway import (
     execution,
     hedging,
-    judgement,
     links,
     statements,
 )
@@ -198,9 +197,6 @@
         else:
             gate.discard_link(link)
         gate.leave(entered.turn)
-    judgement.record_outcome(
-        gateway.board.get_health(gate.endpoint.id), reply.error is _KIND.FAILED
-    )
     execution.record_freshness(gateway, entered, reply)
     if reply.error is not None:
         session.trail.add(
--- a/hyssopshelf/gateway/tests/test_routing.py
+++ b/hyssopshelf/gateway/tests/test_routing.py
@@ -133,13 +133,25 @@
     board = make_board()
     health = board.get_health("near")
     for number in range(60):
-        judgement.record_outcome(health, failed=number % 5 == 0)
+        judgement.record_outcome(health, number % 5 == 0, NOW)
     assert choose(board)[0].endpoint.id != "near"
     for _ in range(60):
-        judgement.record_outcome(health, failed=False)
+        judgement.record_outcome(health, False, NOW)
     assert choose(board)[0].endpoint.id == "near"
 
 
+def test_an_endpoint_that_failed_is_tried_again():
+    """Without reads it cannot show that it is well."""
+    board = make_board()
+    health = board.get_health("near")
+    for _ in range(60):
+        judgement.record_outcome(health, True, NOW - 8.0)
+    assert choose(board)[0].endpoint.id == "near"
+    for _ in range(5):
+        judgement.record_outcome(health, True, NOW)
+    assert choose(board)[0].endpoint.id != "near"
+
+
 def test_second_offers_are_a_small_part_of_the_reads_when_all_are_late():
     """A slow database must not get twice the load."""
     budget = hedging.HedgeBudget()
--- a/hyssopshelf/gateway/tests/test_searches.py
+++ b/hyssopshelf/gateway/tests/test_searches.py
@@ -35,7 +35,7 @@
 class FakeLink:
     """A connection whose answers come after a time, or never."""
 
-    def __init__(self, *, endpoint, answer_after: float | None) -> None:
+    def __init__(self, *, endpoint, answer_after: float | str | None) -> None:
         self.endpoint = endpoint
         self.answer_after = answer_after
         self.state = states.ConnectionState()
@@ -44,6 +44,10 @@
         self.used_at = 0.0
 
     async def run(self, state, shape, make_message, deadline):
+        if self.answer_after == "reset":
+            await asyncio.sleep(0.001)
+            self.close()
+            raise links.LinkError("ConnectionResetError")
         if self.answer_after is None:
             await asyncio.sleep(max(0.0, deadline - clocks.read_clock()))
             self.close()
@@ -65,7 +69,7 @@
     async def open_link(self, endpoint, wire, seconds):
         self.opened.append(endpoint.id)
         behaviour = self.behaviours[endpoint.id]
-        if isinstance(behaviour, str):
+        if isinstance(behaviour, str) and behaviour != "reset":
             raise links.LinkError(behaviour, sent=False)
         return FakeLink(endpoint=endpoint, answer_after=behaviour)
 
@@ -79,6 +83,7 @@
                 name="db",
                 database="db",
                 read_rule=read_rule,
+                staleness_seconds=30.0,
                 statement_seconds=STATEMENT_SECONDS,
                 objective_seconds=0.4,
                 rank=0,
@@ -266,3 +271,26 @@
         assert len(gate.open_links) == 1
 
     asyncio.run(scenario())
+
+
+def test_reads_leave_a_replica_that_breaks_its_connections(endpoints):
+    """Answers between the resets keep it from looking dead."""
+    endpoints.behaviours = {"one": 0.005, "two": 0.001}
+
+    async def scenario():
+        serving = make_gateway(catalog.ReadRule.BOUNDED)
+        lead(serving, "one", 1)
+        serving.board.get_log("db").start_term(1)
+        serving.board.get_log("db").observe(
+            statements.LogPosition(1, 1), clocks.read_clock() - 0.1
+        )
+        for number in range(40):
+            endpoints.behaviours["two"] = "reset" if number % 2 else 0.001
+            gate = serving.get_local_gate(serving.board.endpoints["two"])
+            gate.close_idle(0, clocks.read_clock())
+            serving.board.get_health("two").avoid_until = 0.0
+            reply, _ = await ask(serving, "READ a")
+            assert reply.error is None
+        assert endpoints.opened.count("two") < 20
+
+    asyncio.run(scenario())
--- a/hyssopshelf/gateway/transactions.py
+++ b/hyssopshelf/gateway/transactions.py
@@ -3,7 +3,7 @@
 import attrs
 
 from hyssopshelf import clocks, exceptions
-from hyssopshelf.gateway import catalog, execution, gates, judgement, links, statements
+from hyssopshelf.gateway import catalog, execution, gates, links, statements
 
 _KIND = exceptions.ErrorKind
 
@@ -111,9 +111,6 @@
             gateway.end_write(gate.endpoint.database, transaction.tenure_version)
         gate.leave(turn)
     transaction.idle_since = clocks.read_clock()
-    judgement.record_outcome(
-        gateway.board.get_health(gate.endpoint.id), reply.error is _KIND.FAILED
-    )
     if reply.error is not None:
         session.trail.add(gate.endpoint.id, reply.error.value)
     elif transaction.tenure_version:
