Do not abort open transactions because the share of connections shrank

A node that has just started, or whose share became smaller, allows fewer connections than its open transactions hold, and statements in line beyond that number were refused. Ruled out: keeping shares until transactions end (another node would open too many). Change: the bound counts the connections that are open.

--- a/hyssopshelf/gateway/gates.py
+++ b/hyssopshelf/gateway/gates.py
@@ -128,7 +128,8 @@
             enqueued_at=now,
             in_transaction=link is not None,
         )
-        admitted = self.queue.admit(item, self.view, now)
+        held = len(self.open_links)
+        admitted = self.queue.admit(item, self.view, now, held=held)
         if admitted.is_err():
             raise RefusalError(exceptions.ErrorKind.REFUSED, admitted.err_value.reason)
         for shed in admitted.ok_value:
--- a/hyssopshelf/gateway/tests/test_searches.py
+++ b/hyssopshelf/gateway/tests/test_searches.py
@@ -31,6 +31,9 @@
     def format_rollback(self) -> bytes:
         return b""
 
+    def format_begin(self, *_) -> bytes:
+        return b""
+
 
 class FakeLink:
     """A connection whose answers come after a time, or never."""
@@ -294,3 +297,29 @@
         assert endpoints.opened.count("two") < 20
 
     asyncio.run(scenario())
+
+
+def test_transactions_go_on_after_the_share_became_smaller(endpoints):
+    """Each holds a connection already, so its statements are not too many."""
+    endpoints.behaviours = {"one": 0.02}
+
+    async def scenario():
+        serving = make_gateway()
+        lead(serving, "one", 1)
+        clients = [sessions.Session(gateway=serving, name="db") for _ in range(4)]
+
+        async def send(client, statement):
+            request = statements.Request(id=b"1", text=b"", statement=statement)
+            return await client.answer(request)
+
+        for client in clients:
+            await send(client, statements.Begin(read_only=False))
+            reply = await send(client, statements.Access(writes=True))
+            assert reply.error is None
+        serving.apply_shares({"one": 1, "two": 1})
+        replies = await asyncio.gather(
+            *(send(client, statements.Access(writes=True)) for client in clients)
+        )
+        assert [reply.error for reply in replies] == [None] * 4
+
+    asyncio.run(scenario())
--- a/hyssopshelf/scheduling/queues.py
+++ b/hyssopshelf/scheduling/queues.py
@@ -90,10 +90,16 @@
     _partners: frozenset[str] = attrs.field(default=frozenset(), init=False)
 
     def admit(
-        self, item: work.Work, view: views.PoolView, now: float
+        self, item: work.Work, view: views.PoolView, now: float, *, held: int = 0
     ) -> result.Result[tuple[work.Work, ...], work.Refusal]:
         """Add work to the queue.
 
+        Parameters
+        ----------
+        held : int
+            Open connections, which can be more than the view allows after the
+            allowance became smaller; each may carry a transaction.
+
         Returns
         -------
         Ok(tuple of Work)
@@ -114,7 +120,8 @@
             return _refuse(UNDECLARED, LONGEST_RETRY_SECONDS)
         leaf = self._leaves.setdefault((item.partner, item.rank), Leaf())
         if item.in_transaction:
-            return self._admit_in_transaction(item, leaf, view, now)
+            connections = max(view.connections, held)
+            return self._admit_in_transaction(item, leaf, connections, now)
         wait = self._expected_wait(item, leaf, view, now)
         spare = item.deadline - now - leaf.estimate.quick(now)
         if spare <= 0.0 or wait > spare:
@@ -219,15 +226,13 @@
         return {partner for (partner, _), leaf in self._leaves.items() if len(leaf)}
 
     def _admit_in_transaction(
-        self, item: work.Work, leaf: Leaf, view: views.PoolView, now: float
+        self, item: work.Work, leaf: Leaf, connections: int, now: float
     ) -> result.Result[tuple[work.Work, ...], work.Refusal]:
         # An open transaction holds a connection and runs one statement at a
         # time, so the connections bound these statements, not the queue limit.
         if item.deadline <= now + leaf.estimate.quick(now):
             return _refuse(DEADLINE_TOO_CLOSE, SHORTEST_RETRY_SECONDS)
-        if sum(len(other.started) for other in self._leaves.values()) >= (
-            view.connections
-        ):
+        if sum(len(other.started) for other in self._leaves.values()) >= connections:
             return _refuse(NO_CONNECTION_LEFT, LONGEST_RETRY_SECONDS)
         self._add(item, now)
         return result.Ok(())
