--- a/hyssopshelf/authority/change.py
+++ b/hyssopshelf/authority/change.py
@@ -128,10 +128,10 @@
             self._start(database, self._reopen(database, assigned))
             return
         lapsed = self._has_lapsed(database, endpoints.get(assigned.endpoint), now)
-        reports = self._collect_reports(now)
-        holders = self.coordinator.holders.get(assigned.endpoint)
-        users = len(holders) if holders else len(reports)
-        reason = suspicion.find_reason(assigned, endpoints, reports, lapsed, users)
+        reports, users = self._collect_reports(endpoints, now)
+        reason = suspicion.find_reason(
+            assigned, endpoints, reports, lapsed, users.get(assigned.endpoint, 0)
+        )
         if reason and self.coordinator.ledger.is_settled(now):
             self._start(database, self._change(database, assigned, reason))
 
@@ -159,14 +159,25 @@
         self.coordinator.announce()
         return True
 
-    def _collect_reports(self, now: float) -> list:
-        reports = [member.collect_reach(self.gateway.board, now)]
-        reports += [
-            state.reach
+    def _collect_reports(self, endpoints, now: float):
+        """Return the reports on each endpoint, and how many nodes use it.
+
+        Others failed at an endpoint at best before they knew its holders.
+        """
+        reaches = {
+            state.host: state.reach
             for state in self.coordinator.ledger.members.values()
             if now - state.heard_at < timing.SILENCE_SECONDS
-        ]
-        return reports
+        }
+        own = self.coordinator.identity.host
+        reaches[own] = member.collect_reach(self.gateway.board, now)
+        reports, users = {}, {}
+        for endpoint in endpoints:
+            holders = self.coordinator.holders.get(endpoint)
+            hosts = [host for host, _ in holders] if holders else list(reaches)
+            reports[endpoint] = [reaches[host] for host in hosts if host in reaches]
+            users[endpoint] = len(hosts)
+        return reports, users
 
     def _start(self, database: str, work) -> None:
         self._busy.add(database)
@@ -277,13 +288,14 @@
             for endpoint in self._list_endpoints(database).values()
             if endpoint.id != assigned.endpoint and not endpoint.leaving
         ]
-        reports = self._collect_reports(clocks.read_clock())
+        endpoints = [endpoint.id for endpoint in candidates]
+        reports, _ = self._collect_reports(endpoints, clocks.read_clock())
         found = await asyncio.gather(
             *(self._ask_status(endpoint) for endpoint in candidates)
         )
         ranked = [
             (
-                -suspicion.count_failing(reports, endpoint.id, 0.0),
+                -suspicion.count_failing(reports[endpoint.id], endpoint.id, 0.0),
                 status.position,
                 endpoint.id,
                 endpoint,
--- a/hyssopshelf/authority/suspicion.py
+++ b/hyssopshelf/authority/suspicion.py
@@ -31,7 +31,8 @@
     Parameters
     ----------
     reports : list of dict
-        For each node what it sees of failing endpoints, a Reach by endpoint id.
+        For each node that uses the endpoint what it sees of failing endpoints, a
+        Reach by endpoint id.
     """
     return sum(
         1
@@ -48,26 +49,28 @@
     return max(1, min(users, witnesses))
 
 
-def is_suspected(reports: list, primary: str, others: list[str], users: int) -> bool:
+def is_suspected(reports: dict, primary: str, others: list[str], users: int) -> bool:
     """Return whether a primary should be replaced because nodes do not reach it.
 
     Parameters
     ----------
+    reports : dict of str to list
+        Reports of the nodes that use an endpoint, by its id.
     users : int
         Nodes that hold connections to the primary.
     """
-    if not reports or not others:
+    if not others:
         return False
-    failing = count_failing(reports, primary, SUSPECT_SECONDS)
-    best = min(count_failing(reports, other, 0.0) for other in others)
+    failing = count_failing(reports[primary], primary, SUSPECT_SECONDS)
+    best = min(count_failing(reports[other], other, 0.0) for other in others)
     if failing >= count_witnesses(users) and best < failing:
         return True
-    patient = count_failing(reports, primary, PATIENT_SECONDS)
+    patient = count_failing(reports[primary], primary, PATIENT_SECONDS)
     return patient > 0 and best == 0
 
 
 def find_reason(
-    assigned, endpoints: dict, reports: list, lapsed: bool, users: int
+    assigned, endpoints: dict, reports: dict, lapsed: bool, users: int
 ) -> str:
     """Return why the primary of a database should be replaced, empty if not.
 
@@ -77,8 +80,8 @@
         Current assignment.
     endpoints : dict of str to Endpoint
         Registered endpoints of the database.
-    reports : list of dict
-        What each node sees of failing endpoints.
+    reports : dict of str to list
+        Reports of the nodes that use an endpoint, by its id.
     lapsed : bool
         Whether the primary has reported itself as a replica for a while.
     users : int
