Name the holders of scarce connections with a restarted coordinator's first answers

The coordinator divided the connections 0.2 s after its first answers, so all 77 nodes connected to all endpoints (46 connections each); and hosts counted as large until their first ping, so holders changed within the second. Change: connections are divided before members are told; the registration of a node carries the processor share of its host.

--- a/hyssopshelf/authority/assignments.py
+++ b/hyssopshelf/authority/assignments.py
@@ -75,12 +75,19 @@
 
 @attrs.frozen(kw_only=True)
 class MemberRecord:
-    """A registered node."""
+    """A registered node.
+
+    Attributes
+    ----------
+    capacity : float
+        Processor share of its host in cores, 0 if it is not known.
+    """
 
     host: str
     address: str
     incarnation: int
     place: str = ""
+    capacity: float = 0.0
 
 
 def encode(value) -> bytes:
--- a/hyssopshelf/authority/coordinator.py
+++ b/hyssopshelf/authority/coordinator.py
@@ -340,7 +340,11 @@
             return
         self._registering.add(host)
         record = assignments.MemberRecord(
-            host=host, address=address, incarnation=ping.incarnation, place=ping.place
+            host=host,
+            address=address,
+            incarnation=ping.incarnation,
+            place=ping.place,
+            capacity=ping.capacity,
         )
         self.run_in_background(self._write_member(record))
 
@@ -365,6 +369,7 @@
                 address=address,
                 incarnation=ping.incarnation,
                 place=ping.place,
+                capacity=ping.capacity,
             )
         )
 
@@ -379,6 +384,7 @@
             address=record.address,
             incarnation=record.incarnation,
             place=record.place,
+            capacity=record.capacity or ledger.USUAL_CAPACITY,
             heard_at=clocks.read_clock(),
         )
         logs.write(
@@ -427,6 +433,7 @@
                 address=state.address,
                 incarnation=state.incarnation,
                 place=state.place,
+                capacity=state.capacity,
             )
             for state in sorted(self.ledger.members.values(), key=lambda s: s.host)
         ]
--- a/hyssopshelf/authority/ledger.py
+++ b/hyssopshelf/authority/ledger.py
@@ -12,6 +12,9 @@
 GRANT_SECONDS = timing.GRANT_SECONDS + timing.MARGIN_SECONDS
 """Time from the sending of a grant to its certain lapse, in seconds."""
 
+USUAL_CAPACITY = 1.0
+"""Processor share of a host that has not told its own, in cores."""
+
 
 @attrs.define(kw_only=True)
 class MemberState:
@@ -45,7 +48,7 @@
     released: dict[str, int] = attrs.field(factory=dict)
     reach: dict = attrs.field(factory=dict)
     demand: dict = attrs.field(factory=dict)
-    capacity: float = 1.0
+    capacity: float = USUAL_CAPACITY
     sent_shares: dict | None = None
     abandoned: dict[str, int] = attrs.field(factory=dict)
 
--- a/hyssopshelf/authority/participant.py
+++ b/hyssopshelf/authority/participant.py
@@ -310,6 +310,8 @@
         await self._serve(leading)
 
     async def _serve(self, leading) -> None:
+        # The first answers name the holders, so that nobody connects without need.
+        leading.divide_connections()
         leading.announce()
         leading.renew_own_tenures()
         listed_at = clocks.read_clock()
--- a/hyssopshelf/authority/tests/test_participant.py
+++ b/hyssopshelf/authority/tests/test_participant.py
@@ -90,3 +90,29 @@
         assert await measure_start(FakeStore(), 2.0) < timing.SMALL_HOST_SECONDS / 2
 
     asyncio.run(scenario())
+
+
+def test_connections_are_divided_before_members_are_told():
+    """Members that know a primary but no holder all connect to it."""
+
+    async def scenario():
+        store = FakeStore()
+        node = make_participant(store, 2.0)
+        done = []
+
+        class Leading:
+            active = False
+
+            def divide_connections(self):
+                done.append("divided")
+
+            def announce(self):
+                done.append("announced")
+
+            def renew_own_tenures(self):
+                done.append("renewed")
+
+        await node._serve(Leading())
+        assert done == ["divided", "announced", "renewed"]
+
+    asyncio.run(scenario())
--- a/hyssopshelf/authority/tests/test_rules.py
+++ b/hyssopshelf/authority/tests/test_rules.py
@@ -19,7 +19,7 @@
     suspicion,
     timing,
 )
-from hyssopshelf.gateway import boards, catalog
+from hyssopshelf.gateway import boards, catalog, gateway
 
 NOW = 50.0
 
@@ -262,3 +262,52 @@
     leading.holders = {"p": [("h1", ""), ("c", "")]}
     reports, users = controller._collect_reports(["p"], clocks.read_clock())
     assert (reports["p"], users["p"]) == ([failing, {}], 2)
+
+
+def make_endpoint(number: int) -> catalog.Endpoint:
+    return catalog.Endpoint(
+        id=f"e{number}",
+        database="db",
+        address=f"e{number}:1",
+        place=f"p{number}",
+        slots=4,
+        leaving=False,
+        leads=number == 0,
+        started=1,
+    )
+
+
+def test_a_restarted_coordinator_chooses_the_same_holders_at_once():
+    """Each other choice would leave connections that count against the limit."""
+    leading = make_coordinator([], 0)
+    serving = gateway.Gateway(
+        board=boards.Board(place="p0", region="r", regions={}), endpoint_wire=None
+    )
+    serving.board.endpoints = {f"e{n}": make_endpoint(n) for n in range(3)}
+    serving.board.configuration = catalog.Catalog(
+        version=1, routes={}, connections={"db": 46}, limits=catalog.Limits()
+    )
+    leading.local = types.SimpleNamespace(
+        gateway=serving,
+        capacity=0.5,
+        documents=member.Documents(),
+        apply_holders=lambda holders, version: None,
+    )
+    for number in range(76):
+        leading.add_member(
+            assignments.MemberRecord(
+                host=f"h{number:02}",
+                address="",
+                incarnation=1,
+                place=f"p{number % 6}",
+                capacity=2.0 if number >= 64 else 0.5,
+            )
+        )
+    leading.divide_connections()
+    chosen = dict(leading.chosen_holders)
+    large = {host for hosts in chosen.values() for host in hosts}
+    assert large <= {f"h{number}" for number in range(64, 76)}
+    for state in leading.ledger.members.values():
+        state.heard_at = clocks.read_clock()
+    leading.divide_connections()
+    assert leading.chosen_holders == chosen
