--- a/hyssopshelf/gateway/isolation.py
+++ b/hyssopshelf/gateway/isolation.py
@@ -3,7 +3,8 @@
 A node that is cut off from the coordinator cannot know the primaries. It reports
 that it is not ready, so that new callers reach other nodes, refuses what needs a
 primary at once, and closes sessions without open work; their callers come back
-elsewhere.
+elsewhere. A node that has just started is not ready either, but it expects an answer
+of the coordinator, so its requests wait.
 """
 
 import enum
