Count no connection for work that is refused and given up in the same instant

Cause, found by reading: work whose refusal had not reached its task yet when it was superseded or cancelled was taken for started work; the count of connections being opened fell below zero, and the node opened one connection too many for good. Change: only started work gives back what it reserved.

--- a/hyssopshelf/gateway/gates.py
+++ b/hyssopshelf/gateway/gates.py
@@ -144,10 +144,12 @@
         try:
             await waiter
         except asyncio.CancelledError:
-            if not self.queue.discard(item.id):
+            if _is_started(waiter):
                 if link is None:
                     self.opening -= 1
                 self.leave(Turn(work_id=item.id, link=None))
+            else:
+                self.queue.discard(item.id)
             raise
         finally:
             self._waiters.pop(item.id, None)
@@ -302,3 +304,8 @@
         self.pump()
         if self.queue.waiting:
             self._schedule_expiry()
+
+
+def _is_started(waiter: asyncio.Future) -> bool:
+    """Return whether work was started, not refused or still waiting."""
+    return waiter.done() and not waiter.cancelled() and waiter.exception() is None
--- a/hyssopshelf/gateway/tests/test_searches.py
+++ b/hyssopshelf/gateway/tests/test_searches.py
@@ -323,3 +323,24 @@
         assert [reply.error for reply in replies] == [None] * 4
 
     asyncio.run(scenario())
+
+
+def test_work_that_is_refused_and_superseded_at_once_counts_no_connection(endpoints):
+    endpoints.behaviours = {"one": None}
+
+    async def scenario():
+        serving = make_gateway()
+        lead(serving, "one", 1)
+        asked = [asyncio.create_task(ask(serving, "WRITE a 1")) for _ in range(3)]
+        await asyncio.sleep(0.05)
+        gate = serving.gates["one"]
+        for item in gate.queue.expire(clocks.read_clock() + 10.0):
+            gate._refuse(item, "cannot start before its deadline")
+        for task in asked[1:]:
+            task.cancel()
+        await asyncio.wait(asked[1:])
+        assert gate.opening == 0
+        assert gate.queue.waiting == 0
+        await asked[0]
+
+    asyncio.run(scenario())
