--- a/hyssopshelf/authority/change.py
+++ b/hyssopshelf/authority/change.py
@@ -162,7 +162,8 @@
     def _collect_reports(self, endpoints, now: float):
         """Return the reports on each endpoint, and how many nodes use it.
 
-        Others failed at an endpoint at best before they knew its holders.
+        A node that holds no connections to an endpoint may keep an old failure, so
+        only its holders count.
         """
         reaches = {
             state.host: state.reach
