--- a/hyssopshelf/gateway/server.py
+++ b/hyssopshelf/gateway/server.py
@@ -76,14 +76,7 @@
     def hold(self, connection: "ClientConnection", count: int) -> None:
         """Note the bytes of a connection; close the largest holders if needed."""
         for other in self.budget.hold(connection, count):
-            logs.write_request(
-                logs.LogEvent.SESSION_REFUSED,
-                {
-                    "name": other.session.name if other.session else "",
-                    "reason": "clients hold too much memory",
-                },
-            )
-            other.abort()
+            other.abort("clients hold too much memory")
 
     def close_idle(self) -> int:
         """Close sessions without work; return how many are left."""
@@ -127,13 +120,7 @@
         lines = (self._buffer + data).split(b"\r\n")
         self._buffer = lines.pop()
         if len(self._buffer) > self.server.wire.maximum_bytes:
-            logs.write_request(
-                logs.LogEvent.SESSION_REFUSED,
-                {
-                    "name": self.session.name if self.session else "",
-                    "reason": "message is too long",
-                },
-            )
+            self._log_refusal("message is too long")
             self.close()
             return
         self._pending.extend(lines)
@@ -166,13 +153,20 @@
         self._closed = True
         self._transport.close()
 
-    def abort(self) -> None:
+    def abort(self, reason: str) -> None:
         """Close the connection and drop what is buffered."""
+        self._log_refusal(reason)
         self._closed = True
         self._buffer = b""
         self._pending.clear()
         self._transport.abort()
 
+    def _log_refusal(self, reason: str) -> None:
+        name = self.session.name if self.session else ""
+        logs.write_request(
+            logs.LogEvent.SESSION_REFUSED, {"name": name, "reason": reason}
+        )
+
     def _count_bytes(self) -> None:
         unsent = self._transport.get_write_buffer_size()
         self.server.hold(self, len(self._buffer) + self._pending_bytes + unsent)
@@ -198,6 +192,7 @@
         wire = self.server.wire
         name = wire.parse_start(line)
         if name is None:
+            self._log_refusal("no start of a session")
             self._send(wire.format_refusal(_KIND.BAD_REQUEST, b"START expected"))
             self.close()
             return
@@ -230,8 +225,7 @@
                 logs.LogEvent.REQUEST_CRASHED,
                 {"id": request.id.decode(errors="replace"), "error": repr(error)},
             )
-            if session.transaction is not None:
-                session.abort()
+            session.close()
             reply = execution.fail(_KIND.INTERNAL, "internal error")
         self._send(wire.format_reply(reply, session.status))
         self._log(request, reply, session, clocks.read_clock() - started)
@@ -271,4 +265,4 @@
         self._transport.write(data)
         self._count_bytes()
         if self._transport.get_write_buffer_size() > MAXIMUM_UNSENT_BYTES:
-            self.abort()
+            self.abort("answers are not read")
