Let sessions wait for the first configuration of a started node

Cause: after a power failure all clients reconnect within the tenth of a second in which a node has started and not yet read the configuration. Change: START waits for the configuration, at most 1.5 s.

--- a/hyssopshelf/gateway/server.py
+++ b/hyssopshelf/gateway/server.py
@@ -6,6 +6,10 @@
 from hyssopshelf import clocks, exceptions, logs
 from hyssopshelf.gateway import endpoint_connections, execution, memory, sessions
 
+CONFIGURATION_WAIT_SECONDS = 1.5
+"""Time for which a new session waits for the first configuration of a node that has
+just started, in seconds; clients give up after 2 s."""
+
 MAXIMUM_PENDING = 32
 """Queued requests of one client above which reading from it pauses."""
 
@@ -182,7 +186,7 @@
                     self._paused = False
                     self._transport.resume_reading()
                 if self.session is None:
-                    self._start_session(line)
+                    await self._start_session(line)
                 else:
                     await self._answer_request(line)
         finally:
@@ -190,7 +194,8 @@
             if self._closed and self.session is not None:
                 self.session.close()
 
-    def _start_session(self, line: bytes) -> None:
+    async def _start_session(self, line: bytes) -> None:
+        """Open the session; just after the start it waits for the configuration."""
         codec = self.server.codec
         name = codec.parse_start(line)
         if name is None:
@@ -199,7 +204,11 @@
             self.close()
             return
         session_name = name.decode(errors="replace")
-        configuration = self.server.gateway.board.configuration
+        gateway = self.server.gateway
+        deadline = clocks.read_clock() + CONFIGURATION_WAIT_SECONDS
+        while gateway.board.configuration is None and clocks.read_clock() < deadline:
+            await gateway.wait_for_change(deadline)
+        configuration = gateway.board.configuration
         if configuration is None or session_name not in configuration.routes:
             kind = _KIND.NOT_FOUND if configuration is not None else _KIND.UNAVAILABLE
             logs.write_request(
@@ -212,7 +221,7 @@
             self._send(codec.format_refusal(kind, name))
             self.close()
             return
-        self.session = sessions.Session(gateway=self.server.gateway, name=session_name)
+        self.session = sessions.Session(gateway=gateway, name=session_name)
         self._send(codec.format_ready("I"))
 
     async def _answer_request(self, line: bytes) -> None:
