--- a/benchmarks/bench_membership.py
+++ b/benchmarks/bench_membership.py
@@ -17,7 +17,7 @@
 
 from benchmarks import commands
 from benchmarks import fleet as fleets
-from hyssopshelf import base, blackboard, logs, messages
+from hyssopshelf import base, blackboard, envelopes, logs
 from hyssopshelf.membership import exchange, hosts, placement, protocol, transitions
 
 SIZES = (8, 80, 800)
@@ -250,16 +250,16 @@
     message = protocol.ProbeHost(
         sequence=1, sender=row, rows=(row,) * 3, digests=board.membership.digests.pack()
     )
-    data = messages.encode(
-        messages.Envelope(host="h0001", address="a", message=message)
+    data = envelopes.encode(
+        envelopes.Envelope(host="h0001", address="a", message=message)
     )
 
     def answer_probe() -> None:
-        envelope = messages.decode(data)
+        envelope = envelopes.decode(data)
         base.receive(envelope.message, board, "h0001", 0.1)
         action = board.actions.pop()
-        messages.encode(
-            messages.Envelope(host="h0000", address="a", message=action.message)
+        envelopes.encode(
+            envelopes.Envelope(host="h0000", address="a", message=action.message)
         )
 
     probe = measure_seconds(answer_probe, 500)
--- a/benchmarks/control_fleet.py
+++ b/benchmarks/control_fleet.py
@@ -14,7 +14,15 @@
 import attrs
 import result
 
-from hyssopshelf import base, blackboard, kvstore, messages, node
+from hyssopshelf import (
+    base,
+    blackboard,
+    envelopes,
+    kvstore,
+    messages,
+    node,
+    peer_events,
+)
 from hyssopshelf.configuration import (
     declarations,
     dissemination,
@@ -288,10 +296,10 @@
 
     def deliver(self, host: str, message: object, seconds: float = 0.0) -> None:
         """Deliver an encoded message from a peer to the node after a delay."""
-        envelope = messages.Envelope(
+        envelope = envelopes.Envelope(
             host=host, address=self.rows[host][4], message=message
         )
-        data = messages.encode(envelope)
+        data = envelopes.encode(envelope)
         self.schedule(self.now + seconds, self._receive, data)
 
     def handle(self, event: base.Event) -> None:
@@ -310,12 +318,12 @@
 
     def _receive(self, data: bytes) -> None:
         started = time.process_time()
-        envelope = messages.decode(data)
+        envelope = envelopes.decode(data)
         self.costs.seconds += time.process_time() - started
         self.costs.received += 1
         self.costs.received_bytes += len(data)
         self.handle(
-            base.PeerReceived(
+            peer_events.PeerReceived(
                 host=envelope.host, message=envelope.message, address=envelope.address
             )
         )
@@ -398,8 +406,8 @@
 def _(action: base.SendPeer, fleet: ControlFleet) -> None:
     started = time.process_time()
     identity = fleet.board.identity
-    data = messages.encode(
-        messages.Envelope(
+    data = envelopes.encode(
+        envelopes.Envelope(
             host=identity.host, address=identity.address, message=action.message
         )
     )
--- a/benchmarks/failover_fleet.py
+++ b/benchmarks/failover_fleet.py
@@ -12,7 +12,7 @@
 import attrs
 from result import Err, Ok
 
-from hyssopshelf import base, blackboard, kvstore, messages, node
+from hyssopshelf import base, blackboard, kvstore, messages, node, peer_events
 from hyssopshelf.configuration import application, resources
 from hyssopshelf.consistency import tokens
 from hyssopshelf.standins import database
@@ -253,7 +253,7 @@
             case base.Reply():
                 self._record_answer(action)
             case base.SendPeer():
-                event = base.PeerReceived(host=host, message=action.message)
+                event = peer_events.PeerReceived(host=host, message=action.message)
                 self._deliver(host, action.host, event)
             case base.OpenConnection():
                 self._open(host, action)
--- a/benchmarks/faults/nodes.py
+++ b/benchmarks/faults/nodes.py
@@ -7,7 +7,15 @@
 import attrs
 
 from benchmarks.faults import clocks, endpoints, histories, network, store
-from hyssopshelf import base, blackboard, kvstore, messages, node
+from hyssopshelf import (
+    base,
+    blackboard,
+    envelopes,
+    kvstore,
+    messages,
+    node,
+    peer_events,
+)
 from hyssopshelf.membership import hosts
 
 OPEN_SECONDS = 0.010
@@ -286,12 +294,12 @@
             self.context.loop.call_later(delay, receive, answer)
 
     def _send_peer(self, action: base.SendPeer) -> None:
-        envelope = messages.Envelope(
+        envelope = envelopes.Envelope(
             host=self.host, address=self.host, message=action.message
         )
-        data = messages.encode(envelope)
+        data = envelopes.encode(envelope)
         peer = self.context.nodes.get(action.host)
-        unsent = base.PeerUnsent(host=action.host, message=action.message)
+        unsent = peer_events.PeerUnsent(host=action.host, message=action.message)
         report_unsent = self._while_alive(lambda: self.handle(unsent))
         if peer is None or not peer.alive:
             if self.random.random() < 0.5:
@@ -299,8 +307,8 @@
             return
 
         def deliver() -> None:
-            message = messages.decode(data).message
-            event = base.PeerReceived(
+            message = envelopes.decode(data).message
+            event = peer_events.PeerReceived(
                 host=self.host, message=message, address=self.host
             )
             peer.handle(event)
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from hyssopshelf import base, blackboard, kvstore, messages, node
+from hyssopshelf import base, blackboard, envelopes, kvstore, node, peer_events
 from hyssopshelf.membership import hosts
 
 DELAY_SECONDS = (0.0005, 0.012)
@@ -165,10 +165,10 @@
 
     def _send(self, member: Member, action: base.SendPeer) -> None:
         identity = member.board.identity
-        envelope = messages.Envelope(
+        envelope = envelopes.Envelope(
             host=identity.host, address=identity.address, message=action.message
         )
-        data = messages.encode(envelope)
+        data = envelopes.encode(envelope)
         member.bytes_sent += len(data)
         member.messages_sent += 1
         name = action.host.partition(":")[0]
@@ -182,9 +182,9 @@
 
     def _deliver(self, member: Member, data: bytes) -> None:
         started = time.process_time()
-        envelope = messages.decode(data)
+        envelope = envelopes.decode(data)
         member.busy_seconds += time.process_time() - started
-        event = base.PeerReceived(host=envelope.host, message=envelope.message)
+        event = peer_events.PeerReceived(host=envelope.host, message=envelope.message)
         self.handle(member, event)
 
 
--- a/hyssopshelf/authority/change.py
+++ b/hyssopshelf/authority/change.py
@@ -133,7 +133,7 @@
         reason = suspicion.find_change_reason(
             assigned, endpoints, reports, demoted, users.get(assigned.endpoint, 0)
         )
-        if reason and self.coordinator.grant_table.is_ready_for_change(now):
+        if reason and self.coordinator.grant_table.is_ready_for_change(database, now):
             self._start_change(database, self._change(database, assigned, reason))
 
     def _is_demoted(self, database: str, primary, now: float) -> bool:
@@ -158,8 +158,7 @@
         if not await self._record(database, entry):
             return False
         self.coordinator.revoked.discard(database)
-        self.coordinator.renew_own_grants()
-        self.coordinator.announce()
+        self.coordinator.publish_assignments()
         return True
 
     def _collect_failure_reports(self, now: float) -> dict[str, dict]:
@@ -218,7 +217,7 @@
         )
         if not await self._record(database, entry):
             return False
-        self.coordinator.announce()
+        self.coordinator.publish_assignments()
         return True
 
     async def _change(self, database: str, assigned, reason: str) -> bool:
@@ -332,7 +331,10 @@
         return target
 
     async def _wait_for_release(self, database: str, version: int, planned: bool):
-        """Ask all grant holders for a release; return when none is left."""
+        """Ask for a release; return when no grant holder is left.
+
+        Other members are told once, so that their work waits for the next primary.
+        """
         finish = FINISH_PLANNED_SECONDS if planned else FINISH_UNPLANNED_SECONDS
         message = exchange.Release(
             database=database,
@@ -343,8 +345,10 @@
         own = asyncio.get_running_loop().create_task(
             self.local_member.release(database, version, finish)
         )
-        send_at = 0.0
         started = clocks.read_clock()
+        send_at = started + RELEASE_REPEAT_SECONDS
+        for state in self.coordinator.grant_table.members.values():
+            self.coordinator.send(state.host, state.address, message)
         while True:
             now = clocks.read_clock()
             grant_holders = self.coordinator.grant_table.find_grant_holders(
@@ -416,8 +420,7 @@
                 await self._complete(database, entry, status, started)
                 return True
             await asyncio.sleep(PROMOTION_CHECK_SECONDS)
-        # Another target gets a new version, so that the two can't be confused.
-        return False
+        return False  # another target gets a new version
 
     async def _complete(self, database: str, entry, status, started: float) -> None:
         final = attrs.evolve(entry, term=status.term, promoting=False)
@@ -425,8 +428,7 @@
             database, final
         )
         self.coordinator.revoked.discard(database)
-        self.coordinator.renew_own_grants()
-        self.coordinator.announce()
+        self.coordinator.publish_assignments()
         logs.write(
             logs.LogEvent.PRIMARY_PROMOTED,
             {
@@ -480,7 +482,7 @@
     async def _ask_status(self, endpoint) -> ReplicationStatus | None:
         codec = self.gateway.endpoint_codec
         try:
-            reply = await probes.send_unqueued(
+            _, reply = await probes.send_unqueued(
                 self.gateway, endpoint, codec.format_status(), STATUS_SECONDS
             )
         except endpoint_connections.EndpointConnectionError as error:
--- a/hyssopshelf/authority/coordinator.py
+++ b/hyssopshelf/authority/coordinator.py
@@ -1,18 +1,17 @@
 """The coordinator: grants the use of primaries to members and sends them documents."""
 
-import asyncio
 import zlib
 
-import attrs
 import msgpack
 
-from hyssopshelf import clocks, logs
+from hyssopshelf import background, clocks, logs
 from hyssopshelf.authority import (
     allocation,
     assignments,
     exchange,
     grants,
     member,
+    registration,
     timing,
 )
 
@@ -67,12 +66,14 @@
         self.chosen_holders: dict[str, list[str]] = {}
         self.holders: dict[str, list[tuple[str, str]]] = {}
         self.holders_version = 0
-        self.members_changed = False
-        self._published_at = float("-inf")
         self._compressed: dict[str, tuple[int, bytes]] = {}
         self._observations: dict[str, tuple[int, float, int, int]] = {}
-        self._registering: set[str] = set()
-        self._tasks: set[asyncio.Task] = set()
+        self.successors: tuple[str, ...] = ()
+        self.successors_version = 0
+        self._direct: dict[str, tuple[str, ...] | None] = {}
+        self._encoded_holders = b""
+        self.registry = registration.MemberRegistry(coordinator=self)
+        self._tasks = background.TaskSet(on_failure=self._stop_after_failure)
         self._had_authority = True
 
     def has_authority(self, now: float) -> bool:
@@ -99,12 +100,14 @@
         now = clocks.read_clock()
         known = self.grant_table.members.get(host)
         if known is None:
-            self._register(ping, host, address)
+            self.registry.register(ping, host, address)
             self._answer(ping, host, address, now, grant=False)
             return
+        if ping.incarnation in known.former_incarnations:
+            return
         if known.incarnation != ping.incarnation:
             # The member's process was restarted.
-            self.add_member(make_record(ping, host, address))
+            self.registry.add(registration.make_record(ping, host, address))
             known = self.grant_table.members[host]
         known.address = address
         if ping.stamp and ping.held > timing.RECONNECT_SECONDS:
@@ -117,7 +120,10 @@
         self._record_observations(ping, now)
         grant = follows and self.has_authority(now)
         if grant:
-            self.grant_table.record_grant(known, now)
+            databases = self._direct.get(host, ())
+            if databases is None:
+                databases = self.local_member.assignments.databases
+            self.grant_table.record_grant(known, databases, now)
         self._answer(ping, host, address, now, grant=grant)
 
     def renew_own_grants(self) -> None:
@@ -147,54 +153,81 @@
         found = self._collect_observations(now)
         member.merge_observations(self.local_member.gateway.board, found, now)
 
+    def publish_assignments(self) -> None:
+        """Put changed assignments in force at this node and ask all members to ping."""
+        self.allocate_connections()
+        self.renew_own_grants()
+        self.announce()
+
     def announce(self) -> None:
         """Ask all members to ping now."""
+        for state in self.grant_table.members.values():
+            self.announce_to(state.host, state.address)
+
+    def announce_to(self, host: str, address: str) -> None:
+        """Ask one member to ping now."""
         message = exchange.Announce(
             epoch=self.record.epoch, incarnation=self.identity.incarnation
         )
-        for state in self.grant_table.members.values():
-            self.send(state.host, state.address, message)
+        self.send(host, address, message)
 
     def stop(self, reason: str) -> None:
         """Stop coordinating and cancel the coordinator's tasks."""
         if not self.active:
             return
         self.active = False
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
         logs.write(
             logs.LogEvent.COORDINATION_ENDED,
             {"epoch": self.record.epoch, "reason": reason},
         )
 
-    def find_successors(self, now: float) -> tuple[str, ...]:
-        """Return the hosts that should take over first, in this order.
+    def choose_successors(self, now: float) -> None:
+        """Choose the hosts that should take over first, in this order.
 
-        Small hosts and those in this node's place come last.
+        A partition of the network should not separate all of them from the others,
+        so they are in different regions and places than this node and each other.
+        Small hosts come last.
         """
+        regions = self.local_member.gateway.board.regions
+        used_places = {self.identity.place}
+        used_regions = {regions.get(self.identity.place)}
         alive = [
             state
             for state in self.grant_table.members.values()
             if now - state.heard_at < timing.SILENCE_SECONDS and not state.draining
         ]
-        alive.sort(
-            key=lambda state: (
-                state.capacity <= allocation.SMALL_CAPACITY,
-                state.place == self.identity.place,
-                state.host,
+        chosen: list[str] = []
+        while alive and len(chosen) < SUCCESSOR_COUNT:
+            best = min(
+                alive,
+                key=lambda state: (
+                    state.capacity <= allocation.SMALL_CAPACITY,
+                    regions.get(state.place) in used_regions,
+                    state.place in used_places,
+                    state.host not in self.successors,
+                    state.host,
+                ),
             )
-        )
-        return tuple(state.host for state in alive[:SUCCESSOR_COUNT])
+            alive.remove(best)
+            chosen.append(best.host)
+            used_places.add(best.place)
+            used_regions.add(regions.get(best.place))
+        self.successors = tuple(chosen)
+        self.successors_version = zlib.crc32(repr(chosen).encode())
 
     def run_in_background(self, work) -> None:
         """Run a coroutine until this node stops coordinating."""
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.start(work)
+
+    def _stop_after_failure(self, error: BaseException) -> None:
+        # Without one of its tasks it would keep its role and not perform it.
+        self.stop(f"a task failed: {error!r}")
 
     def _answer(self, ping, host: str, address: str, now: float, grant: bool) -> None:
         document_cache = self.local_member.document_cache
         newer = self.local_member.assignments
+        knows_successors = ping.successors_version == self.successors_version
         pong = exchange.Pong(
             sequence=ping.sequence,
             epoch=self.record.epoch,
@@ -218,17 +251,17 @@
                 else None
             ),
             registry_version=document_cache.registry_version,
-            members=(
-                document_cache.members
-                if ping.members_version != document_cache.members_version
-                else None
-            ),
+            members=self.registry.pick_list(ping, host, now),
             members_version=document_cache.members_version,
-            successors=self.find_successors(now),
-            observations=self._collect_observations(now),
+            direct=self._direct.get(host, ()) if grant else (),
+            successors=None if knows_successors else self.successors,
+            successors_version=self.successors_version,
+            observations=self._collect_observations(now) if grant else {},
             shares=self._pick_shares(host),
             holders=(
-                self.holders if ping.holders_version != self.holders_version else None
+                self._encoded_holders
+                if ping.holders_version != self.holders_version
+                else None
             ),
             holders_version=self.holders_version,
         )
@@ -297,7 +330,7 @@
         # On this node's clock the ping was sent after ``stamp + held``.
         sent_after = min(now, ping.stamp + ping.held)
         for database, (version, term, number, age) in ping.observations.items():
-            at = sent_after - age
+            at = sent_after - age * exchange.AGE_UNIT_SECONDS
             kept = self._observations.get(database)
             if kept is None or (version, at) > kept[:2]:
                 self._observations[database] = (version, at, term, number)
@@ -305,9 +338,9 @@
     def _collect_observations(self, now: float) -> dict[str, tuple]:
         found = member.collect_observations(self.local_member.gateway.board, now)
         for database, (version, at, term, number) in self._observations.items():
-            age = round(now - at, 4)
-            if age > OBSERVATION_RETENTION_SECONDS:
+            if now - at > OBSERVATION_RETENTION_SECONDS:
                 continue
+            age = member.round_age(now - at)
             own = found.get(database)
             if own is None or (own[0], -own[3]) < (version, -age):
                 found[database] = (version, term, number, age)
@@ -355,12 +388,34 @@
         if holders != self.holders:
             self.holders = holders
             self.holders_version = zlib.crc32(repr(sorted(holders.items())).encode())
+            self._encoded_holders = zlib.compress(msgpack.packb(holders), 1)
             local_member.apply_holders(holders, self.holders_version)
             logs.write(
                 logs.LogEvent.HOLDERS_CHOSEN,
                 {"endpoints": len(holders), "nodes": len(candidates)},
             )
         gateway.apply_shares(self.shares[self.identity.host])
+        self._choose_direct([candidate.host for candidate in candidates])
+
+    def _choose_direct(self, hosts: list[str]) -> None:
+        """Choose the databases whose primary each host may use directly.
+
+        These are the hosts that hold its connections, so only they have to release it
+        before a change.
+        """
+        endpoints = self.local_member.gateway.board.endpoints
+        found: dict[str, list[str]] = {host: [] for host in hosts}
+        for database, entry in self.local_member.assignments.databases.items():
+            users = self.chosen_holders.get(entry.endpoint)
+            if users is None:
+                users = hosts if entry.endpoint in endpoints else []
+            for host in users:
+                found[host].append(database)
+        count = len(self.local_member.assignments.databases)
+        self._direct = {
+            host: None if len(databases) == count else tuple(databases)
+            for host, databases in found.items()
+        }
 
     def _pick_shares(self, host: str) -> dict[str, int] | None:
         """Return a member's shares of connections unless it was sent them already."""
@@ -369,119 +424,3 @@
         if current is None or state is None or state.sent_shares == current:
             return None
         return current
-
-    def _register(self, ping: exchange.Ping, host: str, address: str) -> None:
-        """Register a host that pings and is not a member yet."""
-        if host in self._registering or self.interim:
-            return
-        self._registering.add(host)
-        record = make_record(ping, host, address)
-        self.run_in_background(self._write_member(record))
-
-    async def _write_member(self, record: assignments.MemberRecord) -> None:
-        try:
-            written = await self.store.change(
-                {assignments.COORDINATOR_KEY: self.revision},
-                {assignments.MEMBER_PREFIX + record.host: assignments.encode(record)},
-            )
-        finally:
-            self._registering.discard(record.host)
-        if written.is_err():
-            return
-        self.add_member(record)
-        self.announce()
-
-    def add_member(self, record: assignments.MemberRecord) -> None:
-        """Add a registered member; a new incarnation holds no grant.
-
-        For a known incarnation only the address is updated.
-        """
-        before = self.grant_table.members.get(record.host)
-        if before is not None and before.incarnation == record.incarnation:
-            before.address = record.address
-            return
-        self.grant_table.members[record.host] = grants.MemberState(
-            host=record.host,
-            address=record.address,
-            incarnation=record.incarnation,
-            place=record.place,
-            capacity=record.capacity or grants.DEFAULT_CAPACITY,
-            heard_at=clocks.read_clock(),
-        )
-        logs.write(
-            logs.LogEvent.MEMBER_ADDED,
-            {"member": record.host, "incarnation": record.incarnation},
-        )
-        self.publish_members()
-
-    async def remove_silent_members(self) -> None:
-        """Remove the registrations of members that have stopped pinging.
-
-        A member whose grants may still be valid stays registered.
-        """
-        now = clocks.read_clock()
-        silent = [
-            state
-            for state in self.grant_table.members.values()
-            if now - state.heard_at > timing.MEMBER_TIMEOUT_SECONDS
-            and now > self.grant_table.find_grant_expiry(state)
-        ]
-        if not silent or not self.may_change(now):
-            return
-        keys = tuple(assignments.MEMBER_PREFIX + state.host for state in silent)
-        removed = await self.store.change(
-            {assignments.COORDINATOR_KEY: self.revision}, {}, keys
-        )
-        if removed.is_err():
-            return
-        for state in silent:
-            if self.grant_table.members.get(state.host) is state:
-                del self.grant_table.members[state.host]
-            logs.write(
-                logs.LogEvent.MEMBER_REMOVED,
-                {"member": state.host, "silent": round(now - state.heard_at, 2)},
-            )
-        self.publish_members()
-
-    def publish_members(self) -> None:
-        """Update the list of members that answers to pings carry.
-
-        Within ``MEMBER_LIST_SECONDS`` of the last update it only notes that the list
-        has changed.
-        """
-        now = clocks.read_clock()
-        if now < self._published_at + timing.MEMBER_LIST_SECONDS:
-            self.members_changed = True
-            return
-        self._published_at = now
-        self.members_changed = False
-        records = [self.identity] + [
-            assignments.MemberRecord(
-                host=state.host,
-                address=state.address,
-                incarnation=state.incarnation,
-                place=state.place,
-                capacity=state.capacity,
-            )
-            for state in sorted(self.grant_table.members.values(), key=lambda s: s.host)
-        ]
-        self.local_member.members = {record.host: record for record in records}
-        data = msgpack.packb({"members": [attrs.asdict(record) for record in records]})
-        document_cache = self.local_member.document_cache
-        document_cache.members, document_cache.members_version = (
-            zlib.compress(data, 1),
-            zlib.crc32(data),
-        )
-
-
-def make_record(
-    ping: exchange.Ping, host: str, address: str
-) -> assignments.MemberRecord:
-    """Make the registration record of the member that sent a ping."""
-    return assignments.MemberRecord(
-        host=host,
-        address=address,
-        incarnation=ping.incarnation,
-        place=ping.place,
-        capacity=ping.capacity,
-    )
--- a/hyssopshelf/authority/dispatch.py
+++ b/hyssopshelf/authority/dispatch.py
@@ -70,10 +70,10 @@
 def _apply_contact(
     message: exchange.Contact, participant, host: str, address: str
 ) -> None:
-    if message.number != participant.inquiry_number:
+    if message.number != participant.candidate.inquiry_number:
         return
     newer = message.epoch > participant.member.epoch
-    participant.contacts[host] = 0.0 if newer else message.silence
+    participant.candidate.contacts[host] = 0.0 if newer else message.silence
 
 
 @apply.register
--- a/hyssopshelf/authority/election.py
+++ b/hyssopshelf/authority/election.py
@@ -1,6 +1,8 @@
 """Conditions under which a member takes over as the coordinator."""
 
-from hyssopshelf.authority import timing
+import random
+
+from hyssopshelf.authority import allocation, timing
 
 SILENT = "coordinator is silent"
 ABSENT = "no coordinator is known"
@@ -15,9 +17,6 @@
 NOT_FOUND_STATUS = 404
 CONFLICT_STATUS = 412
 
-MAXIMUM_STEPS = 4
-"""Number of steps for members that are not successors; further members share them."""
-
 
 def find_takeover_reason(member, now: float) -> str:
     """Return why a member should try to take over now, empty if it should not.
@@ -50,16 +49,50 @@
 def find_delay(member, reason: str) -> float:
     """Return the seconds to wait before an attempt to take over.
 
-    Successors go first, in their order, so that members do not compete.
+    Successors go first, in their order, so that members do not compete. The others
+    follow in groups that double, large hosts first: few members ask all others while
+    most of the fleet is reached, and all have tried after a time that grows with the
+    logarithm of the fleet.
     """
     if reason in (ABSENT, RESIGNING):
         return 0.0
     own = member.identity.host
     if own in member.successors:
         return member.successors.index(own) * timing.TAKEOVER_STEP_SECONDS
-    members = sorted(set(member.members) - set(member.successors) | {own})
-    position = members.index(own) % MAXIMUM_STEPS
-    return (len(member.successors) + position) * timing.TAKEOVER_STEP_SECONDS
+    others = {
+        host: record.capacity if record is not None else 0.0
+        for host, record in member.members.items()
+        if host not in member.successors
+    }
+    others.setdefault(own, member.capacity)
+    ranked = sorted(others, key=lambda host: (-others[host], host))
+    group = (ranked.index(own) + 1).bit_length() - 1
+    return (len(member.successors) + group) * timing.TAKEOVER_STEP_SECONDS
+
+
+def find_bootstrap_delay(capacity: float, is_seed: bool) -> float:
+    """Return the seconds to wait before coordinating a fleet at its first start.
+
+    Large hosts go first, in a random order, and small hosts that others ask for the
+    coordinator go before those that only ask.
+    """
+    if capacity > allocation.SMALL_CAPACITY:
+        return random.uniform(0.0, timing.BOOTSTRAP_SPREAD_SECONDS)
+    if is_seed:
+        return timing.BOOTSTRAP_SEED_SECONDS
+    return timing.BOOTSTRAP_OTHER_SECONDS
+
+
+def find_attempt_pause(failures: int) -> float:
+    """Return the seconds between an attempt to take over and the next one.
+
+    Parameters
+    ----------
+    failures : int
+        Attempts in a row that did not succeed.
+    """
+    pause = timing.PING_SECONDS * 2.0 ** min(failures, 8)
+    return min(pause, timing.MAXIMUM_ATTEMPT_PAUSE_SECONDS)
 
 
 def find_next_epoch(epoch: int) -> int:
--- a/hyssopshelf/authority/exchange.py
+++ b/hyssopshelf/authority/exchange.py
@@ -2,7 +2,10 @@
 
 import attrs
 
-from hyssopshelf import messages
+from hyssopshelf import envelopes
+
+AGE_UNIT_SECONDS = 0.0001
+"""Unit of the ages of observations in messages, in seconds."""
 
 
 @attrs.frozen(kw_only=True)
@@ -21,7 +24,7 @@
     failures: int
 
 
-@messages.register("authority.ping")
+@envelopes.register("authority.ping")
 @attrs.frozen(kw_only=True)
 class Ping:
     """A member's request for a grant, with a report of its state.
@@ -40,9 +43,12 @@
         Processor share of the member's host, in cores.
     wants_configuration : bool
         Whether the member should have received a newer configuration by now.
-    observations : dict of str to (int, int, int, float)
+    successors_version : int
+        Checksum of the successors that the member knows.
+    observations : dict of str to (int, int, int, int)
         Positions of primaries' logs by database: version of the assignment, term,
-        number, and seconds since the sending of the request that showed them.
+        number, and time since the sending of the request that showed them, in units
+        of ``AGE_UNIT_SECONDS``, rounded up.
     reach : dict of str to FailureReport
         Endpoints that the member fails to reach, by id.
     demand : dict of str to int
@@ -64,16 +70,17 @@
     members_version: int = 0
     holders_version: int = 0
     shares_version: int = 0
+    successors_version: int = 0
     capacity: float = 1.0
     wants_configuration: bool = False
     draining: bool = False
-    observations: dict[str, tuple[int, int, int, float]] = attrs.field(factory=dict)
+    observations: dict[str, tuple[int, int, int, int]] = attrs.field(factory=dict)
     reach: dict[str, FailureReport] = attrs.field(factory=dict)
     demand: dict[str, int] = attrs.field(factory=dict)
     released: dict[str, int] = attrs.field(factory=dict)
 
 
-@messages.register("authority.pong")
+@envelopes.register("authority.pong")
 @attrs.frozen(kw_only=True)
 class Pong:
     """The coordinator's answer to a ping, with newer documents.
@@ -92,13 +99,17 @@
         Databases whose primary must not be used because a change is in progress.
     assignments, configuration, registry, members : bytes or None
         Newer documents than the member has; None if it is up to date.
-    successors : tuple of str
-        Hosts that should take over first, in this order.
+    direct : tuple of str or None
+        Databases whose primary the member may use over its own connections; None for
+        all. The others it uses only through the hosts that hold the connections.
+    successors : tuple of str or None
+        Hosts that should take over first, in this order; None if the member is up to
+        date.
     shares : dict of str to int or None
         The member's connections by endpoint, None if they have not changed.
-    holders : dict or None
-        Hosts and addresses that hold the connections of endpoints with too few for
-        all nodes; None if the member is up to date.
+    holders : bytes or None
+        Compressed hosts and addresses that hold the connections of endpoints with too
+        few for all nodes; None if the member is up to date.
     """
 
     sequence: int
@@ -115,14 +126,16 @@
     registry_version: int = 0
     members: bytes | None = None
     members_version: int = 0
-    successors: tuple[str, ...] = ()
-    observations: dict[str, tuple[int, int, int, float]] = attrs.field(factory=dict)
+    direct: tuple[str, ...] | None = None
+    successors: tuple[str, ...] | None = None
+    successors_version: int = 0
+    observations: dict[str, tuple[int, int, int, int]] = attrs.field(factory=dict)
     shares: dict[str, int] | None = None
-    holders: dict[str, list[tuple[str, str]]] | None = None
+    holders: bytes | None = None
     holders_version: int = 0
 
 
-@messages.register("authority.release")
+@envelopes.register("authority.release")
 @attrs.frozen(kw_only=True)
 class Release:
     """The coordinator's request to stop using a primary.
@@ -141,7 +154,7 @@
     finish_seconds: float
 
 
-@messages.register("authority.released")
+@envelopes.register("authority.released")
 @attrs.frozen(kw_only=True)
 class Released:
     """Answer to Release: the member has stopped using the primary.
@@ -154,7 +167,7 @@
     epoch: int
 
 
-@messages.register("authority.announce")
+@envelopes.register("authority.announce")
 @attrs.frozen(kw_only=True)
 class Announce:
     """A coordinator's notice that it took over or has news; members ping at once."""
@@ -163,7 +176,7 @@
     incarnation: int
 
 
-@messages.register("authority.inquire")
+@envelopes.register("authority.inquire")
 @attrs.frozen(kw_only=True)
 class Inquire:
     """Question of a member that may take over: how long is the coordinator silent."""
@@ -172,7 +185,7 @@
     epoch: int
 
 
-@messages.register("authority.contact")
+@envelopes.register("authority.contact")
 @attrs.frozen(kw_only=True)
 class Contact:
     """Answer to Inquire: seconds since the last answer of the coordinator."""
@@ -182,13 +195,13 @@
     silence: float
 
 
-@messages.register("authority.locate")
+@envelopes.register("authority.locate")
 @attrs.frozen(kw_only=True)
 class Locate:
     """Question of a node that has just started: which node coordinates."""
 
 
-@messages.register("authority.located")
+@envelopes.register("authority.located")
 @attrs.frozen(kw_only=True)
 class Located:
     """Answer to Locate: the coordinator that the sender follows."""
@@ -199,7 +212,7 @@
     epoch: int
 
 
-@messages.register("authority.document")
+@envelopes.register("authority.document")
 @attrs.frozen(kw_only=True)
 class Document:
     """A large configuration, sent to one node of each place and relayed there.
--- a/hyssopshelf/authority/grants.py
+++ b/hyssopshelf/authority/grants.py
@@ -26,6 +26,9 @@
         Time of the last ping.
     granted_until : float
         Time at which the last grant has certainly expired.
+    direct_until : dict of str to float
+        The same for grants to use a primary over the member's own connections, by
+        database. Without one the member needs a host that has it.
     promised_until : float
         Time up to which the member does not take over.
     follows : bool
@@ -38,6 +41,10 @@
         Connections that the member could use, by endpoint.
     sent_shares : dict or None
         Shares of connections that the member was sent last.
+    list_sent_at : float
+        Time at which the member was sent the list of members last.
+    former_incarnations : frozenset of int
+        Earlier processes of the host; a late message of one of them is ignored.
     reported_releases : dict of str to int
         Newest assignment version that the member does not use again, by database.
     """
@@ -48,6 +55,7 @@
     place: str = ""
     heard_at: float = float("-inf")
     granted_until: float = float("-inf")
+    direct_until: dict[str, float] = attrs.field(factory=dict)
     promised_until: float = float("-inf")
     draining: bool = False
     follows: bool = False
@@ -56,6 +64,8 @@
     demand: dict = attrs.field(factory=dict)
     capacity: float = DEFAULT_CAPACITY
     sent_shares: dict | None = None
+    former_incarnations: frozenset[int] = frozenset()
+    list_sent_at: float = float("-inf")
     reported_releases: dict[str, int] = attrs.field(factory=dict)
 
 
@@ -138,41 +148,59 @@
         else:
             self.majority_since = min(self.majority_since, now)
 
-    def record_grant(self, member: MemberState, now: float) -> None:
-        """Record that an answer with a grant is being sent."""
+    def record_grant(self, member: MemberState, databases, now: float) -> None:
+        """Record that an answer with a grant is being sent.
+
+        Parameters
+        ----------
+        databases : iterable of str
+            Databases whose primary the member may use over its own connections.
+        """
         member.granted_until = now + GRANT_EXPIRY_SECONDS
+        for database in databases:
+            member.direct_until[database] = member.granted_until
+
+    def find_grant_expiry(
+        self, member: MemberState, database: str | None = None
+    ) -> float:
+        """Return the time at which a member's grants have expired.
 
-    def find_grant_expiry(self, member: MemberState) -> float:
-        """Return the time at which all grants of a member have expired.
+        With ``database`` only grants to use its primary directly count.
 
         It covers grants of other coordinators, too. An earlier one may have acted
         on a renewal sent before its lease ended. A member that this coordinator
         does not hear may follow an interim coordinator, which needs no store but
         the promises of a majority.
         """
+        granted_until = member.granted_until
+        if database is not None:
+            granted_until = member.direct_until.get(database, float("-inf"))
         renewed = (
             self.predecessor_ended_at + timing.AUTHORITY_SECONDS + GRANT_EXPIRY_SECONDS
         )
         promised = self.majority_since + timing.PROMISE_SECONDS + GRANT_EXPIRY_SECONDS
         longest = (
-            max(member.granted_until, self.predecessor_ended_at + GRANT_EXPIRY_SECONDS)
+            max(granted_until, self.predecessor_ended_at + GRANT_EXPIRY_SECONDS)
             + timing.MAJORITY_AUTHORITY_SECONDS
         )
-        return min(longest, max(member.granted_until, renewed, promised))
+        return min(longest, max(granted_until, renewed, promised))
 
-    def is_ready_for_change(self, now: float) -> bool:
+    def is_ready_for_change(self, database: str, now: float) -> bool:
         """Return whether a change would not have to wait for a silent member."""
         return all(
-            state.follows or now >= self.find_grant_expiry(state)
+            state.follows or now >= self.find_grant_expiry(state, database)
             for state in self.members.values()
         )
 
     def find_grant_holders(self, database: str, version: int, now: float) -> list[str]:
-        """Return the hosts that may still use an assignment up to ``version``."""
+        """Return the hosts that may still use an assignment up to ``version``.
+
+        Hosts that reach the primary only through others are not among them.
+        """
         self.update_majority(now)
         return [
             host
             for host, member in self.members.items()
             if member.released.get(database, 0) < version
-            and now < self.find_grant_expiry(member)
+            and now < self.find_grant_expiry(member, database)
         ]
--- a/hyssopshelf/authority/member.py
+++ b/hyssopshelf/authority/member.py
@@ -1,6 +1,7 @@
 """A node's role as a member: it pings the coordinator and uses granted primaries."""
 
 import asyncio
+import math
 import zlib
 
 import attrs
@@ -12,9 +13,6 @@
 MAXIMUM_OBSERVATION_AGE_SECONDS = 1.0
 """Age above which an observation of a primary's log is not reported."""
 
-ROUNDING_SECONDS = 0.0001
-"""Bound on the rounding error of ages in messages, which have four decimals."""
-
 LONGEST_SILENCE_SECONDS = 1e6
 """Silence reported by a node that has never heard a coordinator."""
 
@@ -84,6 +82,7 @@
         self.assignments = assignments.Assignments()
         self.members: dict[str, assignments.MemberRecord] = {}
         self.successors: tuple[str, ...] = ()
+        self.successors_version = 0
         self.answered_at = float("-inf")
         self.followed_at = clocks.read_clock()
         self.promised_until = float("-inf")
@@ -159,6 +158,7 @@
             members_version=document_cache.members_version,
             holders_version=self.holders_version,
             shares_version=allocation.hash_shares(self.gateway.shares),
+            successors_version=self.successors_version,
             capacity=self.capacity,
             wants_configuration=self.misses_configuration(
                 now, timing.CONFIGURATION_WAIT_SECONDS * 1.5
@@ -195,7 +195,9 @@
         self._stamp = pong.stamp
         self._stamped_at = now
         self.resigning = pong.resigning
-        self.successors = pong.successors
+        if pong.successors is not None:
+            self.successors = pong.successors
+            self.successors_version = pong.successors_version
         self.store_age, self.store_age_at = pong.store_age, now
         self._apply_documents(pong, now)
         if not pong.authoritative:
@@ -211,12 +213,13 @@
                 },
             )
         self.answered_at = now
-        self.apply_grants(sent_at + timing.GRANT_SECONDS, pong.released)
-        merge_observations(self.gateway.board, pong.observations, sent_at)
         if pong.shares is not None:
             self.gateway.apply_shares(pong.shares)
         if pong.holders is not None:
-            self.apply_holders(pong.holders, pong.holders_version)
+            holders = assignments.unpack(zlib.decompress(pong.holders))
+            self.apply_holders(holders, pong.holders_version)
+        self.apply_grants(sent_at + timing.GRANT_SECONDS, pong.released, pong.direct)
+        merge_observations(self.gateway.board, pong.observations, sent_at)
 
     def misses_configuration(self, now: float, seconds: float) -> bool:
         """Return whether a newer configuration has been missing for a time."""
@@ -233,16 +236,23 @@
             return
         message = attrs.evolve(document, relay=False)
         for record in self.members.values():
-            if record.place == self.identity.place and record != self.identity:
+            if (
+                record.place == self.identity.place
+                and record.host != self.identity.host
+            ):
                 self.send(record.host, record.address, message)
 
     def apply_holders(self, holders: dict, version: int) -> None:
         """Put in force which hosts hold the connections of scarce endpoints."""
         self.holders_version = version
-        self.gateway.forwarder.holders = {
+        forwarder = self.gateway.forwarder
+        forwarder.holders = {
             endpoint: [tuple(holder) for holder in found]
             for endpoint, found in holders.items()
         }
+        self.gateway.board.held_elsewhere = {
+            endpoint for endpoint in holders if forwarder.is_forwarded(endpoint)
+        }
 
     def _apply_documents(self, pong: exchange.Pong, now: float) -> None:
         document_cache = self.document_cache
@@ -268,7 +278,12 @@
             document_cache.registry_read_at = read_at
             self.apply_document("registry", zlib.decompress(pong.registry))
 
-    def apply_grants(self, valid_until: float, revoked: tuple[str, ...]) -> None:
+    def apply_grants(
+        self,
+        valid_until: float,
+        revoked: tuple[str, ...],
+        direct: tuple[str, ...] | None = None,
+    ) -> None:
         """Renew the grants of all primaries that may be used.
 
         Parameters
@@ -277,8 +292,11 @@
             Time at which the renewed grants expire.
         revoked : tuple of str
             Databases whose primary must not be used.
+        direct : tuple of str or None
+            Databases whose primary may be used over own connections; None for all.
         """
         board = self.gateway.board
+        now = clocks.read_clock()
         changed = False
         for database, entry in self.assignments.databases.items():
             before = board.primary_grants.get(database)
@@ -291,16 +309,22 @@
                 continue
             if before is not None and before.version > entry.version:
                 continue
+            direct_until = float("-inf")
+            if direct is None or database in direct:
+                direct_until = valid_until
+            elif before is not None and before.version == entry.version:
+                direct_until = before.direct_until
             board.primary_grants[database] = blackboard.PrimaryGrant(
                 endpoint=entry.endpoint,
                 term=entry.term,
                 version=entry.version,
                 valid_until=valid_until,
+                direct_until=direct_until,
             )
             if before is None or before.version != entry.version:
                 self._adopt_primary(database, entry)
                 changed = True
-            elif before.valid_until < clocks.read_clock():
+            elif before.valid_until < now or before.direct_until < now < direct_until:
                 changed = True
         if changed:
             self.gateway.notify()
@@ -364,7 +388,7 @@
 def collect_observations(board, now: float) -> dict[str, tuple]:
     """Return this node's own recent observations of primaries' logs, by database.
 
-    Each is a tuple of assignment version, term, number and age in seconds.
+    Each is a tuple of assignment version, term, number and age, as in a Ping.
     """
     found = {}
     for database, grant in board.primary_grants.items():
@@ -376,11 +400,16 @@
             grant.version,
             position.term,
             position.number,
-            round(now - sent_at, 4),
+            round_age(now - sent_at),
         )
     return found
 
 
+def round_age(seconds: float) -> int:
+    """Return the age of an observation as messages carry it, rounded up."""
+    return math.ceil(max(0.0, seconds) / exchange.AGE_UNIT_SECONDS)
+
+
 def merge_observations(board, observations: dict, sent_at: float) -> None:
     """Add observations that other nodes made of primaries' logs.
 
@@ -392,7 +421,8 @@
         if grant is None or grant.version != version:
             continue
         position = statements.LogPosition(term, number)
-        board.get_positions(database).add(position, sent_at - age - ROUNDING_SECONDS)
+        observed_at = sent_at - age * exchange.AGE_UNIT_SECONDS
+        board.get_positions(database).add(position, observed_at)
 
 
 def collect_failure_reports(board, now: float) -> dict[str, exchange.FailureReport]:
--- a/hyssopshelf/authority/participant.py
+++ b/hyssopshelf/authority/participant.py
@@ -3,9 +3,8 @@
 import asyncio
 import random
 
-from hyssopshelf import clocks, exceptions, logs
+from hyssopshelf import background, clocks, logs
 from hyssopshelf.authority import (
-    allocation,
     assignments,
     change,
     coordinator,
@@ -15,18 +14,16 @@
     member,
     recorder,
     renewal,
+    takeover,
     timing,
 )
 
-INQUIRY_SECONDS = 0.4
-"""Time for the answers of other members. Members keep no connections to each other, so
-one is opened in each direction, in one and a half round trips between regions each."""
+MEMBER_READ_SECONDS = 6.0
+"""Time between two reads of the registered members from the store."""
 
-STORE_RETRY_SECONDS = 1.0
-"""Pause between attempts to take over through the store while it is unreachable."""
 
-MEMBER_READ_SECONDS = 2.0
-"""Time between two reads of the registered members from the store."""
+MEMBER_REMOVAL_SECONDS = 1.0
+"""Time between two removals of silent members from the store."""
 
 
 class Participant:
@@ -57,6 +54,10 @@
         Addresses of nodes that may know the coordinator.
     capacity : float
         Processor share of this host, in cores.
+    bootstrap : bool
+        Whether the whole fleet starts for the first time.
+    is_seed : bool
+        Whether other nodes ask this one for the coordinator.
     """
 
     def __init__(
@@ -73,6 +74,8 @@
         reset,
         seeds: tuple[str, ...] = (),
         capacity: float = 1.0,
+        bootstrap: bool = False,
+        is_seed: bool = False,
     ) -> None:
         self.identity = identity
         self.seeds = seeds
@@ -92,11 +95,11 @@
         self.member.capacity = capacity
         self.coordinator: coordinator.Coordinator | None = None
         self.own_revision = 0
-        self._tasks: set[asyncio.Task] = set()
-        self.inquiry_number = 0
-        self.contacts: dict[str, float] = {}
-        self._taking_over = False
-        self._next_attempt_at = 0.0
+        self._tasks = background.TaskSet()
+        self._bootstrap = bootstrap
+        self.candidate = takeover.Candidate(
+            participant=self, bootstrap=bootstrap, is_seed=is_seed
+        )
 
     def receive(self, host: str, address: str, message) -> None:
         """Apply a message of another node."""
@@ -106,8 +109,7 @@
         """Stop coordinating and cancel all tasks at once."""
         if self.coordinator is not None:
             self.coordinator.stop("process ends")
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
 
     def measure_silence(self, now: float) -> float:
         """Return the seconds since a coordinator with authority was last heard."""
@@ -128,7 +130,7 @@
             if now >= ping_at:
                 ping_at = now + timing.PING_SECONDS * random.uniform(0.9, 1.1)
                 self._ping()
-            self._check_election(now)
+            self.candidate.check(now)
             await asyncio.sleep(timing.ELECTION_CHECK_SECONDS)
 
     def _ping(self) -> None:
@@ -141,50 +143,17 @@
                 self.send("", address, exchange.Locate())
         self.member.ping()
 
-    def _check_election(self, now: float) -> None:
-        local_coordinator = self.coordinator
-        if local_coordinator is not None and local_coordinator.active:
-            return
-        if (
-            self._taking_over
-            or self.gateway.board.draining
-            or now < self._next_attempt_at
-        ):
-            return
-        reason = election.find_takeover_reason(self.member, now)
-        if reason:
-            self._taking_over = True
-            pause = timing.PING_SECONDS
-            if reason == election.STORE_UNREACHABLE:
-                pause = STORE_RETRY_SECONDS
-            self._next_attempt_at = now + pause
-            self.spawn(self._try_take_over(reason))
-
-    async def _try_take_over(self, reason: str) -> None:
-        try:
-            delay = election.find_delay(self.member, reason)
-            if delay:
-                await asyncio.sleep(delay)
-            if self._is_still_needed(reason):
-                await self._take_over(reason)
-        except exceptions.CodecError as error:
-            logs.write(logs.LogEvent.DOCUMENT_UNREADABLE, {"reason": str(error)})
-        finally:
-            self._taking_over = False
-
-    def _is_still_needed(self, reason: str) -> bool:
-        """Return whether the reason of an attempt to take over still holds."""
-        if reason == election.SILENT_WITHOUT_STORE:
-            local_coordinator = self.coordinator
-            return (
-                local_coordinator is not None
-                and local_coordinator.active
-                and local_coordinator.interim
-            )
-        return election.find_takeover_reason(self.member, clocks.read_clock()) == reason
-
     async def _register(self) -> None:
-        """Write this node's registration to the store."""
+        """Write this node's registration to the store.
+
+        At the first start of the fleet the coordinator registers the members.
+        """
+        if self._bootstrap:
+            await asyncio.sleep(timing.BOOTSTRAP_REGISTRATION_SECONDS)
+            if self.member.answered_at > 0.0:
+                return
+        else:
+            await asyncio.sleep(timing.REGISTRATION_DELAY_SECONDS)
         key = assignments.MEMBER_PREFIX + self.identity.host
         while True:
             written = await self.store.change(
@@ -195,92 +164,18 @@
                 return
             await asyncio.sleep(timing.PING_SECONDS)
 
-    async def _take_over(self, reason: str) -> None:
-        """Become the coordinator if the store and the other members allow it."""
-        found = await self._find_record()
-        if found.is_err():
-            if (
-                reason == election.SILENT
-                and await self._others_agree(strict=True)
-                and self._is_still_needed(reason)
-            ):
-                self._become_interim_coordinator()
-            return
-        entry = found.ok_value
-        current = None
-        if entry is not None:
-            current = assignments.decode_coordinator(entry.value)
-            unknown = current.epoch > self.member.epoch or reason == election.ABSENT
-            self.member.follow(current)
-            if unknown and current.host != self.identity.host:
-                self.member.ping()
-                return
-        restarted = current is not None and current.host == self.identity.host
-        must_ask = current is not None and not restarted
-        if must_ask and reason == election.SILENT and not await self._others_agree():
-            return
-        lease = await self.store.grant_lease(timing.LEASE_SECONDS)
-        if lease.is_err() or not self._is_still_needed(reason):
-            return
-        record = assignments.CoordinatorRecord(
-            host=self.identity.host,
-            address=self.identity.address,
-            incarnation=self.identity.incarnation,
-            epoch=election.find_next_epoch(current.epoch if current else 0),
-            lease=lease.ok_value,
-        )
-        expected = {assignments.COORDINATOR_KEY: entry.revision if entry else 0}
-        if current is not None and not restarted:
-            expected[
-                assignments.MEMBER_PREFIX + self.identity.host
-            ] = await self._find_own_revision()
-        written = await self.store.change(
-            expected, {assignments.COORDINATOR_KEY: assignments.encode(record)}
-        )
-        if written.is_err():
-            return
-        if restarted:
-            # The process that held the lease has ended, so nothing waits for its end.
-            self.spawn(self._end_lease(current))
-        else:
-            await self._end_lease(current)
-        await self._start(record, written.ok_value, current, reason)
-
-    async def _find_record(self):
-        """Read the coordinator's record from the store.
-
-        If there is none, a small host first gives larger ones time to take over.
-        """
-        found = await self.store.get(assignments.COORDINATOR_KEY)
-        small = self.member.capacity <= allocation.SMALL_CAPACITY
-        if small and found.is_ok() and found.ok_value is None:
-            await asyncio.sleep(timing.SMALL_HOST_DELAY_SECONDS)
-            found = await self.store.get(assignments.COORDINATOR_KEY)
-        return found
-
-    async def _find_own_revision(self) -> int:
-        found = await self.store.get(assignments.MEMBER_PREFIX + self.identity.host)
-        if found.is_err() or found.ok_value is None:
-            return self.own_revision
-        record = assignments.decode_member(found.ok_value.value)
-        if record.incarnation == self.identity.incarnation:
-            return found.ok_value.revision
-        return self.own_revision
+    def start_coordinating(self, record, revision: int, current, reason: str) -> None:
+        """Coordinate after the store has recorded this node.
 
-    async def _end_lease(self, current) -> None:
-        """End the earlier coordinator's lease, and so its authority.
-
-        Repeats the call until the store answers.
+        Parameters
+        ----------
+        record : CoordinatorRecord
+            The record of this node.
+        revision : int
+            Its revision.
+        current : CoordinatorRecord or None
+            The record that it replaced.
         """
-        if current is None or not current.lease:
-            return
-        while True:
-            ended = await self.store.end_lease(current.lease)
-            if ended.is_ok() or ended.err_value.status == election.NOT_FOUND_STATUS:
-                return
-            await asyncio.sleep(timing.PING_SECONDS)
-
-    async def _start(self, record, revision, current, reason) -> None:
         now = clocks.read_clock()
         local_coordinator = coordinator.Coordinator(
             identity=self.identity,
@@ -293,11 +188,11 @@
         local_coordinator.grant_table.confirmed_at = now
         if current is not None:
             local_coordinator.grant_table.predecessor_ended_at = now
-        self._start_coordinating(local_coordinator, reason)
+        self._adopt_coordinator(local_coordinator, reason)
         local_coordinator.run_in_background(renewal.renew(local_coordinator))
         local_coordinator.run_in_background(self._coordinate(local_coordinator))
 
-    def _start_coordinating(
+    def _adopt_coordinator(
         self, local_coordinator: coordinator.Coordinator, reason: str
     ) -> None:
         before = self.member.coordinator_record
@@ -319,7 +214,7 @@
         """Load the state of earlier coordinators, then start to serve members."""
         while (revision := await self._load(local_coordinator)) is None:
             await asyncio.sleep(timing.PING_SECONDS)
-        local_coordinator.publish_members()
+        local_coordinator.registry.publish()
         controller = change.ChangeController(
             coordinator=local_coordinator,
             recorder=recorder.AssignmentRecorder(
@@ -337,20 +232,23 @@
         local_coordinator.allocate_connections()
         local_coordinator.announce()
         local_coordinator.renew_own_grants()
-        listed_at = clocks.read_clock()
+        listed_at = removed_at = clocks.read_clock()
         while local_coordinator.active:
             await asyncio.sleep(timing.PING_SECONDS / 2)
             local_coordinator.grant_table.update_majority(clocks.read_clock())
             local_coordinator.renew_own_grants()
             local_coordinator.allocate_connections()
-            if local_coordinator.members_changed:
-                local_coordinator.publish_members()
+            local_coordinator.choose_successors(clocks.read_clock())
+            if local_coordinator.registry.changed:
+                local_coordinator.registry.publish()
             if local_coordinator.interim:
                 continue
             if clocks.read_clock() - listed_at > MEMBER_READ_SECONDS:
                 listed_at = clocks.read_clock()
                 await self._list_members(local_coordinator)
-                await local_coordinator.remove_silent_members()
+            if clocks.read_clock() - removed_at > MEMBER_REMOVAL_SECONDS:
+                removed_at = clocks.read_clock()
+                await local_coordinator.registry.remove_silent()
 
     async def _load(self, local_coordinator) -> int | None:
         """Load assignments and members; return the revision of the assignments.
@@ -377,11 +275,13 @@
             return False
         for entry in page.ok_value.entries:
             record = assignments.decode_member(entry.value)
-            if record.host != self.identity.host:
-                local_coordinator.add_member(record)
+            known = local_coordinator.grant_table.members
+            # A member that pinged since may have been restarted after it registered.
+            if record.host != self.identity.host and record.host not in known:
+                local_coordinator.registry.add(record)
         return True
 
-    def _become_interim_coordinator(self) -> None:
+    def become_interim_coordinator(self) -> None:
         """Coordinate without the store, and grant the last known assignments."""
         local_member = self.member
         record = assignments.CoordinatorRecord(
@@ -406,64 +306,16 @@
         local_coordinator.grant_table.confirmed_at = local_coordinator.store_contact_at
         for host, known in local_member.members.items():
             if host != self.identity.host:
-                local_coordinator.add_member(known)
-        self._start_coordinating(local_coordinator, election.SILENT_WITHOUT_STORE)
+                local_coordinator.registry.add(known)
+        self._adopt_coordinator(local_coordinator, election.SILENT_WITHOUT_STORE)
         local_coordinator.run_in_background(self._wait_for_store())
         local_coordinator.run_in_background(self._serve(local_coordinator))
 
     async def _wait_for_store(self) -> None:
         """Try to become a regular coordinator until the store answers."""
         while True:
-            await asyncio.sleep(STORE_RETRY_SECONDS)
-            if not self._taking_over:
-                self._taking_over = True
-                self.spawn(self._try_take_over(election.SILENT_WITHOUT_STORE))
-
-    async def _others_agree(self, strict: bool = False) -> bool:
-        """Ask the other members whether they do not hear the coordinator either.
-
-        Parameters
-        ----------
-        strict : bool
-            Whether a majority must agree, as without the store.
-        """
-        others = {
-            host: record
-            for host, record in self.member.members.items()
-            if host != self.identity.host
-        }
-        if not others:
-            page = await self.store.list(assignments.MEMBER_PREFIX)
-            if page.is_err():
-                return False
-            records = [
-                assignments.decode_member(e.value) for e in page.ok_value.entries
-            ]
-            others = {r.host: r for r in records if r.host != self.identity.host}
-        self.inquiry_number += 1
-        self.contacts = {}
-        message = exchange.Inquire(number=self.inquiry_number, epoch=self.member.epoch)
-        for record in others.values():
-            self.send(record.host, record.address, message)
-        deadline = clocks.read_clock() + INQUIRY_SECONDS
-        # The silent coordinator is one of them and does not answer.
-        expected = len(others) - 1
-        while len(self.contacts) < expected and clocks.read_clock() < deadline:
-            await asyncio.sleep(member.RELEASE_CHECK_SECONDS)
-        silence = clocks.read_clock() - max(
-            self.member.answered_at, self.member.followed_at
-        )
-        agreed = election.is_agreed(len(others), self.contacts, silence, strict)
-        logs.write(
-            logs.LogEvent.TAKEOVER_ASKED,
-            {
-                "epoch": self.member.epoch,
-                "members": len(others),
-                "contacts": {h: round(s, 2) for h, s in self.contacts.items()},
-                "agreed": agreed,
-            },
-        )
-        return agreed
+            await asyncio.sleep(takeover.STORE_RETRY_SECONDS)
+            self.candidate.attempt(election.SILENT_WITHOUT_STORE)
 
     async def release(self, message: exchange.Release, host: str, address: str):
         """Stop using a primary, then confirm it to the coordinator."""
@@ -478,8 +330,6 @@
             ),
         )
 
-    def spawn(self, work) -> None:
+    def spawn(self, work) -> asyncio.Task:
         """Run a coroutine as a task that `stop` cancels."""
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        return self._tasks.start(work)
--- /dev/null
+++ b/hyssopshelf/authority/registration.py
@@ -0,0 +1,186 @@
+"""Registration of members with the coordinator, and the list of members."""
+
+import asyncio
+import zlib
+
+import attrs
+import msgpack
+
+from hyssopshelf import clocks, logs
+from hyssopshelf.authority import assignments, exchange, grants, timing
+
+REGISTRATION_BATCH = 30
+"""Members that are registered by one transaction; the store accepts 32 entries."""
+
+REGISTRATION_PAUSE_SECONDS = 0.05
+"""Pause in which hosts that start at the same time are collected for one transaction,
+in seconds."""
+
+
+class MemberRegistry:
+    """Adds and removes members for one coordinator.
+
+    Parameters
+    ----------
+    coordinator : Coordinator
+        Its grant table holds the members.
+
+    Attributes
+    ----------
+    changed : bool
+        Whether the list of members has changed since it was published.
+    """
+
+    def __init__(self, *, coordinator) -> None:
+        self.coordinator = coordinator
+        self.changed = False
+        self._published_at = float("-inf")
+        self._unregistered: dict[str, assignments.MemberRecord] = {}
+
+    def register(self, ping: exchange.Ping, host: str, address: str) -> None:
+        """Register a host that pings and is not a member yet."""
+        if self.coordinator.interim:
+            return
+        if not self._unregistered:
+            self.coordinator.run_in_background(self._write_members())
+        self._unregistered[host] = make_record(ping, host, address)
+
+    async def _write_members(self) -> None:
+        """Write the collected registrations, many in one transaction."""
+        while self._unregistered:
+            await asyncio.sleep(REGISTRATION_PAUSE_SECONDS)
+            batch = list(self._unregistered.values())[:REGISTRATION_BATCH]
+            written = await self.coordinator.store.change(
+                {assignments.COORDINATOR_KEY: self.coordinator.revision},
+                {
+                    assignments.MEMBER_PREFIX + record.host: assignments.encode(record)
+                    for record in batch
+                },
+            )
+            for record in batch:
+                # A host whose registration failed pings again.
+                self._unregistered.pop(record.host, None)
+                if written.is_ok():
+                    self.add(record)
+                    self.coordinator.announce_to(record.host, record.address)
+
+    def add(self, record: assignments.MemberRecord) -> None:
+        """Add a registered member; a new incarnation holds no grant.
+
+        For a known incarnation only the address is updated.
+        """
+        before = self.coordinator.grant_table.members.get(record.host)
+        if before is not None and before.incarnation == record.incarnation:
+            before.address = record.address
+            return
+        former_incarnations = frozenset()
+        if before is not None:
+            former_incarnations = before.former_incarnations | {before.incarnation}
+        self.coordinator.grant_table.members[record.host] = grants.MemberState(
+            host=record.host,
+            address=record.address,
+            incarnation=record.incarnation,
+            place=record.place,
+            capacity=record.capacity or grants.DEFAULT_CAPACITY,
+            heard_at=clocks.read_clock(),
+            former_incarnations=former_incarnations,
+        )
+        logs.write(
+            logs.LogEvent.MEMBER_ADDED,
+            {"member": record.host, "incarnation": record.incarnation},
+        )
+        self.publish()
+
+    async def remove_silent(self) -> None:
+        """Remove the registrations of members that have stopped pinging.
+
+        A member whose grants may still be valid stays registered. One call removes as
+        many as fit into one transaction.
+        """
+        now = clocks.read_clock()
+        silent = [
+            state
+            for state in self.coordinator.grant_table.members.values()
+            if now - state.heard_at > timing.MEMBER_TIMEOUT_SECONDS
+            and now > self.coordinator.grant_table.find_grant_expiry(state)
+        ][:REGISTRATION_BATCH]
+        if not silent or not self.coordinator.may_change(now):
+            return
+        keys = tuple(assignments.MEMBER_PREFIX + state.host for state in silent)
+        removed = await self.coordinator.store.change(
+            {assignments.COORDINATOR_KEY: self.coordinator.revision}, {}, keys
+        )
+        if removed.is_err():
+            return
+        for state in silent:
+            if self.coordinator.grant_table.members.get(state.host) is state:
+                del self.coordinator.grant_table.members[state.host]
+            logs.write(
+                logs.LogEvent.MEMBER_REMOVED,
+                {"member": state.host, "silent": round(now - state.heard_at, 2)},
+            )
+        self.publish()
+
+    def publish(self) -> None:
+        """Update the list of members that answers to pings carry.
+
+        Within ``MEMBER_LIST_SECONDS`` of the last update it only notes that the list
+        has changed. The list has no incarnations, so a restart does not change it.
+        """
+        now = clocks.read_clock()
+        if now < self._published_at + timing.MEMBER_LIST_SECONDS:
+            self.changed = True
+            return
+        self._published_at = now
+        self.changed = False
+        records = [attrs.evolve(self.coordinator.identity, incarnation=0)] + [
+            assignments.MemberRecord(
+                host=state.host,
+                address=state.address,
+                incarnation=0,
+                place=state.place,
+                capacity=state.capacity,
+            )
+            for state in sorted(
+                self.coordinator.grant_table.members.values(), key=lambda s: s.host
+            )
+        ]
+        self.coordinator.local_member.members = {
+            record.host: record for record in records
+        }
+        data = msgpack.packb({"members": [attrs.asdict(record) for record in records]})
+        document_cache = self.coordinator.local_member.document_cache
+        document_cache.members, document_cache.members_version = (
+            zlib.compress(data, 1),
+            zlib.crc32(data),
+        )
+
+    def pick_list(self, ping: exchange.Ping, host: str, now: float) -> bytes | None:
+        """Return the list of members for a member that needs it now.
+
+        Successors need the newest list, others one of some age.
+        """
+        document_cache = self.coordinator.local_member.document_cache
+        state = self.coordinator.grant_table.members.get(host)
+        if state is None or ping.members_version == document_cache.members_version:
+            return None
+        pause = timing.MEMBER_LIST_SECONDS_PER_MEMBER * len(
+            self.coordinator.grant_table.members
+        )
+        if host not in self.coordinator.successors and now < state.list_sent_at + pause:
+            return None
+        state.list_sent_at = now
+        return document_cache.members
+
+
+def make_record(
+    ping: exchange.Ping, host: str, address: str
+) -> assignments.MemberRecord:
+    """Make the registration record of the member that sent a ping."""
+    return assignments.MemberRecord(
+        host=host,
+        address=address,
+        incarnation=ping.incarnation,
+        place=ping.place,
+        capacity=ping.capacity,
+    )
--- a/hyssopshelf/authority/tests/test_grants.py
+++ b/hyssopshelf/authority/tests/test_grants.py
@@ -76,7 +76,7 @@
     record_pings(table, 2, NOW)
     table.majority_since = NOW - 10
     for state in table.members.values():
-        table.record_grant(state, NOW)
+        table.record_grant(state, ["db"], NOW)
     table.members["h0"].released["db"] = 3
     assert table.find_grant_holders("db", 3, NOW + 0.1) == ["h1"]
     assert table.find_grant_holders("db", 4, NOW + 0.1) == ["h0", "h1"]
@@ -90,7 +90,7 @@
     table = make_table(5)
     record_pings(table, 1, NOW)
     for state in table.members.values():
-        table.record_grant(state, NOW)
+        table.record_grant(state, ["db"], NOW)
         state.released["db"] = 1 if state.host == "h0" else 0
     after_grants = NOW + timing.GRANT_SECONDS + 1
     record_pings(table, 1, after_grants)
@@ -155,7 +155,7 @@
         changing.update_majority(moment)
         if granting.has_authority(moment):
             for state in granting.members.values():
-                granting.record_grant(state, moment)
+                granting.record_grant(state, ["db"], moment)
     granted = [s for s in granting.members.values() if s.granted_until > now]
     for host, side in zip(hosts, sides, strict=False):
         if not side:
--- a/hyssopshelf/authority/tests/test_participant.py
+++ b/hyssopshelf/authority/tests/test_participant.py
@@ -42,6 +42,16 @@
         return result.Ok(self.revision)
 
 
+class FakeForwarder:
+    """Knows no holders."""
+
+    def __init__(self) -> None:
+        self.holders = {}
+
+    def is_forwarded(self, endpoint: str) -> bool:
+        return False
+
+
 def make_participant(store, capacity: float) -> participant.Participant:
     board = blackboard.GatewayBlackboard(place="a", region="r", regions={"a": "r"})
     return participant.Participant(
@@ -61,7 +71,7 @@
 async def measure_start(store, capacity: float) -> float:
     node = make_participant(store, capacity)
     started = clocks.read_clock()
-    await node._try_take_over(election.ABSENT)
+    await node.candidate.try_take_over(election.ABSENT)
     assert node.coordinator is not None
     seconds = clocks.read_clock() - started
     node.stop()
--- a/hyssopshelf/authority/tests/test_rules.py
+++ b/hyssopshelf/authority/tests/test_rules.py
@@ -325,9 +325,10 @@
         capacity=0.5,
         document_cache=member.DocumentCache(),
         apply_holders=lambda holders, version: None,
+        assignments=assignments.Assignments(),
     )
     for number in range(76):
-        local_coordinator.add_member(
+        local_coordinator.registry.add(
             assignments.MemberRecord(
                 host=f"h{number:02}",
                 address="",
--- /dev/null
+++ b/hyssopshelf/authority/tests/test_takeover.py
@@ -0,0 +1,137 @@
+"""Tests of takeovers while the store does not answer."""
+
+import asyncio
+
+import attrs
+import result
+
+from hyssopshelf import clocks
+from hyssopshelf.authority import assignments, exchange, member, participant, timing
+from hyssopshelf.authority.tests import test_participant
+from hyssopshelf.gateway import blackboard, gateway
+
+MEMBERS = 18
+
+
+class SilentStore:
+    """Never answers, as behind a narrow link that a partition has cut."""
+
+    async def get(self, key):
+        await asyncio.sleep(3600)
+
+    list = change = grant_lease = get
+
+
+class FailingStore:
+    """Answers every call with an error."""
+
+    async def get(self, *_):
+        return result.Err(None)
+
+    list = change = grant_lease = get
+
+
+@attrs.define
+class FakeStoreWatcher:
+    """Does not read anything."""
+
+    async def watch(self, local_coordinator):
+        await asyncio.sleep(3600)
+
+
+def make_node(store, reached: int) -> participant.Participant:
+    """Return a member that has lost its coordinator and reaches some others."""
+    regions = {"p": "r"}
+    board = blackboard.GatewayBlackboard(place="p", region="r", regions=regions)
+
+    def send(host, address, message):
+        if isinstance(message, exchange.Inquire) and int(host[1:]) <= reached:
+            answer = exchange.Contact(
+                number=message.number, epoch=message.epoch, silence=2.0
+            )
+            asyncio.get_running_loop().call_later(
+                0.02, node.receive, host, address, answer
+            )
+
+    node = participant.Participant(
+        identity=assignments.MemberRecord(host="h0", address="h0:1", incarnation=5),
+        gateway=gateway.Gateway(board=board, endpoint_codec=None),
+        document_cache=member.DocumentCache(),
+        apply_document=None,
+        store_watcher=FakeStoreWatcher(),
+        store=store,
+        promotion_client=None,
+        send=send,
+        reset=lambda address: None,
+        capacity=2.0,
+    )
+    node.gateway.forwarder = test_participant.FakeForwarder()
+    local_member = node.member
+    local_member.members = {
+        f"h{number}": assignments.MemberRecord(
+            host=f"h{number}", address=f"h{number}:1", incarnation=0
+        )
+        for number in range(MEMBERS)
+    }
+    local_member.follow(
+        assignments.CoordinatorRecord(
+            host="h17", address="h17:1", incarnation=1, epoch=1000, lease=1
+        )
+    )
+    local_member.followed_at = clocks.read_clock() - 5.0
+    local_member.answered_at = clocks.read_clock() - 1.2
+    local_member.store_age, local_member.store_age_at = 0.1, clocks.read_clock() - 1.2
+    return node
+
+
+async def measure_takeover(node, seconds: float) -> float | None:
+    """Return the time until the node coordinates, None if it does not."""
+    started = clocks.read_clock()
+    running = asyncio.create_task(node.run())
+    try:
+        while clocks.read_clock() < started + seconds:
+            if node.coordinator is not None:
+                return clocks.read_clock() - started
+            await asyncio.sleep(0.01)
+        return None
+    finally:
+        running.cancel()
+        node.stop()
+
+
+def test_a_majority_does_not_wait_for_a_store_that_never_answers():
+    """Fifteen members waited seven seconds each for the store's answer first."""
+
+    async def scenario():
+        node = make_node(SilentStore(), reached=12)
+        node.member.successors = ("h0",)
+        seconds = await measure_takeover(node, 3.0)
+        assert seconds is not None and seconds < 1.5
+
+    asyncio.run(scenario())
+
+
+def test_a_majority_replaces_a_coordinator_while_the_store_refuses():
+    async def scenario():
+        node = make_node(FailingStore(), reached=12)
+        node.member.successors = ("h0",)
+        assert await measure_takeover(node, 2.0) is not None
+        assert node.coordinator.interim
+
+    asyncio.run(scenario())
+
+
+def test_the_small_side_of_a_partition_does_not_take_over():
+    async def scenario():
+        node = make_node(SilentStore(), reached=5)
+        node.member.successors = ("h0",)
+        assert await measure_takeover(node, 2.5) is None
+
+    asyncio.run(scenario())
+
+
+def test_pauses_between_failed_attempts_are_bounded():
+    pauses = [participant.election.find_attempt_pause(n) for n in range(50)]
+    assert pauses == sorted(pauses)
+    assert pauses[0] == timing.PING_SECONDS
+    assert pauses[-1] == timing.MAXIMUM_ATTEMPT_PAUSE_SECONDS
--- a/hyssopshelf/authority/timing.py
+++ b/hyssopshelf/authority/timing.py
@@ -71,6 +71,34 @@
 MEMBER_LIST_SECONDS = 0.5
 """Minimum time between two lists of members that the coordinator publishes."""
 
+MEMBER_LIST_SECONDS_PER_MEMBER = 0.1
+"""Minimum time between two lists that a member which is no successor receives, for
+each member of the fleet. The list grows with the fleet, so the traffic of all lists
+stays proportional to its size."""
+
 SMALL_HOST_DELAY_SECONDS = 0.4
 """Pause of a small host before it coordinates a fleet without a coordinator, so that
 a larger host can be first."""
+
+STORE_ANSWER_SECONDS = 0.5
+"""Time for which a member whose inquiry a majority supported waits for the store
+before it coordinates without it. A healthy store answers within milliseconds."""
+
+MAXIMUM_ATTEMPT_PAUSE_SECONDS = 1.2
+"""Maximum pause between two attempts to take over. It doubles with each failure, since
+an attempt asks all members."""
+
+REGISTRATION_DELAY_SECONDS = 0.4
+"""Time after its start at which a node registers itself in the store; what its first
+client needs is read before."""
+
+BOOTSTRAP_REGISTRATION_SECONDS = 8.0
+"""The same at the first start of a fleet, when the coordinator registers the members
+together."""
+
+BOOTSTRAP_SPREAD_SECONDS = 0.5
+BOOTSTRAP_SEED_SECONDS = 1.0
+BOOTSTRAP_OTHER_SECONDS = 2.5
+"""Pauses before a node coordinates a fleet that starts for the first time: the maximum
+of a random pause of large hosts, and the pauses of small seeds and other small hosts.
+Those that wait usually find a coordinator without a call to the store."""
--- a/hyssopshelf/base.py
+++ b/hyssopshelf/base.py
@@ -38,30 +38,6 @@
     caller: str
 
 
-@attrs.frozen(kw_only=True)
-class PeerReceived(Event):
-    """A message of another node arrived; ``address`` is where that node listens."""
-
-    host: str
-    message: Any
-    address: str = ""
-
-
-@attrs.frozen(kw_only=True)
-class MessageRefused(Event):
-    """A message of another node could not be decoded and was dropped."""
-
-    reason: str
-
-
-@attrs.frozen(kw_only=True)
-class PeerUnsent(Event):
-    """A message could not be sent; the peer cannot have received it."""
-
-    host: str
-    message: Any
-
-
 @attrs.frozen(kw_only=True)
 class ConnectionOpened(Event):
     """A connection to an endpoint is ready."""
@@ -252,7 +228,7 @@
     Parameters
     ----------
     message : Any
-        Object of a class registered with ``messages.register``.
+        Object of a class registered with ``envelopes.register``.
     board : blackboard.Blackboard
         State of the receiving node.
     host : str
--- a/hyssopshelf/configuration/dissemination.py
+++ b/hyssopshelf/configuration/dissemination.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from hyssopshelf import base, exceptions, logs, messages
+from hyssopshelf import base, envelopes, exceptions, logs
 from hyssopshelf.configuration import (
     application,
     declarations,
@@ -58,7 +58,7 @@
 """Compressed documents cached; a change is sent three times in a short time."""
 
 
-@messages.register("configuration.offer")
+@envelopes.register("configuration.offer")
 @attrs.frozen(kw_only=True)
 class Offer:
     """The sender holds these documents; ``fresh`` if they were just changed."""
@@ -67,7 +67,7 @@
     fresh: bool = False
 
 
-@messages.register("configuration.pull")
+@envelopes.register("configuration.pull")
 @attrs.frozen(kw_only=True)
 class PullRequest:
     """Ask for a document, compressed, from a byte offset on."""
@@ -76,7 +76,7 @@
     offset: int = 0
 
 
-@messages.register("configuration.part")
+@envelopes.register("configuration.part")
 @attrs.frozen(kw_only=True)
 class Part:
     """Bytes of a compressed document; ``total`` is its whole length."""
@@ -87,7 +87,7 @@
     data: bytes
 
 
-@messages.register("configuration.digest")
+@envelopes.register("configuration.digest")
 @attrs.frozen(kw_only=True)
 class Digest:
     """The digest of all documents that the sender holds."""
@@ -95,7 +95,7 @@
     root: int
 
 
-@messages.register("configuration.buckets")
+@envelopes.register("configuration.buckets")
 @attrs.frozen(kw_only=True)
 class Buckets:
     """Answer to a digest: empty if equal, else the hash of each bucket."""
@@ -103,7 +103,7 @@
     buckets: tuple[int, ...]
 
 
-@messages.register("configuration.listing")
+@envelopes.register("configuration.listing")
 @attrs.frozen(kw_only=True)
 class Listing:
     """The sender's documents in the buckets that differ."""
--- a/hyssopshelf/configuration/snapshots.py
+++ b/hyssopshelf/configuration/snapshots.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from hyssopshelf import base, exceptions, kvstore, logs, messages
+from hyssopshelf import base, envelopes, exceptions, kvstore, logs
 from hyssopshelf.configuration import (
     declarations,
     dissemination,
@@ -49,7 +49,7 @@
 """Documents in one part; encoding them takes the peer a few milliseconds."""
 
 
-@messages.register("configuration.snapshot_request")
+@envelopes.register("configuration.snapshot_request")
 @attrs.frozen(kw_only=True)
 class SnapshotRequest:
     """Ask for the documents whose pool names come after a name."""
@@ -65,7 +65,7 @@
     data: bytes = b""
 
 
-@messages.register("configuration.snapshot_part")
+@envelopes.register("configuration.snapshot_part")
 @attrs.frozen(kw_only=True)
 class SnapshotPart:
     """Documents in the order of their pool names.
@@ -89,7 +89,7 @@
     last: bool = False
 
 
-@messages.register("configuration.snapshot_ready")
+@envelopes.register("configuration.snapshot_ready")
 @attrs.frozen(kw_only=True)
 class SnapshotReady:
     """Notify a host whose request was refused that the sender is now ready."""
--- a/hyssopshelf/configuration/status.py
+++ b/hyssopshelf/configuration/status.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from hyssopshelf import base, messages
+from hyssopshelf import base, envelopes
 from hyssopshelf.configuration import dissemination, peers, progress
 
 FAN_OUT = 8
@@ -27,7 +27,7 @@
 """Maximum number of host names in one answer; the counts are always complete."""
 
 
-@messages.register("configuration.status_query")
+@envelopes.register("configuration.status_query")
 @attrs.frozen(kw_only=True)
 class StatusQuery:
     """Ask for the version of a pool on the receiver and on ``hosts``."""
@@ -39,7 +39,7 @@
     remaining_seconds: float
 
 
-@messages.register("configuration.status_result")
+@envelopes.register("configuration.status_result")
 @attrs.frozen(kw_only=True)
 class StatusResult:
     """Versions on the sender and on the hosts it asked.
--- a/hyssopshelf/configuration/tests/fleet.py
+++ b/hyssopshelf/configuration/tests/fleet.py
@@ -12,7 +12,7 @@
 import attrs
 import result
 
-from hyssopshelf import base, blackboard, kvstore, logs, messages
+from hyssopshelf import base, blackboard, envelopes, kvstore, logs
 from hyssopshelf.configuration import controller
 
 TICK_SECONDS = 0.05
@@ -212,11 +212,11 @@
         sender = member.board.identity
         message = action.message
         if self.encode:
-            envelope = messages.Envelope(
+            envelope = envelopes.Envelope(
                 host=sender.host, address=sender.address, message=message
             )
-            data = messages.encode(envelope)
-            message = messages.decode(data).message
+            data = envelopes.encode(envelope)
+            message = envelopes.decode(data).message
             self.bytes[sender.host] += len(data)
             self.bytes[action.host] += len(data)
             self.message_counts[type(message).__name__] += 1
--- a/hyssopshelf/failover/reachability.py
+++ b/hyssopshelf/failover/reachability.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from hyssopshelf import base, messages
+from hyssopshelf import base, envelopes
 from hyssopshelf.failover import terms
 
 PROBING_HOSTS = 3
@@ -21,7 +21,7 @@
 """Time after which a probe without an answer is removed."""
 
 
-@messages.register("failover.probe")
+@envelopes.register("failover.probe")
 @attrs.frozen(kw_only=True)
 class ProbeRequested:
     """Asks the receiving host to probe an endpoint."""
@@ -30,7 +30,7 @@
     endpoint: str
 
 
-@messages.register("failover.reached")
+@envelopes.register("failover.reached")
 @attrs.frozen(kw_only=True)
 class ProbeReported:
     """Result of a requested probe: whether the endpoint answered."""
--- a/hyssopshelf/failover/terms.py
+++ b/hyssopshelf/failover/terms.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from hyssopshelf import base, logs, messages
+from hyssopshelf import base, envelopes, logs, messages
 
 FANOUT = 3
 """Number of random peers to which a node passes on what is new to it."""
@@ -25,7 +25,7 @@
 """Number of planned changes that a node keeps per database."""
 
 
-@messages.register("failover.term")
+@envelopes.register("failover.term")
 @attrs.frozen(kw_only=True)
 class TermAnnounced:
     """Announces that an endpoint became the primary of a term."""
@@ -35,7 +35,7 @@
     primary: str
 
 
-@messages.register("failover.writes")
+@envelopes.register("failover.writes")
 @attrs.frozen(kw_only=True)
 class WritesHeld:
     """Holds new writes to a database during a planned change of its primary.
--- a/hyssopshelf/failover/tests/simulated_group.py
+++ b/hyssopshelf/failover/tests/simulated_group.py
@@ -4,7 +4,7 @@
 
 from result import Err
 
-from hyssopshelf import base, blackboard, messages
+from hyssopshelf import base, blackboard, messages, peer_events
 from hyssopshelf.failover import (
     confirmation,
     detection,
@@ -100,7 +100,7 @@
             return
         match item:
             case base.SendPeer():
-                event = base.PeerReceived(host=source, message=item.message)
+                event = peer_events.PeerReceived(host=source, message=item.message)
                 self.pending.append((item.host, event))
             case base.ProbeStatus() | base.CallControl():
                 self.call_endpoint(source, item)
@@ -150,7 +150,7 @@
                     module.receive_status(
                         board, event.endpoint, event.probe_id, event.status, self.now
                     )
-            case base.PeerReceived():
+            case peer_events.PeerReceived():
                 base.receive(event.message, board, event.host, self.now)
             case base.ControlAnswered():
                 base.handle(event, board, self.now)
--- a/hyssopshelf/gateway/autocommit.py
+++ b/hyssopshelf/gateway/autocommit.py
@@ -208,9 +208,11 @@
         return reply
     session.trace.endpoint = pool.endpoint.id
     if reservation.candidate.primary:
-        execution.record_observation(gateway, pool, reservation.version, reply, sent_at)
+        execution.record_observation(
+            gateway, connection, reservation.version, reply, sent_at
+        )
     if writes:
         return execution.acknowledge_write(
-            session, pool.endpoint, reservation.version, reply
+            session, connection, reservation.version, reply
         )
     return reply
--- a/hyssopshelf/gateway/blackboard.py
+++ b/hyssopshelf/gateway/blackboard.py
@@ -18,13 +18,24 @@
     version : int
         Version of the assignment; a higher one replaces it.
     valid_until : float
-        Clock time of expiry, in seconds; no other endpoint is promoted before.
+        Clock time of expiry, in seconds. Until then this node may send work to the
+        hosts that hold connections to the primary; these check their own grants.
+    direct_until : float
+        Clock time until which this node may use its own connections; no other
+        endpoint is promoted before. Usually ``valid_until`` or in the past.
     """
 
     endpoint: str
     term: int
     version: int
     valid_until: float
+    direct_until: float = attrs.field(
+        default=attrs.Factory(lambda grant: grant.valid_until, takes_self=True)
+    )
+
+    def is_valid(self, now: float, *, direct: bool) -> bool:
+        """Return whether the primary may be used, over own connections if direct."""
+        return now < (self.direct_until if direct else self.valid_until)
 
 
 @attrs.define(kw_only=True)
@@ -90,6 +101,8 @@
         Observed log positions of the primary, by database.
     health : dict of str to EndpointHealth
         Health of endpoints by id.
+    held_elsewhere : set of str
+        Endpoints whose connections only other nodes hold.
     releasing : set of str
         Databases whose primary takes no new work because it is being replaced.
     draining : bool
@@ -107,6 +120,7 @@
     primary_grants: dict[str, PrimaryGrant] = attrs.field(factory=dict)
     primary_positions: dict[str, freshness.PrimaryPositions] = attrs.field(factory=dict)
     health: dict[str, EndpointHealth] = attrs.field(factory=dict)
+    held_elsewhere: set[str] = attrs.field(factory=set)
     releasing: set[str] = attrs.field(factory=set)
     draining: bool = False
     isolated: bool = False
@@ -122,6 +136,8 @@
     def find_primary(self, database: str, now: float) -> catalog.Endpoint | None:
         """Return the primary, or None if its grant expired or it is being replaced."""
         grant = self.primary_grants.get(database)
-        if grant is None or grant.valid_until <= now or database in self.releasing:
+        if grant is None or database in self.releasing:
+            return None
+        if not grant.is_valid(now, direct=grant.endpoint not in self.held_elsewhere):
             return None
         return self.endpoints.get(grant.endpoint)
--- a/hyssopshelf/gateway/execution.py
+++ b/hyssopshelf/gateway/execution.py
@@ -124,28 +124,37 @@
     return statements.Reply(error=kind, detail=detail.encode())
 
 
-def can_acknowledge(gateway, database: str, version: int) -> bool:
+def can_acknowledge(gateway, database: str, version: int, direct: bool) -> bool:
     """Return whether no other endpoint can have been promoted so far.
 
     This is so while the grant under which a write was sent is valid.
+
+    Parameters
+    ----------
+    direct : bool
+        Whether this node sent it to the endpoint itself. Otherwise the host that did
+        has checked its own grant, too.
     """
     grant = gateway.board.primary_grants.get(database)
     return (
         grant is not None
         and grant.version == version
-        and grant.valid_until > clocks.read_clock()
+        and grant.is_valid(clocks.read_clock(), direct=direct)
     )
 
 
 def acknowledge_write(
-    session, endpoint: catalog.Endpoint, version: int, reply: statements.Reply
+    session, connection, version: int, reply: statements.Reply
 ) -> statements.Reply:
     """Return the reply to a write that an endpoint ran as the primary.
 
     If the grant ended meanwhile, a new primary may lack the write, so its outcome
     is unknown.
     """
-    if not can_acknowledge(session.gateway, endpoint.database, version):
+    endpoint = connection.endpoint
+    if not can_acknowledge(
+        session.gateway, endpoint.database, version, connection.direct
+    ):
         session.trace.add(endpoint.id, "primary grant no longer valid")
         return make_error(_KIND.OUTCOME_UNKNOWN, "primary may have changed")
     session.last_write_position = reply.position
@@ -236,7 +245,9 @@
     reservation = Reservation(
         pool=pool, checkout=checkout, candidate=candidate, version=version
     )
-    if candidate.primary and not can_acknowledge(gateway, route.database, version):
+    if candidate.primary and not can_acknowledge(
+        gateway, route.database, version, checkout.connection.direct
+    ):
         reservation.release()
         trace.add(endpoint.id, "no longer the valid primary")
         return None
@@ -306,7 +317,9 @@
     return reply
 
 
-def record_observation(gateway, pool, version: int, reply, sent_at: float) -> None:
+def record_observation(
+    gateway, connection, version: int, reply, sent_at: float
+) -> None:
     """Record the log position from an answer of the primary.
 
     It counts only under the grant in force, if that was valid when the message was
@@ -319,13 +332,13 @@
     sent_at : float
         Time at which the message was sent.
     """
-    database = pool.endpoint.database
+    database = connection.endpoint.database
     grant = gateway.board.primary_grants.get(database)
     if (
         grant is None
         or grant.version != version
-        or grant.endpoint != pool.endpoint.id
-        or grant.valid_until <= sent_at
+        or grant.endpoint != connection.endpoint.id
+        or not grant.is_valid(sent_at, direct=connection.direct)
         or reply.position is None
     ):
         return
--- /dev/null
+++ b/hyssopshelf/gateway/forward_messages.py
@@ -0,0 +1,74 @@
+"""Messages between the client's node and the hosts that hold connections."""
+
+import attrs
+
+from hyssopshelf import envelopes
+
+
+@envelopes.register("gateway.forward")
+@attrs.frozen(kw_only=True)
+class Forward:
+    """Request to a holder to send one message to an endpoint.
+
+    Attributes
+    ----------
+    unit : int
+        Number of the unit of work at the entry node.
+    step : int
+        Number of the message within it.
+    version : int
+        Version of the primary grant that the work needs, 0 for none.
+    remaining : float
+        Time to the deadline in seconds.
+    values : list of (bytes, bytes) or None
+        Values of the session, None if the message does not depend on them.
+    shape : (bool, bytes) or None
+        Prepared statement that the message runs.
+    head, tail : bytes
+        The message before and after the prepared statement's name.
+    """
+
+    unit: int
+    step: int
+    endpoint: str
+    database: str
+    rank: int
+    version: int
+    remaining: float
+    values: list[tuple[bytes, bytes]] | None
+    shape: tuple[bool, bytes] | None
+    head: bytes
+    tail: bytes
+
+
+@envelopes.register("gateway.forwarded")
+@attrs.frozen(kw_only=True)
+class Forwarded:
+    """Answer of a holder to a Forward.
+
+    Attributes
+    ----------
+    failure : str
+        Reason why there is no reply, empty if there is one.
+    sent : bool
+        Whether the message may have reached the endpoint.
+    """
+
+    unit: int
+    step: int
+    failure: str = ""
+    sent: bool = True
+    rows: list[bytes] = attrs.field(factory=list)
+    signature: bytes = b""
+    error: str = ""
+    detail: bytes = b""
+    state: bytes = b"I"
+    position: tuple[int, int] | None = None
+
+
+@envelopes.register("gateway.cancel")
+@attrs.frozen(kw_only=True)
+class Cancel:
+    """Request to a holder to end a unit of work and roll its transaction back."""
+
+    unit: int
--- a/hyssopshelf/gateway/forwarding.py
+++ b/hyssopshelf/gateway/forwarding.py
@@ -10,10 +10,11 @@
 
 import attrs
 
-from hyssopshelf import clocks, exceptions, logs, messages
+from hyssopshelf import background, clocks, exceptions, logs
 from hyssopshelf.gateway import (
     connection_pools,
     endpoint_connections,
+    forward_messages,
     session_state,
     statements,
 )
@@ -28,6 +29,9 @@
 ANSWER_MARGIN_SECONDS = 0.02
 """Time left for the holder's answer to arrive before the statement's deadline."""
 
+FAILED_REASON = "the holder failed"
+"""Failure that a holder reports after an unexpected error."""
+
 NOT_PRIMARY_REASON = "no longer the valid primary"
 """Failure that a holder reports instead of sending work to a former primary."""
 
@@ -38,75 +42,6 @@
 _KIND = exceptions.ErrorKind
 
 
-@messages.register("gateway.forward")
-@attrs.frozen(kw_only=True)
-class Forward:
-    """Request to a holder to send one message to an endpoint.
-
-    Attributes
-    ----------
-    unit : int
-        Number of the unit of work at the entry node.
-    step : int
-        Number of the message within it.
-    version : int
-        Version of the primary grant that the work needs, 0 for none.
-    remaining : float
-        Time to the deadline in seconds.
-    values : list of (bytes, bytes) or None
-        Values of the session, None if the message does not depend on them.
-    shape : (bool, bytes) or None
-        Prepared statement that the message runs.
-    head, tail : bytes
-        The message before and after the prepared statement's name.
-    """
-
-    unit: int
-    step: int
-    endpoint: str
-    database: str
-    rank: int
-    version: int
-    remaining: float
-    values: list[tuple[bytes, bytes]] | None
-    shape: tuple[bool, bytes] | None
-    head: bytes
-    tail: bytes
-
-
-@messages.register("gateway.forwarded")
-@attrs.frozen(kw_only=True)
-class Forwarded:
-    """Answer of a holder to a Forward.
-
-    Attributes
-    ----------
-    failure : str
-        Reason why there is no reply, empty if there is one.
-    sent : bool
-        Whether the message may have reached the endpoint.
-    """
-
-    unit: int
-    step: int
-    failure: str = ""
-    sent: bool = True
-    rows: list[bytes] = attrs.field(factory=list)
-    signature: bytes = b""
-    error: str = ""
-    detail: bytes = b""
-    state: bytes = b"I"
-    position: tuple[int, int] | None = None
-
-
-@messages.register("gateway.cancel")
-@attrs.frozen(kw_only=True)
-class Cancel:
-    """Request to a holder to end a unit of work and roll its transaction back."""
-
-    unit: int
-
-
 class RemoteConnection:
     """Runs a unit of work at a holder; has the interface of a connection.
 
@@ -166,7 +101,7 @@
         self.closed = True
         self.forwarder.end_unit(self)
         if self.pinned or self.waiter is not None:
-            self.forwarder.send(*self.holder, Cancel(unit=self.unit))
+            self.forwarder.send(*self.holder, forward_messages.Cancel(unit=self.unit))
 
     def finish(self) -> None:
         """End the unit after its last reply."""
@@ -182,7 +117,7 @@
         self.step += 1
         self.waiter = asyncio.get_running_loop().create_future()
         remaining = deadline - clocks.read_clock()
-        message = Forward(
+        message = forward_messages.Forward(
             unit=self.unit,
             step=self.step,
             endpoint=self.endpoint.id,
@@ -214,7 +149,9 @@
             self.pinned = False
             self.close()
             raise endpoint_connections.EndpointConnectionError(
-                answer.failure, sent=answer.sent
+                answer.failure,
+                sent=answer.sent,
+                endpoint_fault=answer.failure != NOT_PRIMARY_REASON,
             )
         self.pinned = answer.state != b"I"
         return statements.Reply(
@@ -342,7 +279,7 @@
         """Forget a unit of work."""
         self._units.pop(remote.unit, None)
 
-    def receive_forwarded(self, message: Forwarded) -> None:
+    def receive_forwarded(self, message: forward_messages.Forwarded) -> None:
         """Pass an answer to the unit that waits for it."""
         remote = self._units.get(message.unit)
         if remote is None or remote.step != message.step or remote.waiter is None:
@@ -352,9 +289,9 @@
 
     def receive_unsent(self, message) -> None:
         """Fail a unit whose message could not be sent."""
-        if isinstance(message, Forward):
+        if isinstance(message, forward_messages.Forward):
             self.receive_forwarded(
-                Forwarded(
+                forward_messages.Forwarded(
                     unit=message.unit,
                     step=message.step,
                     failure="holder is not reached",
@@ -362,7 +299,9 @@
                 )
             )
 
-    def receive_forward(self, message: Forward, host: str, address: str) -> None:
+    def receive_forward(
+        self, message: forward_messages.Forward, host: str, address: str
+    ) -> None:
         """Start the work that an entry node forwards."""
         key = (host, message.unit)
         task = asyncio.get_running_loop().create_task(
@@ -371,7 +310,7 @@
         self._tasks[key] = task
         task.add_done_callback(lambda _: self._forget_task(key, task))
 
-    def receive_cancel(self, message: Cancel, host: str) -> None:
+    def receive_cancel(self, message: forward_messages.Cancel, host: str) -> None:
         """Stop the work of a unit; its connection is closed."""
         key = (host, message.unit)
         task = self._tasks.get(key)
@@ -392,27 +331,35 @@
         if self._tasks.get(key) is task:
             del self._tasks[key]
 
-    async def _serve(self, message: Forward, key, address: str) -> None:
+    async def _serve(
+        self, message: forward_messages.Forward, key, address: str
+    ) -> None:
         try:
             answer = await self._run(message, key)
         except connection_pools.RefusalError as refusal:
-            answer = Forwarded(
+            answer = forward_messages.Forwarded(
                 unit=message.unit, step=message.step, error=refusal.kind.value
             )
         except endpoint_connections.EndpointConnectionError as error:
-            answer = Forwarded(
+            answer = forward_messages.Forwarded(
                 unit=message.unit,
                 step=message.step,
                 failure=error.reason,
                 sent=error.sent,
             )
+        except Exception as error:
+            background.log_failure(self._run, error)
+            answer = forward_messages.Forwarded(
+                unit=message.unit, step=message.step, failure=FAILED_REASON
+            )
         self.send(key[0], address, answer)
 
-    async def _run(self, message: Forward, key) -> Forwarded:
+    async def _run(
+        self, message: forward_messages.Forward, key
+    ) -> forward_messages.Forwarded:
         """Send the message to the endpoint and return the answer."""
         gateway = self.gateway
         deadline = clocks.read_clock() + message.remaining
-        shape = statements.Shape(*message.shape) if message.shape is not None else None
         state = session_state.SessionState(values=dict(message.values or ()))
         pinned = self._pinned.pop(key, None)
         if pinned is not None:
@@ -446,21 +393,19 @@
         connection = checkout.connection
         if message.values is None:
             state.values.update(connection.state.values)
-        reply = None
+        reply = valid_reply = None
         try:
-            if message.version and not self._is_primary(message):
-                raise endpoint_connections.EndpointConnectionError(
-                    NOT_PRIMARY_REASON, sent=False
-                )
-            reply = await connection.run(
-                state, shape, lambda name: message.head + name + message.tail, deadline
-            )
+            self._check_primary(message, sent=False)
+            reply = await self._send_to_endpoint(message, connection, state, deadline)
+            self._check_primary(message, sent=True)
+            valid_reply = reply
         finally:
             pool.release_slot(checkout)
-            self._finish_step(
-                key, pool, connection, reply, in_transaction=pinned is not None
-            )
-        return Forwarded(
+            in_transaction = pinned is not None
+            if reply is not None:
+                in_transaction = reply.state != b"I"
+            self._finish_step(key, pool, connection, valid_reply, in_transaction)
+        return forward_messages.Forwarded(
             unit=message.unit,
             step=message.step,
             rows=reply.rows,
@@ -471,6 +416,21 @@
             position=tuple(reply.position) if reply.position is not None else None,
         )
 
+    async def _send_to_endpoint(
+        self, message: forward_messages.Forward, connection, state, deadline
+    ):
+        """Send the message on a connection; a release of the primary waits for it."""
+        shape = statements.Shape(*message.shape) if message.shape is not None else None
+        if message.version:
+            self.gateway.start_write(message.database, message.version)
+        try:
+            return await connection.run(
+                state, shape, lambda name: message.head + name + message.tail, deadline
+            )
+        finally:
+            if message.version:
+                self.gateway.end_write(message.database, message.version)
+
     def _finish_step(self, key, pool, connection, reply, in_transaction: bool) -> None:
         """Pin, release or close the connection after a message of a unit."""
         if reply is None:
@@ -487,13 +447,31 @@
                 pool=pool, connection=connection, used_at=clocks.read_clock()
             )
 
-    def _is_primary(self, message: Forward) -> bool:
-        """Return whether the primary grant that the work needs is valid."""
-        board = self.gateway.board
-        grant = board.primary_grants.get(message.database)
-        return (
-            grant is not None
-            and grant.version == message.version
-            and grant.endpoint == message.endpoint
-            and grant.valid_until > clocks.read_clock()
-        )
+    def _check_primary(self, message: forward_messages.Forward, sent: bool) -> None:
+        """Check that this node has the primary grant that the work needs.
+
+        The entry node need not have one, so this is checked before the message is
+        sent and before its answer is passed on.
+
+        Parameters
+        ----------
+        sent : bool
+            Whether the message may have reached the endpoint.
+
+        Raises
+        ------
+        EndpointConnectionError
+            If this node has no valid grant.
+        """
+        if not message.version:
+            return
+        grant = self.gateway.board.primary_grants.get(message.database)
+        if (
+            grant is None
+            or grant.version != message.version
+            or grant.endpoint != message.endpoint
+            or not grant.is_valid(clocks.read_clock(), direct=True)
+        ):
+            raise endpoint_connections.EndpointConnectionError(
+                NOT_PRIMARY_REASON, sent=sent
+            )
--- a/hyssopshelf/gateway/probes.py
+++ b/hyssopshelf/gateway/probes.py
@@ -7,7 +7,7 @@
 
 import asyncio
 
-from hyssopshelf import clocks, logs
+from hyssopshelf import background, clocks, logs
 from hyssopshelf.gateway import endpoint_connections, endpoint_health, execution
 
 INTERVAL_SECONDS = 0.1
@@ -37,7 +37,7 @@
         self.gateway = gateway
         self._probing: set[str] = set()
         self._probed_at: dict[str, float] = {}
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks = background.TaskSet()
 
     def run_round(self) -> None:
         """Start the probes that are due, as tasks, at most one for each endpoint."""
@@ -45,7 +45,7 @@
         now = clocks.read_clock()
         due = set()
         for database, grant in board.primary_grants.items():
-            if grant.valid_until <= now:
+            if not grant.is_valid(now, direct=True):
                 continue
             if (
                 board.get_positions(database).get_last_time()
@@ -62,9 +62,7 @@
                 continue
             self._probing.add(endpoint_id)
             self._probed_at[endpoint_id] = now
-            task = asyncio.get_running_loop().create_task(self._probe(endpoint))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._tasks.start(self._probe(endpoint))
 
     async def _probe(self, endpoint) -> None:
         gateway = self.gateway
@@ -72,7 +70,9 @@
         grant = gateway.board.primary_grants.get(endpoint.database)
         sent_at = clocks.read_clock()
         try:
-            reply = await send_unqueued(gateway, endpoint, None, PROBE_TIMEOUT_SECONDS)
+            connection, reply = await send_unqueued(
+                gateway, endpoint, None, PROBE_TIMEOUT_SECONDS
+            )
         except endpoint_connections.EndpointConnectionError as error:
             if error.reason != execution.FULL_REASON:
                 endpoint_health.record_failure(health, sent_at, clocks.read_clock())
@@ -89,12 +89,13 @@
             self._probing.discard(endpoint.id)
         endpoint_health.record_contact(health, clocks.read_clock())
         if grant is not None and grant.endpoint == endpoint.id:
-            pool = gateway.get_local_pool(endpoint)
-            execution.record_observation(gateway, pool, grant.version, reply, sent_at)
+            execution.record_observation(
+                gateway, connection, grant.version, reply, sent_at
+            )
 
 
 async def send_unqueued(gateway, endpoint, message: bytes | None, seconds: float):
-    """Send one message without waiting in the queue and return its reply.
+    """Send one message without waiting in the queue; return connection and reply.
 
     It uses an idle connection of the pool, or a new one that may exceed this node's
     share.
@@ -135,4 +136,4 @@
         pool.discard_connection(connection)
         raise
     pool.release_connection(connection)
-    return replies[0]
+    return connection, replies[0]
--- a/hyssopshelf/gateway/sessions.py
+++ b/hyssopshelf/gateway/sessions.py
@@ -181,7 +181,7 @@
     session.finish()
     if transaction.wrote:
         return execution.acknowledge_write(
-            session, transaction.pool.endpoint, transaction.grant_version, reply
+            session, transaction.connection, transaction.grant_version, reply
         )
     return reply
 
--- /dev/null
+++ b/hyssopshelf/gateway/tests/test_forwarding.py
@@ -0,0 +1,102 @@
+"""Tests of hosts that run work for others while their primary is replaced."""
+
+import asyncio
+
+from hyssopshelf import clocks
+from hyssopshelf.gateway import (
+    blackboard,
+    endpoint_connections,
+    forward_messages,
+    forwarding,
+)
+from hyssopshelf.gateway.tests import test_retries
+
+
+def make_holder(monkeypatch, answer_after):
+    """Return a holder of the endpoint ``one`` and the answers that it sends."""
+    endpoints = test_retries.FakeEndpoints({"one": answer_after, "two": answer_after})
+    monkeypatch.setattr(
+        endpoint_connections, "open_connection", endpoints.open_connection
+    )
+    node_gateway = test_retries.make_gateway()
+    answers = []
+    forwarder = forwarding.Forwarder(
+        gateway=node_gateway,
+        host="holder",
+        send=lambda host, address, message: answers.append(message),
+        reset=lambda address: None,
+    )
+    node_gateway.forwarder = forwarder
+    return forwarder, answers
+
+
+def make_write(unit: int = 1) -> forward_messages.Forward:
+    return forward_messages.Forward(
+        unit=unit,
+        step=1,
+        endpoint="one",
+        database="db",
+        rank=0,
+        version=1,
+        remaining=0.8,
+        values=[],
+        shape=None,
+        head=b"",
+        tail=b"",
+    )
+
+
+async def wait_for_answer(answers: list) -> forward_messages.Forwarded:
+    async with asyncio.timeout(2.0):
+        while not answers:
+            await asyncio.sleep(0.005)
+    return answers[0]
+
+
+def test_a_write_without_a_direct_grant_is_not_sent(monkeypatch):
+    async def scenario():
+        forwarder, answers = make_holder(monkeypatch, 0.01)
+        now = clocks.read_clock()
+        forwarder.gateway.board.primary_grants["db"] = blackboard.PrimaryGrant(
+            endpoint="one", term=1, version=1, valid_until=now + 9, direct_until=now
+        )
+        forwarder.receive_forward(make_write(), "entry", "entry:1")
+        answer = await wait_for_answer(answers)
+        assert (answer.failure, answer.sent) == (forwarding.NOT_PRIMARY_REASON, False)
+
+    asyncio.run(scenario())
+
+
+def test_a_write_whose_grant_ended_before_its_answer_is_unknown(monkeypatch):
+    """The entry node has no grant of its own that would tell it."""
+
+    async def scenario():
+        forwarder, answers = make_holder(monkeypatch, 0.2)
+        test_retries.grant_primary(forwarder.gateway, "one", 1)
+        forwarder.receive_forward(make_write(), "entry", "entry:1")
+        await asyncio.sleep(0.1)
+        assert forwarder.gateway.has_open_writes("db", 1)
+        del forwarder.gateway.board.primary_grants["db"]
+        answer = await wait_for_answer(answers)
+        assert (answer.failure, answer.sent) == (forwarding.NOT_PRIMARY_REASON, True)
+        assert not forwarder.gateway.has_open_writes("db", 1)
+
+    asyncio.run(scenario())
+
+
+def test_an_unexpected_error_of_forwarded_work_is_answered(monkeypatch):
+    """Guards against an entry node that waits for an answer until its deadline."""
+
+    async def scenario():
+        forwarder, answers = make_holder(monkeypatch, 0.01)
+        test_retries.grant_primary(forwarder.gateway, "one", 1)
+
+        async def fail(*_, **__):
+            raise KeyError("defect")
+
+        forwarder.gateway.acquire_from = fail
+        forwarder.receive_forward(make_write(), "entry", "entry:1")
+        answer = await wait_for_answer(answers)
+        assert answer.failure and answer.sent
+
+    asyncio.run(scenario())
--- a/hyssopshelf/gateway/transactions.py
+++ b/hyssopshelf/gateway/transactions.py
@@ -57,7 +57,10 @@
             return checkout
     commits_writes = commit and transaction.wrote
     if (commits_writes or writes) and not execution.can_acknowledge(
-        session.gateway, transaction.route.database, transaction.grant_version
+        session.gateway,
+        transaction.route.database,
+        transaction.grant_version,
+        transaction.connection.direct,
     ):
         if checkout is not None:
             transaction.pool.release_slot(checkout)
@@ -120,7 +123,7 @@
         session.trace.add(pool.endpoint.id, reply.error.value)
     elif transaction.grant_version:
         execution.record_observation(
-            gateway, pool, transaction.grant_version, reply, sent_at
+            gateway, connection, transaction.grant_version, reply, sent_at
         )
     return reply
 
--- a/hyssopshelf/membership/balancing.py
+++ b/hyssopshelf/membership/balancing.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from hyssopshelf import base, logs, messages
+from hyssopshelf import base, envelopes, logs
 from hyssopshelf.membership import placement, transitions
 
 REVIEW_SECONDS = 10.0
@@ -63,7 +63,7 @@
     reviewed_at: float | None = None
 
 
-@messages.register("placement.offer")
+@envelopes.register("placement.offer")
 @attrs.frozen(kw_only=True)
 class Offer:
     """Asks the next host in the ranking of an endpoint to serve it."""
@@ -73,7 +73,7 @@
     sender_load: float
 
 
-@messages.register("placement.offered")
+@envelopes.register("placement.offered")
 @attrs.frozen(kw_only=True)
 class OfferAnswer:
     """Accepts or refuses an offer."""
--- a/hyssopshelf/membership/protocol.py
+++ b/hyssopshelf/membership/protocol.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from hyssopshelf import messages
+from hyssopshelf import envelopes
 from hyssopshelf.membership import gossip
 
 
@@ -103,7 +103,7 @@
     readers: dict[str, Readers] = attrs.field(factory=dict)
 
 
-@messages.register("membership.probe")
+@envelopes.register("membership.probe")
 @attrs.frozen(kw_only=True)
 class ProbeHost:
     """Asks a host for an acknowledgement; sequence 0 is not tracked."""
@@ -114,7 +114,7 @@
     digests: bytes
 
 
-@messages.register("membership.acknowledge")
+@envelopes.register("membership.acknowledge")
 @attrs.frozen(kw_only=True)
 class Acknowledge:
     """Answers a probe."""
@@ -125,7 +125,7 @@
     digests: bytes
 
 
-@messages.register("membership.relay")
+@envelopes.register("membership.relay")
 @attrs.frozen(kw_only=True)
 class RelayProbe:
     """Asks a host to probe the target and to relay the acknowledgement."""
@@ -136,7 +136,7 @@
     rows: tuple[gossip.Row, ...]
 
 
-@messages.register("membership.news")
+@envelopes.register("membership.news")
 @attrs.frozen(kw_only=True)
 class News:
     """Carries changes without waiting for the next probe."""
@@ -145,7 +145,7 @@
     rows: tuple[gossip.Row, ...]
 
 
-@messages.register("membership.join")
+@envelopes.register("membership.join")
 @attrs.frozen(kw_only=True)
 class Join:
     """Asks for all hosts that the receiver knows."""
@@ -153,7 +153,7 @@
     sender: gossip.Row
 
 
-@messages.register("membership.pull")
+@envelopes.register("membership.pull")
 @attrs.frozen(kw_only=True)
 class PullBuckets:
     """Asks for the hosts in the given digest buckets."""
@@ -162,7 +162,7 @@
     buckets: tuple[int, ...]
 
 
-@messages.register("membership.table")
+@envelopes.register("membership.table")
 @attrs.frozen(kw_only=True)
 class Table:
     """Lists the hosts in the given buckets that the sender does not consider dead."""
@@ -173,7 +173,7 @@
     regions: dict[str, str]
 
 
-@messages.register("membership.leaving")
+@envelopes.register("membership.leaving")
 @attrs.frozen(kw_only=True)
 class LeavingNotice:
     """Tells a host whether the host list marks it as leaving."""
--- a/hyssopshelf/membership/tests/test_hosts.py
+++ b/hyssopshelf/membership/tests/test_hosts.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from benchmarks import fleet as fleets
-from hyssopshelf import base, kvstore, logs, messages
+from hyssopshelf import base, envelopes, kvstore, logs
 from hyssopshelf.membership import gossip, hosts, protocol, records, transitions
 
 DETECTION_SECONDS = 12.0
@@ -275,8 +275,8 @@
     table = protocol.Table(
         sender=row, buckets=(1, 2), rows=(row, row), regions={"p0": "r0"}
     )
-    envelope = messages.Envelope(host="h", address="a", message=table)
-    assert messages.decode(messages.encode(envelope)) == envelope
+    envelope = envelopes.Envelope(host="h", address="a", message=table)
+    assert envelopes.decode(envelopes.encode(envelope)) == envelope
 
 
 @hypothesis.settings(
--- a/hyssopshelf/messages.py
+++ b/hyssopshelf/messages.py
@@ -1,109 +1,23 @@
-"""Define statements and answers, and encode messages between nodes."""
+"""Define statements and answers, and convert them to and from JSON."""
 
 import enum
-from collections.abc import Callable
+import functools
 from typing import TypeVar
 
 import attrs
-import msgpack
-from cattrs.preconf import msgpack as msgpack_converter
-from cattrs.preconf import orjson as orjson_converter
 
-from hyssopshelf import exceptions
-
-_CONVERTER = msgpack_converter.make_converter(omit_if_default=True)
-_JSON_CONVERTER = orjson_converter.make_converter(omit_if_default=True)
-_CLASSES: dict[str, type] = {}
-_NAMES: dict[type, str] = {}
-
-MAXIMUM_MESSAGE_BYTES = 4 * 1024 * 1024
-"""Largest message between nodes, in bytes; the largest document has 1 MB."""
+from hyssopshelf import envelopes, exceptions
 
 T = TypeVar("T")
 
 
-def register(name: str) -> Callable[[type[T]], type[T]]:
-    """Return a decorator that registers a message class under its wire name.
-
-    Raises
-    ------
-    ValueError
-        If another class is registered under the name, when the decorator is applied.
-    """
-
-    def add(message_class: type[T]) -> type[T]:
-        if name in _CLASSES:
-            raise ValueError(f"message name {name} is registered twice")
-        _CLASSES[name] = message_class
-        _NAMES[message_class] = name
-        return message_class
-
-    return add
-
-
-@attrs.frozen(kw_only=True)
-class Envelope:
-    """A message with the host and address of its sender.
-
-    Attributes
-    ----------
-    host : str
-        Name of the sending host.
-    address : str
-        Address on which the sender's node listens for peers.
-    message : object
-        Object of a registered message class.
-    """
-
-    host: str
-    address: str
-    message: object
-
-
-def encode(envelope: Envelope) -> bytes:
-    """Encode an envelope as msgpack; message fields with their default are omitted."""
-    message = envelope.message
-    body = _CONVERTER.unstructure(message)
-    name = _NAMES[type(message)]
-    return msgpack.packb([envelope.host, envelope.address, name, body])
-
+@functools.cache
+def _make_converter(name: str):
+    # Imported late: nodes of the platform need no converter, and the import takes a
+    # tenth of their start.
+    from cattrs.preconf import msgpack, orjson
 
-def decode(data: bytes) -> Envelope:
-    """Decode an envelope.
-
-    Raises
-    ------
-    CodecError
-        If the data is not a complete message of a registered class.
-    """
-    try:
-        host, address, name, body = msgpack.unpackb(data, strict_map_key=False)
-        message = _CONVERTER.structure(body, _CLASSES[name])
-    except Exception as error:
-        raise exceptions.CodecError(f"undecodable message: {error!r}") from error
-    return Envelope(host=host, address=address, message=message)
-
-
-def join_batch(parts: list[bytes]) -> bytes:
-    """Encode a list of encoded envelopes as one batch."""
-    return msgpack.packb(parts)
-
-
-def split_batch(data: bytes) -> list[bytes]:
-    """Split a batch into encoded envelopes.
-
-    Raises
-    ------
-    CodecError
-        If the data is not a complete batch.
-    """
-    try:
-        parts = msgpack.unpackb(data)
-    except Exception as error:
-        raise exceptions.CodecError(f"undecodable batch: {error!r}") from error
-    if not isinstance(parts, list) or not all(isinstance(p, bytes) for p in parts):
-        raise exceptions.CodecError("undecodable batch: not a list of messages")
-    return parts
+    return {"plain": msgpack, "json": orjson}[name].make_converter(omit_if_default=True)
 
 
 def structure(data: object, target: type[T]) -> T:
@@ -115,19 +29,19 @@
         If the data does not fit the class.
     """
     try:
-        return _CONVERTER.structure(data, target)
+        return _make_converter("plain").structure(data, target)
     except Exception as error:
         raise exceptions.CodecError(f"malformed {target.__name__}") from error
 
 
 def unstructure(value: object) -> object:
     """Convert an attrs object to plain data; fields with their default are omitted."""
-    return _CONVERTER.unstructure(value)
+    return _make_converter("plain").unstructure(value)
 
 
 def to_json(value: object) -> bytes:
     """Encode an attrs object as JSON; fields with their default are omitted."""
-    return _JSON_CONVERTER.dumps(value)
+    return _make_converter("json").dumps(value)
 
 
 def from_json(data: str | bytes, target: type[T]) -> T:
@@ -139,7 +53,7 @@
         If the data is not JSON or does not fit the class.
     """
     try:
-        return _JSON_CONVERTER.loads(data, target)
+        return _make_converter("json").loads(data, target)
     except Exception as error:
         raise exceptions.CodecError(f"malformed {target.__name__}") from error
 
@@ -368,7 +282,7 @@
     status: EndpointStatus
 
 
-@register("statements.forward")
+@envelopes.register("statements.forward")
 @attrs.frozen(kw_only=True)
 class ForwardStatement:
     """Ask the serving node to run a statement.
@@ -385,7 +299,7 @@
     term: int = 0
 
 
-@register("statements.served")
+@envelopes.register("statements.served")
 @attrs.frozen(kw_only=True)
 class ServedAnswer:
     """The serving node's answer to a forwarded statement.
@@ -432,7 +346,7 @@
     confirmed: bool = False
 
 
-@register("statements.cancel")
+@envelopes.register("statements.cancel")
 @attrs.frozen(kw_only=True)
 class CancelStatement:
     """Cancel a forwarded statement whose caller disconnected."""
--- a/hyssopshelf/node.py
+++ b/hyssopshelf/node.py
@@ -6,7 +6,7 @@
 
 import random
 
-from hyssopshelf import base, blackboard, logs
+from hyssopshelf import base, blackboard, logs, peer_events
 from hyssopshelf.configuration import controller
 from hyssopshelf.connections import pool
 from hyssopshelf.failover import confirmation, detection, leases, promotion
@@ -140,13 +140,13 @@
 
 
 @base.handle.register
-def handle_peer(event: base.PeerReceived, board, now) -> None:
+def handle_peer(event: peer_events.PeerReceived, board, now) -> None:
     """Dispatch a message of another node to its controller."""
     base.receive(event.message, board, event.host, now)
 
 
 @base.handle.register
-def handle_refused(event: base.MessageRefused, board, now) -> None:
+def handle_refused(event: peer_events.MessageRefused, board, now) -> None:
     """Log a message that could not be decoded."""
     board.log(logs.LogEvent.MESSAGE_DROPPED, reason=event.reason)
 
--- /dev/null
+++ b/hyssopshelf/peer_events.py
@@ -0,0 +1,29 @@
+"""Events of the transport between nodes."""
+
+from typing import Any
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class PeerReceived:
+    """A message of another node arrived; ``address`` is where that node listens."""
+
+    host: str
+    message: Any
+    address: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class MessageRefused:
+    """A message of another node could not be decoded and was dropped."""
+
+    reason: str
+
+
+@attrs.frozen(kw_only=True)
+class PeerUnsent:
+    """A message could not be sent; the peer cannot have received it."""
+
+    host: str
+    message: Any
--- a/hyssopshelf/runtime/engine.py
+++ b/hyssopshelf/runtime/engine.py
@@ -8,7 +8,7 @@
 import result
 import tornado.ioloop
 
-from hyssopshelf import base, exceptions, logs, node
+from hyssopshelf import base, exceptions, logs, node, peer_events
 from hyssopshelf.membership import hosts
 from hyssopshelf.runtime import endpoints, peers
 
@@ -165,7 +165,7 @@
     # the addresses of the host list or its settings.
     address = record.address if record is not None else action.host
     if ":" not in address:
-        event = base.PeerUnsent(host=action.host, message=action.message)
+        event = peer_events.PeerUnsent(host=action.host, message=action.message)
         tornado.ioloop.IOLoop.current().add_callback(engine.emit, event)
         return
     engine.peers.send(action.host, address, action.message)
--- a/hyssopshelf/runtime/peers.py
+++ b/hyssopshelf/runtime/peers.py
@@ -12,7 +12,7 @@
 import attrs
 import pynng
 
-from hyssopshelf import base, exceptions, messages
+from hyssopshelf import envelopes, exceptions, peer_events
 
 MAXIMUM_DIALERS = 512
 """Maximum number of open dialers; beyond it the least recently used is closed."""
@@ -63,7 +63,7 @@
         """Open the inbox and receive from it on the running event loop."""
         self._inbox = pynng.Pull0(
             listen=f"tcp://{self.address}",
-            recv_max_size=messages.MAXIMUM_MESSAGE_BYTES,
+            recv_max_size=envelopes.MAXIMUM_MESSAGE_BYTES,
             recv_buffer_size=128,
         )
         loop = asyncio.get_running_loop()
@@ -71,10 +71,10 @@
 
     def send(self, host: str, address: str, message) -> None:
         """Send a message; emit PeerUnsent if it cannot be sent."""
-        envelope = messages.Envelope(
+        envelope = envelopes.Envelope(
             host=self.host, address=self.address, message=message
         )
-        data = messages.encode(envelope)
+        data = envelopes.encode(envelope)
         dialer = self._dialers.get(address)
         if dialer is None:
             dialer = Dialer(address=address, emit=self.emit)
@@ -121,21 +121,21 @@
                 return
             self.received_bytes += len(data)
             try:
-                parts = messages.split_batch(data)
+                parts = envelopes.split_batch(data)
             except exceptions.CodecError as error:
-                self.emit(base.MessageRefused(reason=str(error)))
+                self.emit(peer_events.MessageRefused(reason=str(error)))
                 continue
             for part in parts:
                 self._receive_part(part)
 
     def _receive_part(self, part: bytes) -> None:
         try:
-            envelope = messages.decode(part)
+            envelope = envelopes.decode(part)
         except exceptions.CodecError as error:
-            self.emit(base.MessageRefused(reason=str(error)))
+            self.emit(peer_events.MessageRefused(reason=str(error)))
             return
         self.emit(
-            base.PeerReceived(
+            peer_events.PeerReceived(
                 host=envelope.host,
                 message=envelope.message,
                 address=envelope.address,
@@ -216,7 +216,7 @@
         self._scheduled = False
         while self._unsent and self._socket is not None:
             batch = self._choose_batch()
-            data = messages.join_batch([item.data for item in batch])
+            data = envelopes.join_batch([item.data for item in batch])
             try:
                 self._socket.send(data, block=False)
             except pynng.TryAgain:
@@ -260,5 +260,5 @@
         asyncio.get_running_loop().remove_reader(self._socket.send_fd)
 
     def _report(self, host: str, message) -> None:
-        event = base.PeerUnsent(host=host, message=message)
+        event = peer_events.PeerUnsent(host=host, message=message)
         asyncio.get_running_loop().call_soon(self.emit, event)
--- a/hyssopshelf/runtime/tests/test_peers.py
+++ b/hyssopshelf/runtime/tests/test_peers.py
@@ -5,7 +5,7 @@
 import pytest
 import tornado.netutil
 
-from hyssopshelf import base, exceptions, messages
+from hyssopshelf import envelopes, exceptions, messages, peer_events
 from hyssopshelf.runtime import peers
 
 
@@ -58,7 +58,7 @@
         sender.send("h2", second, make_message(1))
         await wait_for(events, 1)
         sender.close()
-        assert events == [base.PeerUnsent(host="h2", message=make_message(1))]
+        assert events == [peer_events.PeerUnsent(host="h2", message=make_message(1))]
 
     asyncio.run(scenario())
 
@@ -67,7 +67,7 @@
 def test_damaged_batch_is_refused(data):
     """Guards against a truncated batch that is accepted as complete messages."""
     with pytest.raises(exceptions.CodecError):
-        messages.split_batch(data)
+        envelopes.split_batch(data)
 
 
 def test_stalled_connection_is_reset_after_its_minimum_age(monkeypatch):
--- a/hyssopshelf/scheduling/accounts.py
+++ b/hyssopshelf/scheduling/accounts.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from hyssopshelf import exceptions, messages
+from hyssopshelf import envelopes, exceptions, messages
 
 RETENTION_WRITES = 1440
 """Writes of the document (a day at one a minute) for which the account of a host
@@ -46,7 +46,7 @@
     changed: int = 0
 
 
-@messages.register("scheduling.account")
+@envelopes.register("scheduling.account")
 @attrs.frozen(kw_only=True)
 class AccountCopy:
     """Part of an account in the form that is sent to another node.
--- a/hyssopshelf/scheduling/billing.py
+++ b/hyssopshelf/scheduling/billing.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from hyssopshelf import base, logs, messages
+from hyssopshelf import base, envelopes, logs
 from hyssopshelf.membership import records, rendezvous
 from hyssopshelf.scheduling import accounts, bill_writes, budgets, shares
 
@@ -36,7 +36,7 @@
 _LIVE = (records.HostState.ALIVE, records.HostState.SUSPECT)
 
 
-@messages.register("scheduling.folded")
+@envelopes.register("scheduling.folded")
 @attrs.frozen(kw_only=True)
 class FoldedNotice:
     """Notice that the accounts of a host up to an incarnation have been folded."""
--- a/hyssopshelf/scheduling/shares.py
+++ b/hyssopshelf/scheduling/shares.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from hyssopshelf import base, messages
+from hyssopshelf import base, envelopes
 from hyssopshelf.scheduling import budgets
 
 PERIOD_SECONDS = 1.0
@@ -44,7 +44,7 @@
 endpoints keeps part of each endpoint, as its work here may be urgent."""
 
 
-@messages.register("scheduling.usage")
+@envelopes.register("scheduling.usage")
 @attrs.frozen(kw_only=True)
 class UsageReport:
     """Report of the recent usage of a pool at one serving node.
@@ -316,7 +316,7 @@
 def encoded_bytes(board, message: object) -> int:
     """Return the encoded size of a message with its envelope, in bytes."""
     identity = board.identity
-    envelope = messages.Envelope(
+    envelope = envelopes.Envelope(
         host=identity.host, address=identity.address, message=message
     )
-    return len(messages.encode(envelope))
+    return len(envelopes.encode(envelope))
--- a/hyssopshelf/statements/entry.py
+++ b/hyssopshelf/statements/entry.py
@@ -4,7 +4,7 @@
 endpoint, and routes it again if it did not run.
 """
 
-from hyssopshelf import base, blackboard, exceptions, logs, messages
+from hyssopshelf import base, blackboard, exceptions, logs, messages, peer_events
 from hyssopshelf.consistency import routing, tokens
 from hyssopshelf.membership import hosts, placement
 from hyssopshelf.scheduling import limits
@@ -75,7 +75,7 @@
 
 
 @base.handle.register
-def handle_unsent(event: base.PeerUnsent, board, now) -> None:
+def handle_unsent(event: peer_events.PeerUnsent, board, now) -> None:
     """Suspect the host and park the statement whose message was not sent.
 
     The serving node cannot have received the statement, so it may run elsewhere.
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from hyssopshelf import exceptions, messages
+from hyssopshelf import envelopes, exceptions, messages
 
 STATEMENT = messages.Statement(
     id="1",
@@ -21,19 +21,19 @@
     required=messages.Position(term=2, index=9),
     remaining_seconds=1.5,
 )
-ENVELOPE = messages.Envelope(host="h1", address="127.0.0.1:1", message=FORWARD)
+ENVELOPE = envelopes.Envelope(host="h1", address="127.0.0.1:1", message=FORWARD)
 
 
 def test_envelope_survives_the_wire():
     """Guards against fields that are lost or change type between two nodes."""
-    assert messages.decode(messages.encode(ENVELOPE)) == ENVELOPE
+    assert envelopes.decode(envelopes.encode(ENVELOPE)) == ENVELOPE
 
 
 @pytest.mark.parametrize("end", [0, 1, 10, -1])
 def test_truncated_message_is_refused(end):
     """Guards against decoding a truncated message as a complete one."""
     with pytest.raises(exceptions.CodecError):
-        messages.decode(messages.encode(ENVELOPE)[:end])
+        envelopes.decode(envelopes.encode(ENVELOPE)[:end])
 
 
 def test_every_error_kind_has_a_disposition():
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -6,7 +6,15 @@
 import attrs
 import pytest
 
-from hyssopshelf import base, blackboard, exceptions, messages, node
+from hyssopshelf import (
+    base,
+    blackboard,
+    envelopes,
+    exceptions,
+    messages,
+    node,
+    peer_events,
+)
 from hyssopshelf.configuration import application, resources
 from hyssopshelf.standins import database
 
@@ -95,15 +103,15 @@
             case base.Reply():
                 self.answers[action.caller] = action.answer
             case base.SendPeer():
-                envelope = messages.Envelope(
+                envelope = envelopes.Envelope(
                     host=host, address="", message=action.message
                 )
-                encoded = messages.encode(envelope)
+                encoded = envelopes.encode(envelope)
                 self.schedule(
                     lambda: self.handle(
                         action.host,
-                        base.PeerReceived(
-                            host=host, message=messages.decode(encoded).message
+                        peer_events.PeerReceived(
+                            host=host, message=envelopes.decode(encoded).message
                         ),
                     )
                 )
