Count the coordinator's majority only where a member's part in it changes

Cause: each ping counted all members and sorted their promises, a square of the fleet in each second, and a member that had just started was sent the list of all members before what its clients need. Change: the count is updated before and after a member's part changes, so a gap that ends with a ping is still noticed; authority confirmed by the store needs no promises; the first list of members is sent after 3 s. A test of grants let all pings pause for 2 s and relied on that gap not being noticed; it now lets one member ping throughout.

--- a/hyssopshelf/authority/grants.py
+++ b/hyssopshelf/authority/grants.py
@@ -41,8 +41,8 @@
         Connections that the member could use, by endpoint.
     sent_shares : dict or None
         Shares of connections that the member was sent last.
-    list_sent_at : float
-        Time at which the member was sent the list of members last.
+    list_due_at : float
+        Time from which the member is sent a new list of members.
     former_incarnations : frozenset of int
         Earlier processes of the host; a late message of one of them is ignored.
     reported_releases : dict of str to int
@@ -65,7 +65,7 @@
     capacity: float = DEFAULT_CAPACITY
     sent_shares: dict | None = None
     former_incarnations: frozenset[int] = frozenset()
-    list_sent_at: float = float("-inf")
+    list_due_at: float = float("-inf")
     reported_releases: dict[str, int] = attrs.field(factory=dict)
 
 
@@ -113,10 +113,21 @@
 
     def has_authority(self, now: float) -> bool:
         """Return whether no other coordinator can have changed an assignment."""
+        # Avoids the sorting of all promises for each ping.
+        if now < self.confirmed_at + timing.AUTHORITY_SECONDS:
+            return True
         return now < self.find_authority_end()
 
     def record_ping(self, member: MemberState, ping, follows: bool, now: float):
-        """Apply a ping; ``follows`` if it carries this coordinator's epoch."""
+        """Apply a ping; ``follows`` if it carries this coordinator's epoch.
+
+        The majority is counted only if this member's part in it changes, before and
+        after the change, so that no gap is missed and most pings cost the same in
+        fleets of any size.
+        """
+        follower = self._is_follower(member, now)
+        if not follower:
+            self.update_majority(now)
         member.heard_at = now
         member.follows = follows
         member.draining = ping.draining
@@ -131,7 +142,11 @@
             member.promised_until = (
                 sent_after + timing.PROMISE_SECONDS - timing.CLOCK_MARGIN_SECONDS
             )
-        self.update_majority(now)
+        if not follower or not follows:
+            self.update_majority(now)
+
+    def _is_follower(self, member: MemberState, now: float) -> bool:
+        return member.follows and now - member.heard_at < timing.PROMISE_SECONDS
 
     def update_majority(self, now: float) -> None:
         """Update the time since which a majority of the members has followed.
@@ -139,9 +154,7 @@
         This node counts as a follower; a member does while its pings arrive.
         """
         followers = 1 + sum(
-            1
-            for state in self.members.values()
-            if state.follows and now - state.heard_at < timing.PROMISE_SECONDS
+            1 for state in self.members.values() if self._is_follower(state, now)
         )
         if 2 * followers <= len(self.members) + 1:
             self.majority_since = float("inf")
--- a/hyssopshelf/authority/registration.py
+++ b/hyssopshelf/authority/registration.py
@@ -16,6 +16,10 @@
 """Pause in which hosts that start at the same time are collected for one transaction,
 in seconds."""
 
+FIRST_LIST_SECONDS = 3.0
+"""Time after its first ping at which a member is sent the list of members, in seconds.
+When a whole fleet starts, what clients need goes first."""
+
 
 class MemberRegistry:
     """Adds and removes members for one coordinator.
@@ -83,6 +87,7 @@
             place=record.place,
             capacity=record.capacity or grants.DEFAULT_CAPACITY,
             heard_at=clocks.read_clock(),
+            list_due_at=clocks.read_clock() + FIRST_LIST_SECONDS,
             former_incarnations=former_incarnations,
         )
         logs.write(
@@ -167,9 +172,9 @@
         pause = timing.MEMBER_LIST_SECONDS_PER_MEMBER * len(
             self.coordinator.grant_table.members
         )
-        if host not in self.coordinator.successors and now < state.list_sent_at + pause:
+        if host not in self.coordinator.successors and now < state.list_due_at:
             return None
-        state.list_sent_at = now
+        state.list_due_at = now + pause
         return document_cache.members
 
 
--- a/hyssopshelf/authority/tests/test_grants.py
+++ b/hyssopshelf/authority/tests/test_grants.py
@@ -81,6 +81,9 @@
     assert table.find_grant_holders("db", 3, NOW + 0.1) == ["h1"]
     assert table.find_grant_holders("db", 4, NOW + 0.1) == ["h0", "h1"]
     expired = NOW + grants.GRANT_EXPIRY_SECONDS
+    for number in range(1, 6):
+        # This node and one member are a majority without a gap.
+        record_pings(table, 1, NOW + number * timing.PING_SECONDS)
     record_pings(table, 1, expired)
     assert table.find_grant_holders("db", 3, expired) == []
 
--- a/hyssopshelf/authority/tests/test_large_fleet.py
+++ b/hyssopshelf/authority/tests/test_large_fleet.py
@@ -156,6 +156,8 @@
     local_coordinator = make_coordinator(sent)
     add_members(local_coordinator)
     local_coordinator.choose_successors(clocks.read_clock())
+    for state in local_coordinator.grant_table.members.values():
+        state.list_due_at = clocks.read_clock()
     lists = dict.fromkeys(map(make_host, range(NODES)), 0)
     for _ in range(5):
         local_coordinator.local_member.document_cache.members_version += 1
@@ -302,3 +304,37 @@
     assert [steps.count(step) for step in range(max(steps) + 1)] == [
         1, 1, 1, 1, 2, 4, 8, 16, 32, 64, 65
     ]  # fmt: skip
+
+
+def test_a_ping_of_a_follower_does_not_count_the_whole_fleet(monkeypatch):
+    """Each ping counted all members, a square of the fleet in each second."""
+    counted = []
+    count = grants.GrantTable.update_majority
+
+    def update_majority(table, now):
+        counted.append(now)
+        count(table, now)
+
+    monkeypatch.setattr(grants.GrantTable, "update_majority", update_majority)
+    local_coordinator = make_coordinator([])
+    add_members(local_coordinator)
+    for _ in range(3):
+        for number in range(NODES):
+            local_coordinator.receive_ping(make_ping(number), make_host(number), "a:1")
+    assert len(counted) == 2 * NODES
+
+
+def test_a_gap_of_the_majority_is_noticed_when_members_return():
+    """It may have followed an interim coordinator meanwhile."""
+    now = 1000.0
+    table = grants.GrantTable(confirmed_at=now)
+    ping = make_ping(0)
+    for number in range(5):
+        host = make_host(number)
+        table.members[host] = grants.MemberState(host=host, address="", incarnation=7)
+        table.record_ping(table.members[host], ping, True, now)
+    assert table.majority_since == now
+    later = now + timing.PROMISE_SECONDS + 0.01
+    for state in table.members.values():
+        table.record_ping(state, ping, True, later)
+    assert table.majority_since == later
