Tell a former coordinator of its successor, and wait for its own grants

Its successor took over after 1.5 s, but had read the members from the store, where a coordinator of a new fleet is missing since members are registered by it. Change: a successor adds its predecessor to the members; the coordinator of a new fleet registers itself; a coordinator without authority asks the seeds and three members whom they follow. Tests: test_takeover.py and test_participant.py; the first two fail without the change.

--- a/hyssopshelf/authority/dispatch.py
+++ b/hyssopshelf/authority/dispatch.py
@@ -121,11 +121,13 @@
 def _apply_located(
     message: exchange.Located, participant, host: str, address: str
 ) -> None:
-    if (
-        participant.member.coordinator_record is not None
-        or message.host == participant.identity.host
+    known = participant.member.coordinator_record
+    if message.host == participant.identity.host or (
+        known is not None and message.epoch <= participant.member.epoch
     ):
         return
+    if participant.coordinator is not None:
+        participant.coordinator.stop("other nodes follow a newer coordinator")
     record = assignments.CoordinatorRecord(
         host=message.host,
         address=message.address,
--- a/hyssopshelf/authority/participant.py
+++ b/hyssopshelf/authority/participant.py
@@ -18,6 +18,9 @@
     timing,
 )
 
+MEMBERS_ASKED = 3
+"""Members that a node without a coordinator asks for it, beside the seeds."""
+
 MEMBER_READ_SECONDS = 6.0
 """Time between two reads of the registered members from the store."""
 
@@ -136,21 +139,33 @@
     def _ping(self) -> None:
         local_coordinator = self.coordinator
         if local_coordinator is not None and local_coordinator.active:
+            if not local_coordinator.has_authority(clocks.read_clock()):
+                self._ask_for_coordinator()
             return
         self.coordinator = None
         if self.member.coordinator_record is None:
-            for address in self.seeds:
-                self.send("", address, exchange.Locate())
+            self._ask_for_coordinator()
         self.member.ping()
 
+    def _ask_for_coordinator(self) -> None:
+        """Ask the seeds and some members which coordinator they follow."""
+        known = [
+            record.address
+            for record in self.member.members.values()
+            if record.host != self.identity.host
+        ]
+        asked = random.sample(known, min(len(known), MEMBERS_ASKED))
+        for address in {*self.seeds, *asked}:
+            self.send("", address, exchange.Locate())
+
     async def _register(self) -> None:
         """Write this node's registration to the store.
 
-        At the first start of the fleet the coordinator registers the members.
+        At the first start of the fleet the coordinator registers the others.
         """
         if self._bootstrap:
             await asyncio.sleep(timing.BOOTSTRAP_REGISTRATION_SECONDS)
-            if self.member.answered_at > 0.0:
+            if self.coordinator is None and self.member.answered_at > 0.0:
                 return
         else:
             await asyncio.sleep(timing.REGISTRATION_DELAY_SECONDS)
@@ -188,6 +203,8 @@
         local_coordinator.grant_table.confirmed_at = now
         if current is not None:
             local_coordinator.grant_table.predecessor_ended_at = now
+            if current.host != self.identity.host:
+                local_coordinator.registry.add_predecessor(current)
         self._adopt_coordinator(local_coordinator, reason)
         local_coordinator.run_in_background(renewal.renew(local_coordinator))
         local_coordinator.run_in_background(self._coordinate(local_coordinator))
--- a/hyssopshelf/authority/registration.py
+++ b/hyssopshelf/authority/registration.py
@@ -96,6 +96,16 @@
         )
         self.publish()
 
+    def add_predecessor(self, current: assignments.CoordinatorRecord) -> None:
+        """Add the earlier coordinator, whose own grants may still be valid."""
+        self.add(
+            assignments.MemberRecord(
+                host=current.host,
+                address=current.address,
+                incarnation=current.incarnation,
+            )
+        )
+
     async def remove_silent(self) -> None:
         """Remove the registrations of members that have stopped pinging.
 
--- a/hyssopshelf/authority/tests/test_participant.py
+++ b/hyssopshelf/authority/tests/test_participant.py
@@ -134,3 +134,22 @@
         assert calls == ["allocated", "announced", "renewed"]
 
     asyncio.run(scenario())
+
+
+def test_the_coordinator_of_a_new_fleet_registers_itself(monkeypatch):
+    """Nobody else does, and a later coordinator must know it as a member."""
+    monkeypatch.setattr(timing, "BOOTSTRAP_REGISTRATION_SECONDS", 0.01)
+
+    async def scenario(coordinates: bool) -> bool:
+        store = FakeStore()
+        node = make_participant(store, 2.0)
+        node._bootstrap = True
+        node.member.answered_at = clocks.read_clock()
+        if coordinates:
+            await node.candidate.try_take_over(election.ABSENT)
+        await node._register()
+        node.stop()
+        return assignments.MEMBER_PREFIX + "h" in store.entries
+
+    assert asyncio.run(scenario(True))
+    assert not asyncio.run(scenario(False))
--- a/hyssopshelf/authority/tests/test_takeover.py
+++ b/hyssopshelf/authority/tests/test_takeover.py
@@ -135,3 +135,54 @@
     assert pauses == sorted(pauses)
     assert pauses[0] == timing.PING_SECONDS
     assert pauses[-1] == timing.MAXIMUM_ATTEMPT_PAUSE_SECONDS
+
+
+def make_coordinating_node(store) -> participant.Participant:
+    """Return a node that replaced the coordinator ``h17``."""
+    node = make_node(store, reached=0)
+    record = assignments.CoordinatorRecord(
+        host="h0", address="h0:1", incarnation=5, epoch=2000, lease=1
+    )
+    node.start_coordinating(record, 7, node.member.coordinator_record, "test")
+    return node
+
+
+def test_a_successor_waits_for_the_grants_of_a_coordinator_that_is_not_registered():
+    """A coordinator that registers only other nodes is missing in the store."""
+
+    async def scenario():
+        node = make_coordinating_node(SilentStore())
+        table = node.coordinator.grant_table
+        assert table.find_grant_holders("db", 1, clocks.read_clock()) == ["h17"]
+        node.stop()
+
+    asyncio.run(scenario())
+
+
+def test_a_coordinator_without_authority_asks_others_and_follows():
+    """It refused its clients for seconds: its successor had no way to tell it."""
+
+    async def scenario():
+        node = make_coordinating_node(SilentStore())
+        asked = []
+        node.send = lambda host, address, message: asked.append((address, message))
+        node._ping()
+        assert not asked
+        node.coordinator.grant_table.confirmed_at -= 60.0
+        node._ping()
+        assert {type(message) for _, message in asked} == {exchange.Locate}
+        assert 0 < len(asked) <= participant.MEMBERS_ASKED
+        located = exchange.Located(
+            host="h3", address="h3:1", incarnation=1, epoch=node.member.epoch
+        )
+        node.receive("h5", "h5:1", located)
+        assert node.coordinator.active
+        located = exchange.Located(
+            host="h3", address="h3:1", incarnation=1, epoch=node.member.epoch + 1000
+        )
+        node.receive("h5", "h5:1", located)
+        assert not node.coordinator.active
+        assert node.member.coordinator_record.host == "h3"
+        node.stop()
+
+    asyncio.run(scenario())
