Pass the reason of a holder's refusal on to the trail of the request

Cause: on the large site a third of the refused requests end with 'refused' and an empty detail: the holder's reason was not passed on, and the holder wrote no line, so no log led from the request's id to its cause. Change: the trail names reason, holder and unit of work; the holder writes event 118 with entry node and unit, bounded like the other lines about requests.

--- a/hyssopshelf/gateway/execution.py
+++ b/hyssopshelf/gateway/execution.py
@@ -113,9 +113,11 @@
 
 
 def describe_error(reply: statements.Reply, position) -> str:
-    """Return an endpoint's error; for a lagging replica with both positions."""
+    """Return an error; for a lagging replica with both positions."""
     if reply.error is _KIND.BEHIND and position is not None and reply.position:
         return f"behind (needs {position}, holds {reply.position})"
+    if reply.error is _KIND.REFUSED:
+        return f"refused ({reply.detail.decode(errors='replace')})"
     return reply.error.value
 
 
--- a/hyssopshelf/gateway/forward_messages.py
+++ b/hyssopshelf/gateway/forward_messages.py
@@ -50,6 +50,8 @@
     ----------
     failure : str
         Reason why there is no reply, empty if there is one.
+    reason : str
+        Why the holder refused the work, empty if it did not.
     sent : bool
         Whether the message may have reached the endpoint.
     """
@@ -57,6 +59,7 @@
     unit: int
     step: int
     failure: str = ""
+    reason: str = ""
     sent: bool = True
     rows: list[bytes] = attrs.field(factory=list)
     signature: bytes = b""
--- a/hyssopshelf/gateway/forwarding.py
+++ b/hyssopshelf/gateway/forwarding.py
@@ -149,7 +149,7 @@
             self.pinned = False
             self.close()
             raise endpoint_connections.EndpointConnectionError(
-                answer.failure,
+                self._name_holder(answer.failure),
                 sent=answer.sent,
                 endpoint_fault=answer.failure != NOT_PRIMARY_REASON,
             )
@@ -158,7 +158,11 @@
             rows=answer.rows,
             signature=answer.signature,
             error=_KIND(answer.error) if answer.error else None,
-            detail=answer.detail,
+            detail=(
+                self._name_holder(answer.reason).encode()
+                if answer.reason
+                else answer.detail
+            ),
             state=answer.state,
             position=(
                 statements.LogPosition(*answer.position)
@@ -167,6 +171,10 @@
             ),
         )
 
+    def _name_holder(self, reason: str) -> str:
+        """Add to a reason where the log tells more."""
+        return f"{reason} (holder {self.holder[0]}, unit {self.unit})"
+
 
 class RemotePool:
     """Replaces the pool of an endpoint whose connections other hosts hold.
@@ -338,7 +346,10 @@
             answer = await self._run(message, key)
         except connection_pools.RefusalError as refusal:
             answer = forward_messages.Forwarded(
-                unit=message.unit, step=message.step, error=refusal.kind.value
+                unit=message.unit,
+                step=message.step,
+                error=refusal.kind.value,
+                reason=refusal.reason,
             )
         except endpoint_connections.EndpointConnectionError as error:
             answer = forward_messages.Forwarded(
@@ -352,6 +363,18 @@
             answer = forward_messages.Forwarded(
                 unit=message.unit, step=message.step, failure=FAILED_REASON
             )
+        if answer.failure or answer.reason:
+            logs.write_request(
+                logs.LogEvent.FORWARD_FAILED,
+                {
+                    "entry": key[0],
+                    "unit": message.unit,
+                    "step": message.step,
+                    "endpoint": message.endpoint,
+                    "reason": answer.failure or answer.reason,
+                    "sent": answer.sent,
+                },
+            )
         self.send(key[0], address, answer)
 
     async def _run(
--- a/hyssopshelf/gateway/tests/test_forwarding.py
+++ b/hyssopshelf/gateway/tests/test_forwarding.py
@@ -2,12 +2,17 @@
 
 import asyncio
 
-from hyssopshelf import clocks
+import attrs
+
+from hyssopshelf import clocks, exceptions
 from hyssopshelf.gateway import (
     blackboard,
+    connection_pools,
     endpoint_connections,
+    execution,
     forward_messages,
     forwarding,
+    session_state,
 )
 from hyssopshelf.gateway.tests import test_retries
 
@@ -84,6 +89,54 @@
     asyncio.run(scenario())
 
 
+def test_a_refusal_names_the_holder_and_its_reason(monkeypatch):
+    """Guards against a refused request whose cause no log tells."""
+
+    async def scenario():
+        forwarder, answers = make_holder(monkeypatch, 0.01)
+        written = []
+        monkeypatch.setattr(
+            forwarding.logs,
+            "write_request",
+            lambda event, fields: written.append(fields),
+        )
+        test_retries.grant_primary(forwarder.gateway, "one", 1)
+
+        async def refuse(*_, **__):
+            raise connection_pools.RefusalError(
+                exceptions.ErrorKind.REFUSED, "queue of the rank is full"
+            )
+
+        forwarder.gateway.acquire_from = refuse
+        forwarder.receive_forward(make_write(unit=7), "entry", "entry:1")
+        answer = await wait_for_answer(answers)
+        assert answer.reason == "queue of the rank is full"
+        assert written[0]["entry"] == "entry" and written[0]["unit"] == 7
+        remote = forwarding.RemoteConnection(
+            forwarder=forwarder,
+            endpoint=forwarder.gateway.board.endpoints["one"],
+            holder=("holder", "holder:1"),
+            rank=0,
+            version=1,
+        )
+        forwarder.send = lambda host, address, message: (
+            forwarder.receive_forwarded(
+                attrs.evolve(answer, unit=message.unit, step=message.step)
+            )
+        )
+        reply = await remote.run(
+            session_state.SessionState(),
+            None,
+            lambda name: b"",
+            clocks.read_clock() + 1.0,
+        )
+        assert execution.describe_error(reply, None) == (
+            f"refused (queue of the rank is full (holder holder, unit {remote.unit}))"
+        )
+
+    asyncio.run(scenario())
+
+
 def test_an_unexpected_error_of_forwarded_work_is_answered(monkeypatch):
     """Guards against an entry node that waits for an answer until its deadline."""
 
