Let a holder that drains finish the work of other nodes

Cause: a node stopped as soon as its own clients had left, although it ran statements and kept transactions of other nodes on its connections; it had also lost its direct grants 2 s after SIGTERM, since it was no holder any more.

--- a/hyssopshelf/authority/coordinator.py
+++ b/hyssopshelf/authority/coordinator.py
@@ -412,10 +412,15 @@
             for host in users:
                 found[host].append(database)
         count = len(self.local_member.assignments.databases)
-        self._direct = {
+        direct = {
             host: None if len(databases) == count else tuple(databases)
             for host, databases in found.items()
         }
+        # A node that drains finishes the transactions on its connections.
+        for state in self.grant_table.members.values():
+            if state.draining and state.host in self._direct:
+                direct[state.host] = self._direct[state.host]
+        self._direct = direct
 
     def _pick_shares(self, host: str) -> dict[str, int] | None:
         """Return a member's shares of connections unless it was sent them already."""
--- a/hyssopshelf/gateway/forwarding.py
+++ b/hyssopshelf/gateway/forwarding.py
@@ -261,6 +261,10 @@
         holders = self.holders.get(endpoint)
         return bool(holders) and all(host != self.host for host, _ in holders)
 
+    def is_working(self) -> bool:
+        """Return whether this node runs work or keeps transactions for others."""
+        return bool(self._tasks or self._pinned)
+
     def choose_holder(self, endpoint: str) -> tuple[str, str] | None:
         """Return the next holder, preferably one not avoided; None without one."""
         now = clocks.read_clock()
@@ -442,7 +446,7 @@
     async def _send_to_endpoint(
         self, message: forward_messages.Forward, connection, state, deadline
     ):
-        """Send the message on a connection; a release of the primary waits for it."""
+        """Send the message; a release of the primary waits for its answer."""
         shape = statements.Shape(*message.shape) if message.shape is not None else None
         if message.version:
             self.gateway.start_write(message.database, message.version)
@@ -471,20 +475,10 @@
             )
 
     def _check_primary(self, message: forward_messages.Forward, sent: bool) -> None:
-        """Check that this node has the primary grant that the work needs.
+        """Raise EndpointConnectionError without a grant that the work needs.
 
         The entry node need not have one, so this is checked before the message is
         sent and before its answer is passed on.
-
-        Parameters
-        ----------
-        sent : bool
-            Whether the message may have reached the endpoint.
-
-        Raises
-        ------
-        EndpointConnectionError
-            If this node has no valid grant.
         """
         if not message.version:
             return
