--- a/hyssopshelf/authority/timing.py
+++ b/hyssopshelf/authority/timing.py
@@ -80,9 +80,10 @@
 """Pause of a small host before it coordinates a fleet without a coordinator, so that
 a larger host can be first."""
 
-STORE_ANSWER_SECONDS = 0.5
+STORE_ANSWER_SECONDS = 0.25
 """Time for which a member whose inquiry a majority supported waits for the store
-before it coordinates without it. A healthy store answers within milliseconds."""
+before it coordinates without it. The store was asked at the same time as the members,
+and a healthy one answers within milliseconds."""
 
 MAXIMUM_ATTEMPT_PAUSE_SECONDS = 1.2
 """Maximum pause between two attempts to take over. It doubles with each failure, since
