Let members forget the holders of an earlier coordinator

Cause, found on reading the diff: the holders in an answer to a ping are compressed, but a coordinator that never chose any sent an empty text to a member that knew some. The member failed on it and did not apply the grants of the answer. This happens after a herd kill, when there are connections for all. Test: test_members_forget_the_holders_of_an_earlier_coordinator, which fails without the change.

--- a/benchmarks/faults/nodes.py
+++ b/benchmarks/faults/nodes.py
@@ -7,15 +7,8 @@
 import attrs
 
 from benchmarks.faults import clocks, endpoints, histories, network, store
-from hyssopshelf import (
-    base,
-    blackboard,
-    envelopes,
-    kvstore,
-    messages,
-    node,
-    peer_events,
-)
+from hyssopshelf import base, blackboard, envelopes, kvstore, messages, peer_events
+from hyssopshelf import node as core_node
 from hyssopshelf.membership import hosts
 
 OPEN_SECONDS = 0.010
@@ -83,7 +76,7 @@
     stopping: bool = False
     started_at: float = 0.0
     incarnation: int = 0
-    core: node.Node | None = None
+    core: core_node.Node | None = None
     in_flight: dict[str, str] = attrs.field(factory=dict)
     on_kill: list[Callable[[], None]] = attrs.field(factory=list)
     _deferred: list[base.Event] = attrs.field(factory=list)
@@ -108,9 +101,9 @@
             incarnation=self.incarnation,
         )
         seed = self.random.getrandbits(32)
-        self.core = node.Node(identity=identity, seed=seed, token_keys=TOKEN_KEYS)
+        self.core = core_node.Node(identity=identity, seed=seed, token_keys=TOKEN_KEYS)
         self.prepare(self)
-        self._schedule(node.TICK_SECONDS * self.random.random(), self._tick)
+        self._schedule(core_node.TICK_SECONDS * self.random.random(), self._tick)
         self._schedule(0.0, self._read_host_list)
 
     def kill(self) -> None:
@@ -221,7 +214,7 @@
         self.context.loop.call_later(delay, run)
 
     def _tick(self) -> None:
-        self._schedule(node.TICK_SECONDS, self._tick)
+        self._schedule(core_node.TICK_SECONDS, self._tick)
         if not self.paused:
             self.handle(base.Ticked())
 
--- a/hyssopshelf/authority/coordinator.py
+++ b/hyssopshelf/authority/coordinator.py
@@ -71,7 +71,7 @@
         self.successors: tuple[str, ...] = ()
         self.successors_version = 0
         self._direct: dict[str, tuple[str, ...] | None] = {}
-        self._encoded_holders = b""
+        self._encoded_holders = encode_holders({})
         self.registry = registration.MemberRegistry(coordinator=self)
         self._tasks = background.TaskSet(on_failure=self._stop_after_failure)
         self._had_authority = True
@@ -388,7 +388,7 @@
         if holders != self.holders:
             self.holders = holders
             self.holders_version = zlib.crc32(repr(sorted(holders.items())).encode())
-            self._encoded_holders = zlib.compress(msgpack.packb(holders), 1)
+            self._encoded_holders = encode_holders(holders)
             local_member.apply_holders(holders, self.holders_version)
             logs.write(
                 logs.LogEvent.HOLDERS_CHOSEN,
@@ -429,3 +429,8 @@
         if current is None or state is None or state.sent_shares == current:
             return None
         return current
+
+
+def encode_holders(holders: dict) -> bytes:
+    """Encode hosts and addresses of holders by endpoint, as in a Pong."""
+    return zlib.compress(msgpack.packb(holders), 1)
--- a/hyssopshelf/authority/tests/test_large_fleet.py
+++ b/hyssopshelf/authority/tests/test_large_fleet.py
@@ -338,3 +338,25 @@
     for state in table.members.values():
         table.record_ping(state, ping, True, later)
     assert table.majority_since == later
+
+
+def test_members_forget_the_holders_of_an_earlier_coordinator():
+    """After a herd kill there are connections for all, so nobody holds for others."""
+
+    async def scenario():
+        sent = []
+        local_coordinator = make_coordinator(sent)
+        add_members(local_coordinator, 3)
+        ping = make_ping(0, holders_version=77)
+        local_coordinator.receive_ping(ping, "h000", "a:1")
+        local_member = make_coordinator([]).local_member
+        local_member.follow(local_coordinator.record)
+        local_member.identity = attrs.evolve(local_member.identity, host="h000")
+        local_member.holders_version = 77
+        local_member.gateway.forwarder.holders = {"e": [("gone", "g:1")]}
+        local_member._sent_at[1] = clocks.read_clock()
+        local_member.receive_pong(sent[-1][1], "c")
+        assert local_member.holders_version == local_coordinator.holders_version
+        assert local_member.gateway.forwarder.holders == {}
+
+    asyncio.run(scenario())
