--- a/benchmarks/faults/nodes.py
+++ b/benchmarks/faults/nodes.py
@@ -181,7 +181,7 @@
         if (
             self.paused
             or not self.core.board.draining
-            or not node.is_idle(self.core.board, self.clock.read())
+            or not core_node.is_idle(self.core.board, self.clock.read())
         ):
             return
         stopped = histories.Stopped(
