Choose seeds of a variant again for the smaller messages

The fault runs are deterministic, but copies of usage reports have a budget of bytes, so positional messages change what the simulated nodes send and admit. keep_old_confirmation was found by seeds 1, 5 and 11 before, and by none of them now. The check, its length, its callers and its faults stay; three seeds as before.

--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -30,7 +30,7 @@
     "ignore_logs": ((2, 7, 9), 12, 9, PROMOTION_FAULTS),
     "promote_without_majority": ((4, 5, 7), 12, 9, PROMOTION_FAULTS),
     "promote_shortest_log": ((4, 5, 9), 12, 9, PROMOTION_FAULTS),
-    "keep_old_confirmation": ((1, 5, 11), 12, 18, PAUSE_FAULTS),
+    "keep_old_confirmation": ((14, 21, 28), 12, 18, PAUSE_FAULTS),
     "trust_primary": ((1, 6, 7), 14, 18, PAUSE_FAULTS),
     "compare_index_only": ((2, 3, 5), 8, 18, PAUSE_FAULTS),
     "repeat_unknown_write": ((9, 10, 13), 12, 9, CONNECTION_FAULTS),
