Keep the reason of a refused message short

Cause, found on reading the diff: the reason named the value of another type than expected, so a malformed message of megabytes came into a log line whole. Change: it names the type. Test: test_the_reason_of_a_refused_message_is_short.

--- a/hyssopshelf/envelopes.py
+++ b/hyssopshelf/envelopes.py
@@ -177,13 +177,13 @@
 def _read_plain(accepted: tuple[type, ...], value: object) -> object:
     # ``bool`` is a subclass of ``int``, so the types are compared exactly.
     if type(value) not in accepted:
-        raise TypeError(f"{value!r} is not of a type in {accepted}")
+        raise TypeError(f"unexpected type {type(value).__name__}")
     return value
 
 
 def _read_list(value: object) -> list:
     if not isinstance(value, list):
-        raise TypeError(f"{value!r} is not a list")
+        raise TypeError(f"{type(value).__name__} is not a list")
     return value
 
 
@@ -232,7 +232,7 @@
 def _make_mapping_reader(read_key: Reader, read_value: Reader) -> Reader:
     def read(value: object) -> dict:
         if not isinstance(value, dict):
-            raise TypeError(f"{value!r} is not a mapping")
+            raise TypeError(f"{type(value).__name__} is not a mapping")
         return {read_key(key): read_value(item) for key, item in value.items()}
 
     return read
--- a/tests/test_envelopes.py
+++ b/tests/test_envelopes.py
@@ -101,3 +101,15 @@
     envelopes.register("tests.first")(type("First", (), {}))
     with pytest.raises(ValueError, match="twice"):
         envelopes.register("tests.first")(type("Second", (), {}))
+
+
+def test_the_reason_of_a_refused_message_is_short():
+    """It goes into a log line; a message may have megabytes."""
+    number = msgpack.unpackb(encode(exchange.Locate()))[2]
+    for body in (b"x" * 100_000, ["x" * 100_000], {"x": "y" * 100_000}):
+        with pytest.raises(exceptions.CodecError) as error:
+            envelopes.decode(msgpack.packb(["h", "a:1", number, body]))
+        assert len(str(error.value)) < 200
+    with pytest.raises(exceptions.CodecError) as error:
+        envelopes.decode(msgpack.packb([["h" * 100_000], "a:1", number, []]))
+    assert len(str(error.value)) < 200
