Derive epochs of the coordinator from the era of the store

Cause: an epoch is the recorded one plus a step. The store had lost the record of epoch 2000, and the next coordinator took 2000 again (events 427 at 16.94 and 19.35 s). Members cannot tell two coordinators of one epoch apart: they keep the one that has ended, and inquiries find that others hear the other. Both would also promote with one fencing token.

Change: the epochs of an era of the store begin above all of the eras before, so a node needs no memory to choose one that was never used; within an era the store loses nothing, and the newest epoch that the node knows counts as well. A node whose registration the store may have lost takes over from a record of an earlier era without it: no coordinator has acted in this era, so none has removed it. A record older than the known coordinator is not followed. A lease whose number was given out again to the successor itself is not ended.

--- a/hyssopshelf/authority/election.py
+++ b/hyssopshelf/authority/election.py
@@ -14,6 +14,10 @@
 """Step of the epochs that the store records. Interim coordinators use the numbers in
 between, so a recorded coordinator takes precedence over all earlier interim ones."""
 
+ERA_EPOCHS = 10**9
+"""Number of epochs of one era of the store. A store that returns from an older copy
+has lost the latest ones, so those of the next era begin above them."""
+
 NOT_FOUND_STATUS = 404
 CONFLICT_STATUS = 412
 
@@ -95,9 +99,22 @@
     return min(pause, timing.MAXIMUM_ATTEMPT_PAUSE_SECONDS)
 
 
-def find_next_epoch(epoch: int) -> int:
-    """Return the epoch that the next coordinator writes to the store."""
-    return (epoch // EPOCH_STEP + 1) * EPOCH_STEP
+def find_next_epoch(epoch: int, era: int) -> int:
+    """Return the epoch that the next coordinator writes to the store.
+
+    Parameters
+    ----------
+    epoch : int
+        Newest epoch that is known.
+    era : int
+        Era of the store that the record is written to.
+    """
+    return (max(epoch, era * ERA_EPOCHS) // EPOCH_STEP + 1) * EPOCH_STEP
+
+
+def find_era(epoch: int) -> int:
+    """Return the era of the store in which an epoch was recorded."""
+    return epoch // ERA_EPOCHS
 
 
 def is_agreed(
--- a/hyssopshelf/authority/takeover.py
+++ b/hyssopshelf/authority/takeover.py
@@ -179,6 +179,9 @@
     def _follow(self, current: assignments.CoordinatorRecord, reason: str) -> bool:
         """Follow the recorded coordinator; return whether it gets time to answer."""
         local_member = self.participant.member
+        if current.epoch < local_member.epoch:
+            # The store has lost the record of the coordinator that is known here.
+            return False
         unknown = current.epoch > local_member.epoch or reason == election.ABSENT
         local_member.follow(current)
         if not unknown or self._is_own(current):
@@ -190,33 +193,42 @@
         """Write this node's record in place of another one and coordinate."""
         participant = self.participant
         identity = participant.identity
+        store = participant.store
         restarted = current is not None and self._is_own(current)
-        lease = await participant.store.grant_lease(timing.LEASE_SECONDS)
+        lease = await store.grant_lease(timing.LEASE_SECONDS)
         if lease.is_err() or not self._is_still_needed(reason):
             return
+        known_epoch = max(current.epoch if current else 0, participant.member.epoch)
+        own_key = assignments.MEMBER_PREFIX + identity.host
+        expected = {assignments.COORDINATOR_KEY: revision}
+        writes = {}
+        if current is not None and election.find_era(current.epoch) < (store.era or 0):
+            # The store may have lost the registration. No coordinator has acted since
+            # it was restored, so none has removed this node.
+            writes[own_key] = assignments.encode(identity)
+        elif current is not None and not restarted:
+            expected[own_key] = await self._find_own_revision()
+            if not expected[own_key]:
+                return
         record = assignments.CoordinatorRecord(
             host=identity.host,
             address=identity.address,
             incarnation=identity.incarnation,
-            epoch=election.find_next_epoch(current.epoch if current else 0),
+            # No call comes between this and the write, so the era is the same.
+            epoch=election.find_next_epoch(known_epoch, store.era or 0),
             lease=lease.ok_value,
         )
-        expected = {assignments.COORDINATOR_KEY: revision}
-        if current is not None and not restarted:
-            own_revision = await self._find_own_revision()
-            if not own_revision:
-                return
-            expected[assignments.MEMBER_PREFIX + identity.host] = own_revision
-        written = await participant.store.change(
-            expected, {assignments.COORDINATOR_KEY: assignments.encode(record)}
-        )
+        writes[assignments.COORDINATOR_KEY] = assignments.encode(record)
+        written = await store.change(expected, writes)
         if written.is_err():
             return
+        if own_key in writes:
+            participant.own_revision = written.ok_value
         if restarted:
             # The process that held the lease has ended, so nothing waits for its end.
-            participant.spawn(self._end_lease(current))
+            participant.spawn(self._end_lease(current, lease.ok_value))
         else:
-            await self._end_lease(current)
+            await self._end_lease(current, lease.ok_value)
         participant.start_coordinating(record, written.ok_value, current, reason)
 
     async def _find_own_revision(self) -> int:
@@ -231,12 +243,13 @@
             return found.ok_value.revision
         return participant.own_revision
 
-    async def _end_lease(self, current) -> None:
+    async def _end_lease(self, current, own_lease: int) -> None:
         """End the earlier coordinator's lease, and so its authority.
 
-        Repeats the call until the store answers.
+        Repeats the call until the store answers. A restored store may have given the
+        number of that lease to this node.
         """
-        if current is None or not current.lease:
+        if current is None or current.lease in (0, own_lease):
             return
         while True:
             ended = await self.participant.store.end_lease(current.lease)
--- a/hyssopshelf/authority/tests/test_participant.py
+++ b/hyssopshelf/authority/tests/test_participant.py
@@ -16,6 +16,7 @@
 
     entries: dict = attrs.field(factory=dict)
     revision: int = 10
+    era: int | None = None
 
     async def get(self, key):
         return result.Ok(self.entries.get(key))
--- a/hyssopshelf/authority/tests/test_restored_store.py
+++ b/hyssopshelf/authority/tests/test_restored_store.py
@@ -457,3 +457,13 @@
         assert store.read_record().host == "a"
 
     run_fleet(scenario)
+
+
+def test_an_epoch_is_above_all_of_earlier_eras():
+    before = election.find_next_epoch(0, 3)
+    for _ in range(5):
+        before = election.find_next_epoch(before, 3)
+    after = election.find_next_epoch(0, 4)
+    assert after > before + election.EPOCH_STEP
+    assert election.find_era(before) == election.find_era(before + 1) == 3
+    assert election.find_era(after) == 4
--- a/hyssopshelf/authority/tests/test_rules.py
+++ b/hyssopshelf/authority/tests/test_rules.py
@@ -94,7 +94,7 @@
 
 
 def test_recorded_epochs_exceed_those_of_interim_coordinators():
-    assert election.find_next_epoch(3000 + 17) == 4000
+    assert election.find_next_epoch(3000 + 17, 0) == 4000
 
 
 def report_for_all(reports: list) -> dict:
--- a/hyssopshelf/authority/tests/test_takeover.py
+++ b/hyssopshelf/authority/tests/test_takeover.py
@@ -16,6 +16,8 @@
 class SilentStore:
     """Never answers, as behind a narrow link that a partition has cut."""
 
+    era = None
+
     async def get(self, key):
         await asyncio.sleep(3600)
 
@@ -25,6 +27,8 @@
 class FailingStore:
     """Answers every call with an error."""
 
+    era = None
+
     async def get(self, *_):
         return result.Err(None)
 
