Let a running coordinator record its state again in a restored store

Cause: a coordinator that found its lease missing wrote only its record, or nothing if the store had no record at all. The store kept assignments of before, without the last changes of primary. When the coordinator's process was replaced, the next one loaded them, granted an endpoint that had lost its role twice, and used versions that members already had for another endpoint.

Change: documents of assignments carry the era in which they were written. In a new era the coordinator writes its record, with an epoch of that era, its own registration and the assignments in one transaction, then registers its members again. It does so only while it has authority, as then nobody else can have changed an assignment; otherwise it stops. A release is asked for with the present epoch, and a late registration of an earlier process of a host is ignored.

One test now ends the process of its second coordinator before the store returns: it would record itself again.

--- a/hyssopshelf/authority/assignments.py
+++ b/hyssopshelf/authority/assignments.py
@@ -43,15 +43,19 @@
         Increased with each change.
     databases : dict of str to Assignment
         Assignment by database.
+    era : int
+        Era of the store in which the document was written. One of an earlier era may
+        not be the last that was written.
     """
 
     version: int = 0
     databases: dict[str, Assignment] = attrs.field(factory=dict)
+    era: int = 0
 
     def replace(self, database: str, assignment: Assignment) -> "Assignments":
         """Return the next version with one assignment replaced."""
         databases = {**self.databases, database: assignment}
-        return Assignments(version=self.version + 1, databases=databases)
+        return attrs.evolve(self, version=self.version + 1, databases=databases)
 
 
 @attrs.frozen(kw_only=True)
@@ -109,7 +113,9 @@
         databases = {
             name: Assignment(**entry) for name, entry in fields["databases"].items()
         }
-        return Assignments(version=fields["version"], databases=databases)
+        return Assignments(
+            version=fields["version"], databases=databases, era=fields.get("era", 0)
+        )
     except (KeyError, TypeError, AttributeError) as error:
         raise exceptions.CodecError(f"unreadable assignments: {error!r}") from error
 
--- a/hyssopshelf/authority/change.py
+++ b/hyssopshelf/authority/change.py
@@ -336,19 +336,13 @@
         Other members are told once, so that their work waits for the next primary.
         """
         finish = FINISH_PLANNED_SECONDS if planned else FINISH_UNPLANNED_SECONDS
-        message = exchange.Release(
-            database=database,
-            version=version,
-            epoch=self.coordinator.record.epoch,
-            finish_seconds=finish,
-        )
         own = asyncio.get_running_loop().create_task(
             self.local_member.release(database, version, finish)
         )
         started = clocks.read_clock()
         send_at = started + RELEASE_REPEAT_SECONDS
         for state in self.coordinator.grant_table.members.values():
-            self.coordinator.send(state.host, state.address, message)
+            self._send_release(state, database, version, finish)
         while True:
             now = clocks.read_clock()
             grant_holders = self.coordinator.grant_table.find_grant_holders(
@@ -362,9 +356,19 @@
                     state = self.coordinator.grant_table.members[host]
                     if now - started > timing.RECONNECT_SECONDS:
                         self.local_member.reset(state.address)
-                    self.coordinator.send(host, state.address, message)
+                    self._send_release(state, database, version, finish)
             await asyncio.sleep(member.RELEASE_CHECK_SECONDS)
 
+    def _send_release(self, state, database: str, version: int, finish: float) -> None:
+        # The epoch changes if the coordinator records itself again.
+        message = exchange.Release(
+            database=database,
+            version=version,
+            epoch=self.coordinator.record.epoch,
+            finish_seconds=finish,
+        )
+        self.coordinator.send(state.host, state.address, message)
+
     async def _catch_up(self, database: str, assigned, target):
         """Wait a bounded time until a replica has the old primary's last entry."""
         deadline = clocks.read_clock() + CATCH_UP_SECONDS
--- a/hyssopshelf/authority/coordinator.py
+++ b/hyssopshelf/authority/coordinator.py
@@ -45,6 +45,11 @@
     interim : bool
         Whether a majority chose this node while the store was unreachable; it
         grants the last known assignments and changes none.
+
+    Attributes
+    ----------
+    recorder : AssignmentRecorder or None
+        Writes the assignments; None until they are loaded.
     """
 
     def __init__(
@@ -73,6 +78,7 @@
         self._direct: dict[str, tuple[str, ...] | None] = {}
         self._encoded_holders = encode_holders({})
         self.registry = registration.MemberRegistry(coordinator=self)
+        self.recorder = None
         self._tasks = background.TaskSet(on_failure=self._stop_after_failure)
         self._had_authority = True
 
--- a/hyssopshelf/authority/participant.py
+++ b/hyssopshelf/authority/participant.py
@@ -232,11 +232,12 @@
         while (revision := await self._load(local_coordinator)) is None:
             await asyncio.sleep(timing.PING_SECONDS)
         local_coordinator.registry.publish()
+        local_coordinator.recorder = recorder.AssignmentRecorder(
+            coordinator=local_coordinator, revision=revision
+        )
         controller = change.ChangeController(
             coordinator=local_coordinator,
-            recorder=recorder.AssignmentRecorder(
-                coordinator=local_coordinator, revision=revision
-            ),
+            recorder=local_coordinator.recorder,
             promotion_client=self.promotion_client,
         )
         local_coordinator.run_in_background(controller.run())
--- a/hyssopshelf/authority/recorder.py
+++ b/hyssopshelf/authority/recorder.py
@@ -8,6 +8,8 @@
 
 import asyncio
 
+import attrs
+
 from hyssopshelf import logs
 from hyssopshelf.authority import assignments, election
 
@@ -48,6 +50,11 @@
         async with self._lock:
             return await self._write(self.coordinator.local_member.assignments)
 
+    def encode(self, newer: assignments.Assignments) -> bytes:
+        """Encode assignments for the store in its present era."""
+        era = self.coordinator.store.era or 0
+        return assignments.encode(attrs.evolve(newer, era=era))
+
     async def _write(self, newer: assignments.Assignments) -> bool:
         local_coordinator = self.coordinator
         for _ in range(WRITE_ATTEMPTS):
@@ -56,7 +63,7 @@
                     assignments.COORDINATOR_KEY: local_coordinator.revision,
                     assignments.ASSIGNMENTS_KEY: self.revision,
                 },
-                {assignments.ASSIGNMENTS_KEY: assignments.encode(newer)},
+                {assignments.ASSIGNMENTS_KEY: self.encode(newer)},
             )
             if written.is_ok():
                 self.revision = written.ok_value
@@ -75,8 +82,8 @@
     async def _find_revision(self) -> bool:
         """Read the assignments' revision; return whether it differs from the known one.
 
-        Only this coordinator can have written them: writes of an earlier one fail
-        because the coordinator's record has changed.
+        Only this coordinator can have written them, or the store was restored: writes
+        of an earlier one fail because the coordinator's record has changed.
         """
         found = await self.coordinator.store.get(assignments.ASSIGNMENTS_KEY)
         if found.is_err():
--- a/hyssopshelf/authority/registration.py
+++ b/hyssopshelf/authority/registration.py
@@ -49,6 +49,20 @@
             self.coordinator.run_in_background(self._write_members())
         self._unregistered[host] = make_record(ping, host, address)
 
+    def register_again(self) -> None:
+        """Register all members in a store that may have lost their registrations."""
+        members = self.coordinator.grant_table.members
+        if members and not self._unregistered:
+            self.coordinator.run_in_background(self._write_members())
+        for state in members.values():
+            self._unregistered[state.host] = assignments.MemberRecord(
+                host=state.host,
+                address=state.address,
+                incarnation=state.incarnation,
+                place=state.place,
+                capacity=state.capacity,
+            )
+
     async def _write_members(self) -> None:
         """Write the collected registrations, many in one transaction."""
         while self._unregistered:
@@ -71,9 +85,11 @@
     def add(self, record: assignments.MemberRecord) -> None:
         """Add a registered member; a new incarnation holds no grant.
 
-        For a known incarnation only the address is updated.
+        For a known incarnation only the address is updated, an earlier one is ignored.
         """
         before = self.coordinator.grant_table.members.get(record.host)
+        if before is not None and record.incarnation in before.former_incarnations:
+            return
         if before is not None and before.incarnation == record.incarnation:
             before.address = record.address
             return
--- a/hyssopshelf/authority/renewal.py
+++ b/hyssopshelf/authority/renewal.py
@@ -1,10 +1,13 @@
-"""Renewal of the coordinator's lease; each renewal extends its authority."""
+"""Renewal of the coordinator's lease; each renewal extends its authority.
+
+If the store returns from an older copy, the coordinator records itself again.
+"""
 
 import asyncio
 
 import attrs
 
-from hyssopshelf import clocks
+from hyssopshelf import clocks, logs
 from hyssopshelf.authority import assignments, election, timing
 
 
@@ -34,6 +37,10 @@
 
     Stops the coordinator if the store names another one.
     """
+    era = local_coordinator.store.era or 0
+    if era > election.find_era(local_coordinator.record.epoch):
+        await record_again(local_coordinator)
+        return
     lease = await local_coordinator.store.grant_lease(timing.LEASE_SECONDS)
     if lease.is_err():
         return
@@ -63,3 +70,67 @@
         else:
             local_coordinator.stop("another coordinator is recorded in the store")
             local_coordinator.local_member.follow(current)
+
+
+async def record_again(local_coordinator) -> None:
+    """Record the coordinator and its assignments in a store that was restored.
+
+    The store may have lost both. While the coordinator has authority, no other one can
+    have changed an assignment; without it, it stops, and the next one finds out what
+    the store has lost.
+    """
+    store, known = local_coordinator.store, local_coordinator.record
+    lease = await store.grant_lease(timing.LEASE_SECONDS)
+    found = await store.get(assignments.COORDINATOR_KEY)
+    stored = await store.get(assignments.ASSIGNMENTS_KEY)
+    if lease.is_err() or found.is_err() or stored.is_err():
+        return
+    entry = found.ok_value
+    if entry is not None:
+        current = assignments.decode_coordinator(entry.value)
+        if current.epoch > known.epoch:
+            local_coordinator.stop("another coordinator is recorded in the store")
+            local_coordinator.local_member.follow(current)
+            return
+    sent_at = clocks.read_clock()
+    if not local_coordinator.has_authority(sent_at):
+        local_coordinator.stop("no authority when the store was restored")
+        return
+    record = attrs.evolve(
+        known,
+        epoch=election.find_next_epoch(known.epoch, store.era or 0),
+        lease=lease.ok_value,
+    )
+    identity = local_coordinator.identity
+    expected = {assignments.COORDINATOR_KEY: entry.revision if entry else 0}
+    writes = {
+        assignments.COORDINATOR_KEY: assignments.encode(record),
+        assignments.MEMBER_PREFIX + identity.host: assignments.encode(identity),
+    }
+    assignment_recorder = local_coordinator.recorder
+    if assignment_recorder is not None:
+        expected[assignments.ASSIGNMENTS_KEY] = (
+            stored.ok_value.revision if stored.ok_value else 0
+        )
+        writes[assignments.ASSIGNMENTS_KEY] = assignment_recorder.encode(
+            local_coordinator.local_member.assignments
+        )
+    written = await store.change(expected, writes)
+    if written.is_err():
+        return
+    local_coordinator.record, local_coordinator.revision = record, written.ok_value
+    if assignment_recorder is not None:
+        assignment_recorder.revision = written.ok_value
+    local_coordinator.grant_table.confirmed_at = sent_at
+    local_coordinator.local_member.follow(record)
+    local_coordinator.registry.register_again()
+    local_coordinator.announce()
+    logs.write(
+        logs.LogEvent.COORDINATION_RECORDED,
+        {
+            "epoch": record.epoch,
+            "before": known.epoch,
+            "found": current.epoch if entry is not None else 0,
+            "assignments": local_coordinator.local_member.assignments.version,
+        },
+    )
--- a/hyssopshelf/authority/tests/test_recorder.py
+++ b/hyssopshelf/authority/tests/test_recorder.py
@@ -22,6 +22,7 @@
     """A store whose calls take time, and that can lose answers and delay calls."""
 
     def __init__(self) -> None:
+        self.era = None
         self.revision = 10
         self.entry: kvstore.Entry | None = None
         self.record_revision = 7
--- a/hyssopshelf/authority/tests/test_restored_store.py
+++ b/hyssopshelf/authority/tests/test_restored_store.py
@@ -243,8 +243,9 @@
         await second.candidate._replace(revision, current, election.SILENT)
         epoch = second.coordinator.record.epoch
         assert epoch > current.epoch
-        store.restore(copy)
         fleet.remove("a")
+        fleet.remove("b")
+        store.restore(copy)
         third = fleet.add("a", incarnation=2)
         await third.candidate.try_take_over(election.ABSENT)
         assert third.coordinator.record.epoch > epoch
