Find out which assignments a restored store has lost before granting

Cause: a coordinator trusted the document of assignments that it loaded, and members keep whatever has the highest version, which the new lineage gave out again.

Change: a coordinator that loads a document of an earlier era asks the members which assignments they know (Recall), asks the endpoints for role and term, and takes the newest of all. It records the result before it grants anything, in versions that begin above those of earlier eras, so members use no others.

--- a/hyssopshelf/authority/assignments.py
+++ b/hyssopshelf/authority/assignments.py
@@ -10,6 +10,10 @@
 ASSIGNMENTS_KEY = PREFIX + "assignments"
 MEMBER_PREFIX = PREFIX + "members/"
 
+ERA_VERSIONS = 10**6
+"""Number of versions of one era of the store. Members keep what has the highest
+version, so those of a later era are above all that an older copy has lost."""
+
 
 @attrs.frozen(kw_only=True)
 class Assignment:
@@ -95,6 +99,11 @@
     capacity: float = 0.0
 
 
+def find_first_version(era: int) -> int:
+    """Return the lowest version of assignments in an era of the store."""
+    return era * ERA_VERSIONS + 1
+
+
 def encode(value) -> bytes:
     """Encode an attrs object as a document for the store."""
     return msgpack.packb(attrs.asdict(value))
--- a/hyssopshelf/authority/change.py
+++ b/hyssopshelf/authority/change.py
@@ -10,15 +10,19 @@
 import attrs
 
 from hyssopshelf import clocks, exceptions, logs
-from hyssopshelf.authority import assignments, exchange, member, suspicion, timing
+from hyssopshelf.authority import (
+    assignments,
+    exchange,
+    member,
+    replication,
+    suspicion,
+    timing,
+)
 from hyssopshelf.gateway import endpoint_connections, probes
 
 CHECK_SECONDS = 0.1
 """Time between two checks of the primaries."""
 
-STATUS_SECONDS = 0.4
-"""Timeout of a request for an endpoint's status; it needs a slot and a round trip."""
-
 FINISH_PLANNED_SECONDS = 0.5
 """Time in which open writes may end before a planned change."""
 
@@ -58,15 +62,6 @@
 """Time between two checks whether a promotion has taken effect."""
 
 
-@attrs.frozen(kw_only=True)
-class ReplicationStatus:
-    """An endpoint's role, term and log position, as it reports them itself."""
-
-    role: str
-    term: int
-    position: object
-
-
 class ChangeController:
     """Checks the primaries and replaces them where needed.
 
@@ -204,7 +199,7 @@
         primaries = [endpoint for endpoint in endpoints.values() if endpoint.leads]
         best = None
         for endpoint in primaries:
-            status = await self._ask_status(endpoint)
+            status = await replication.ask_status(self.gateway, endpoint)
             if status is None or status.role != "primary":
                 continue
             if best is None or status.term > best[1].term:
@@ -212,8 +207,11 @@
         if best is None:
             return False
         endpoint, status = best
+        era = self.coordinator.store.era or 0
         entry = assignments.Assignment(
-            endpoint=endpoint.id, term=status.term, version=1
+            endpoint=endpoint.id,
+            term=status.term,
+            version=assignments.find_first_version(era),
         )
         if not await self._record(database, entry):
             return False
@@ -305,7 +303,7 @@
         failure_reports = self._collect_failure_reports(clocks.read_clock())
         reports, _ = self._group_reports(endpoints, failure_reports)
         found = await asyncio.gather(
-            *(self._ask_status(endpoint) for endpoint in candidates)
+            *(replication.ask_status(self.gateway, endpoint) for endpoint in candidates)
         )
         ranked = [
             (
@@ -373,10 +371,12 @@
         """Wait a bounded time until a replica has the old primary's last entry."""
         deadline = clocks.read_clock() + CATCH_UP_SECONDS
         old = self._list_endpoints(database).get(assigned.endpoint)
-        last = await self._ask_status(old) if old is not None else None
+        last = (
+            await replication.ask_status(self.gateway, old) if old is not None else None
+        )
         target_position = last.position if last is not None else None
         while target_position is not None and clocks.read_clock() < deadline:
-            status = await self._ask_status(target)
+            status = await replication.ask_status(self.gateway, target)
             if status is not None and status.position >= target_position:
                 break
             await asyncio.sleep(member.RELEASE_CHECK_SECONDS)
@@ -415,7 +415,7 @@
             endpoint = self._list_endpoints(database).get(entry.endpoint)
             if endpoint is None:
                 break
-            status = await self._ask_status(endpoint)
+            status = await replication.ask_status(self.gateway, endpoint)
             if (
                 status is not None
                 and status.role == "primary"
@@ -464,7 +464,10 @@
         codec = self.gateway.endpoint_codec
         try:
             await probes.send_unqueued(
-                self.gateway, endpoint, codec.format_demote(term), STATUS_SECONDS
+                self.gateway,
+                endpoint,
+                codec.format_demote(term),
+                replication.STATUS_SECONDS,
             )
         except endpoint_connections.EndpointConnectionError as error:
             logs.write(
@@ -482,23 +485,3 @@
         if self.coordinator.revoked.isdisjoint({database}) and entry.promoting:
             raise exceptions.InvariantError("promotion without a prior release")
         return await self.recorder.record(database, entry)
-
-    async def _ask_status(self, endpoint) -> ReplicationStatus | None:
-        codec = self.gateway.endpoint_codec
-        try:
-            _, reply = await probes.send_unqueued(
-                self.gateway, endpoint, codec.format_status(), STATUS_SECONDS
-            )
-        except endpoint_connections.EndpointConnectionError as error:
-            self._log_no_status(endpoint, error.reason)
-            return None
-        if reply.error is not None or not reply.rows:
-            self._log_no_status(endpoint, reply.error.value if reply.error else "empty")
-            return None
-        role, term, position = codec.parse_status(reply.rows[0])
-        return ReplicationStatus(role=role, term=term, position=position)
-
-    def _log_no_status(self, endpoint, reason: str) -> None:
-        logs.write_request(
-            logs.LogEvent.STATUS_UNKNOWN, {"endpoint": endpoint.id, "reason": reason}
-        )
--- a/hyssopshelf/authority/coordinator.py
+++ b/hyssopshelf/authority/coordinator.py
@@ -50,6 +50,8 @@
     ----------
     recorder : AssignmentRecorder or None
         Writes the assignments; None until they are loaded.
+    recalled : dict of str to Assignments
+        Assignments that members know, by host, if this node asked for them.
     """
 
     def __init__(
@@ -79,6 +81,7 @@
         self._encoded_holders = encode_holders({})
         self.registry = registration.MemberRegistry(coordinator=self)
         self.recorder = None
+        self.recalled: dict[str, assignments.Assignments] = {}
         self._tasks = background.TaskSet(on_failure=self._stop_after_failure)
         self._had_authority = True
 
--- a/hyssopshelf/authority/dispatch.py
+++ b/hyssopshelf/authority/dispatch.py
@@ -49,6 +49,27 @@
         state.released[message.database] = max(message.version, before)
 
 
+@apply.register
+def _apply_recall(
+    message: exchange.Recall, participant, host: str, address: str
+) -> None:
+    if message.epoch >= participant.member.epoch:
+        data = assignments.encode(participant.member.assignments)
+        answer = exchange.Recalled(epoch=message.epoch, assignments=data)
+        participant.send(host, address, answer)
+
+
+@apply.register
+def _apply_recalled(
+    message: exchange.Recalled, participant, host: str, address: str
+) -> None:
+    local_coordinator = participant.coordinator
+    if local_coordinator is None or message.epoch != local_coordinator.record.epoch:
+        return
+    found = assignments.decode_assignments(message.assignments)
+    local_coordinator.recalled[host] = found
+
+
 @apply.register
 def _apply_inquire(
     message: exchange.Inquire, participant, host: str, address: str
--- a/hyssopshelf/authority/exchange.py
+++ b/hyssopshelf/authority/exchange.py
@@ -176,6 +176,32 @@
     incarnation: int
 
 
+@envelopes.register("authority.recall")
+@attrs.frozen(kw_only=True)
+class Recall:
+    """A coordinator's question which assignments a member knows.
+
+    It asks when the store may have lost the latest ones.
+    """
+
+    epoch: int
+
+
+@envelopes.register("authority.recalled")
+@attrs.frozen(kw_only=True)
+class Recalled:
+    """Answer to Recall.
+
+    Attributes
+    ----------
+    assignments : bytes
+        The document of all assignments.
+    """
+
+    epoch: int
+    assignments: bytes
+
+
 @envelopes.register("authority.inquire")
 @attrs.frozen(kw_only=True)
 class Inquire:
--- a/hyssopshelf/authority/participant.py
+++ b/hyssopshelf/authority/participant.py
@@ -13,6 +13,7 @@
     exchange,
     member,
     recorder,
+    recovery,
     renewal,
     takeover,
     timing,
@@ -229,12 +230,16 @@
 
     async def _coordinate(self, local_coordinator) -> None:
         """Load the state of earlier coordinators, then start to serve members."""
-        while (revision := await self._load(local_coordinator)) is None:
+        while (loaded := await self._load(local_coordinator)) is None:
             await asyncio.sleep(timing.PING_SECONDS)
+        revision, era = loaded
         local_coordinator.registry.publish()
         local_coordinator.recorder = recorder.AssignmentRecorder(
             coordinator=local_coordinator, revision=revision
         )
+        if era < (self.store.era or 0):
+            await self.store_watcher.read_all()
+            await recovery.recover_assignments(local_coordinator)
         controller = change.ChangeController(
             coordinator=local_coordinator,
             recorder=local_coordinator.recorder,
@@ -268,11 +273,14 @@
                 removed_at = clocks.read_clock()
                 await local_coordinator.registry.remove_silent()
 
-    async def _load(self, local_coordinator) -> int | None:
-        """Load assignments and members; return the revision of the assignments.
+    async def _load(self, local_coordinator) -> tuple[int, int] | None:
+        """Load assignments and members.
 
-        The revision is 0 if there are no assignments yet; None means that the store
-        did not answer.
+        Returns
+        -------
+        (int, int) or None
+            Revision of the assignments and era in which they were written, both 0 if
+            there are none; None if the store did not answer.
         """
         found, listed = await asyncio.gather(
             self.store.get(assignments.ASSIGNMENTS_KEY),
@@ -281,11 +289,11 @@
         if found.is_err() or not listed:
             return None
         if found.ok_value is None:
-            return 0
+            return 0, 0
         loaded = assignments.decode_assignments(found.ok_value.value)
         if loaded.version > self.member.assignments.version:
             self.member.assignments = loaded
-        return found.ok_value.revision
+        return found.ok_value.revision, loaded.era
 
     async def _list_members(self, local_coordinator) -> bool:
         page = await self.store.list(assignments.MEMBER_PREFIX)
--- a/hyssopshelf/authority/tests/test_restored_store.py
+++ b/hyssopshelf/authority/tests/test_restored_store.py
@@ -16,6 +16,7 @@
     member,
     participant,
     recorder,
+    recovery,
     renewal,
     timing,
 )
@@ -468,3 +469,40 @@
     assert after > before + election.EPOCH_STEP
     assert election.find_era(before) == election.find_era(before + 1) == 3
     assert election.find_era(after) == 4
+
+
+def make_entry(version: int, endpoint: str, promoting: bool = False):
+    return assignments.Assignment(
+        endpoint=endpoint, term=1, version=version, promoting=promoting
+    )
+
+
+def test_the_newest_assignment_of_each_database_is_kept():
+    one = assignments.Assignments(
+        version=4, databases={"a": make_entry(4, "new"), "b": make_entry(1, "old")}
+    )
+    other = assignments.Assignments(
+        version=3,
+        databases={
+            "a": make_entry(3, "old"),
+            "b": make_entry(2, "new"),
+            "c": make_entry(1, "x"),
+        },
+    )
+    for merged in (
+        recovery.merge_assignments(one, other),
+        recovery.merge_assignments(other, one),
+    ):
+        found = {name: entry.endpoint for name, entry in merged.databases.items()}
+        assert found == {"a": "new", "b": "new", "c": "x"}
+        assert merged.version == 4
+
+
+def test_a_promotion_that_took_effect_replaces_its_beginning():
+    begun = assignments.Assignments(databases={"a": make_entry(2, "new", True)})
+    done = assignments.Assignments(databases={"a": make_entry(2, "new")})
+    for merged in (
+        recovery.merge_assignments(begun, done),
+        recovery.merge_assignments(done, begun),
+    ):
+        assert not merged.databases["a"].promoting
