Keep the silence of a coordinator when its lease becomes known

Cause: a member learns of a coordinator by messages, without its lease. When a candidate reads the record, it follows 'another' one, which restarts the count of the silence, and the check before the write finds the coordinator heard a moment ago. So the first attempt of each node failed, in every takeover, not only after a return of the store.

Change: records that differ in the lease only are the same coordinator; its silence goes on.

--- a/hyssopshelf/authority/member.py
+++ b/hyssopshelf/authority/member.py
@@ -102,7 +102,9 @@
         """Follow a coordinator unless its epoch is older than the known one."""
         if record.epoch < self.epoch:
             return
-        if self.coordinator_record != record:
+        known = self.coordinator_record
+        # Records of one coordinator differ in the lease, which messages do not carry.
+        if known is None or attrs.evolve(known, lease=record.lease) != record:
             logs.write(
                 logs.LogEvent.COORDINATOR_FOLLOWED,
                 {
--- a/hyssopshelf/authority/tests/test_restored_store.py
+++ b/hyssopshelf/authority/tests/test_restored_store.py
@@ -506,3 +506,22 @@
         recovery.merge_assignments(done, begun),
     ):
         assert not merged.databases["a"].promoting
+
+
+# Nodes without a coordinator for a second longer: the first attempt of each to take
+# over ended when the node read the lease of the coordinator that was lost.
+def test_the_first_attempt_to_take_over_succeeds():
+    async def scenario(store, fleet):
+        record = assignments.CoordinatorRecord(
+            host="lost", address="lost:1", incarnation=1, epoch=1_000_001_000, lease=7
+        )
+        await store.change(
+            {}, {assignments.COORDINATOR_KEY: assignments.encode(record)}
+        )
+        node = fleet.start("b")
+        await wait_for(lambda: "b" in store.read_members())
+        lose_coordinator(node, attrs.evolve(record, lease=0))
+        await node.candidate.try_take_over(election.SILENT)
+        assert node.coordinator is not None
+
+    run_fleet(scenario)
