--- a/hyssopshelf/gateway/catalog.py
+++ b/hyssopshelf/gateway/catalog.py
@@ -111,6 +111,9 @@
         Whether it reports itself as the primary.
     started : int
         Start of this incarnation, Unix time in milliseconds.
+    sequence : int
+        Number of the entry among those of this incarnation. Entries that differ in it
+        alone are the same.
     """
 
     id: str
@@ -121,6 +124,7 @@
     leaving: bool
     leads: bool
     started: int
+    sequence: int = attrs.field(default=0, eq=False, repr=False)
 
 
 def make_view(
