Take a newer configuration from the members of a restored fleet

What clients would see: a coordinator that starts while the store shows an older configuration puts that in force, and every node that starts then gets it (CONFIG: a change that had been confirmed comes back older, an added route is not served), until the operator's next write, although other nodes have the newer one.

Cause: configurations went from the coordinator to members only.

Change: a ping that names a newer configuration than the coordinator's makes it ask that member for the document (WantDocument), at most once a second, and publish it.

--- a/hyssopshelf/authority/coordinator.py
+++ b/hyssopshelf/authority/coordinator.py
@@ -85,6 +85,7 @@
         self.recorder = None
         self.recalled: dict[str, assignments.Assignments] = {}
         self.predecessor = ""
+        self._requested_at = float("-inf")
         self._tasks = background.TaskSet(on_failure=self._stop_after_failure)
         self._had_authority = True
 
@@ -130,6 +131,7 @@
         if ping.shares_version == allocation.hash_shares(self.shares.get(host)):
             known.sent_shares = self.shares.get(host)
         self._record_observations(ping, now)
+        self._request_configuration(ping, host, address, now)
         grant = follows and self.has_authority(now)
         if grant:
             databases = self._direct.get(host, ())
@@ -297,6 +299,19 @@
             return data
         return data if len(data) <= timing.SMALL_DOCUMENT_BYTES else None
 
+    def _request_configuration(
+        self, ping: exchange.Ping, host: str, address: str, now: float
+    ) -> None:
+        """Ask a member for its configuration if the store's is an older one."""
+        if (
+            ping.configuration_version
+            <= self.local_member.document_cache.configuration_version
+            or now < self._requested_at + timing.CONFIGURATION_WAIT_SECONDS
+        ):
+            return
+        self._requested_at = now
+        self.send(host, address, exchange.WantDocument(epoch=self.record.epoch))
+
     def publish_configuration(self) -> None:
         """Announce a new configuration; send a large one to a member of each place.
 
--- a/hyssopshelf/authority/dispatch.py
+++ b/hyssopshelf/authority/dispatch.py
@@ -160,8 +160,26 @@
     participant.member.ping()
 
 
+@apply.register
+def _apply_want_document(
+    message: exchange.WantDocument, participant, host: str, address: str
+) -> None:
+    document = participant.member.make_document(message.epoch)
+    if document is not None:
+        participant.send(host, address, document)
+
+
 @apply.register
 def _apply_document(
     message: exchange.Document, participant, host: str, address: str
 ) -> None:
+    cache = participant.member.document_cache
+    before = cache.configuration_version
     participant.member.receive_document(message)
+    local_coordinator = participant.coordinator
+    if (
+        cache.configuration_version != before
+        and local_coordinator is not None
+        and local_coordinator.active
+    ):
+        local_coordinator.publish_configuration()
--- a/hyssopshelf/authority/exchange.py
+++ b/hyssopshelf/authority/exchange.py
@@ -238,10 +238,18 @@
     epoch: int
 
 
+@envelopes.register("authority.want_document")
+@attrs.frozen(kw_only=True)
+class WantDocument:
+    """A coordinator's request for the configuration of a member, which is newer."""
+
+    epoch: int
+
+
 @envelopes.register("authority.document")
 @attrs.frozen(kw_only=True)
 class Document:
-    """A large configuration, sent to one node of each place and relayed there.
+    """A configuration for one node of each place, or the answer to WantDocument.
 
     Attributes
     ----------
--- a/hyssopshelf/authority/member.py
+++ b/hyssopshelf/authority/member.py
@@ -227,6 +227,18 @@
         """Return whether a newer configuration has been missing for a time."""
         return self._missing_since is not None and now - self._missing_since > seconds
 
+    def make_document(self, epoch: int) -> exchange.Document | None:
+        """Return this node's configuration as a message, None without one."""
+        cache = self.document_cache
+        if cache.configuration is None:
+            return None
+        return exchange.Document(
+            epoch=epoch,
+            version=cache.configuration_version,
+            data=zlib.compress(cache.configuration, 1),
+            relay=False,
+        )
+
     def receive_document(self, document: exchange.Document) -> None:
         """Put a large configuration in force and relay it to members of this place."""
         if document.epoch < self.epoch:
--- a/hyssopshelf/authority/tests/test_restored_store.py
+++ b/hyssopshelf/authority/tests/test_restored_store.py
@@ -543,3 +543,30 @@
         assert clocks.read_clock() - started < recovery.RECALL_SECONDS / 2
 
     run_fleet(scenario)
+
+
+# CONFIG: a restarted coordinator has the older configuration of the copy, and so have
+# all nodes that start, although others have had a newer one in force.
+def test_a_configuration_that_members_have_replaces_an_older_one_of_the_store():
+    async def scenario(store, fleet):
+        for host, version in (("a", 3), ("b", 5), ("c", 0)):
+            node = fleet.add(host)
+            cache = node.member.document_cache
+            cache.configuration = b"%d" % version if version else None
+            cache.configuration_version = version
+
+            def apply_document(name, data, cache=cache):
+                cache.configuration, cache.configuration_version = data, int(data)
+
+            node.member.apply_document = apply_document
+            fleet.run(node)
+            await wait_for(lambda: fleet.nodes["a"].coordinator is not None)
+        await wait_for(
+            lambda: all(
+                node.member.document_cache.configuration == b"5"
+                for node in fleet.nodes.values()
+            ),
+            3.0,
+        )
+
+    run_fleet(scenario)
