Send configurations of version 0 to members

What clients would see: sessions refused at a node that started, as it never got the configuration.

Cause: version 0 stood for no configuration. It is -1 now. The test failed before.

--- a/hyssopshelf/authority/exchange.py
+++ b/hyssopshelf/authority/exchange.py
@@ -65,7 +65,7 @@
     held: float = 0.0
     promises: bool = False
     assignments_version: int = 0
-    configuration_version: int = 0
+    configuration_version: int = -1
     registry_version: int = 0
     members_version: int = 0
     holders_version: int = 0
@@ -121,7 +121,7 @@
     released: tuple[str, ...] = ()
     assignments: bytes | None = None
     configuration: bytes | None = None
-    configuration_version: int = 0
+    configuration_version: int = -1
     registry: bytes | None = None
     registry_version: int = 0
     members: bytes | None = None
--- a/hyssopshelf/authority/member.py
+++ b/hyssopshelf/authority/member.py
@@ -27,7 +27,7 @@
     Attributes
     ----------
     configuration : bytes or None
-        The operator's configuration; its version is the store's revision.
+        The operator's configuration, with the operator's version; -1 without one.
     registry : bytes or None
         The registry's entries; their version is a digest of the content.
     registry_read_at : float
@@ -37,7 +37,7 @@
     """
 
     configuration: bytes | None = None
-    configuration_version: int = 0
+    configuration_version: int = -1
     registry: bytes | None = None
     registry_version: int = 0
     registry_read_at: float = float("-inf")
--- a/hyssopshelf/authority/tests/test_rules.py
+++ b/hyssopshelf/authority/tests/test_rules.py
@@ -345,3 +345,15 @@
         state.heard_at = clocks.read_clock()
     local_coordinator.allocate_connections()
     assert local_coordinator.chosen_holders == chosen
+
+
+def test_a_first_configuration_of_version_0_reaches_the_members():
+    """Version 0 stood for no configuration, so nodes that started refused sessions."""
+    local_coordinator = make_coordinator([], 1)
+    cache = local_coordinator.local_member.document_cache
+    cache.configuration, cache.configuration_version = b"{}", 0
+    without = member.DocumentCache().configuration_version
+    ping = exchange.Ping(
+        sequence=1, incarnation=1, place="", epoch=1000, configuration_version=without
+    )
+    assert local_coordinator._pick_configuration(ping) is not None
