Fetch only the newest assignments in a recovery

Each member answered the question of a coordinator in a new era with the document of all assignments, which at 8,800 databases is half a megabyte from each node. Members now answer with the version, and the document comes from one that has the highest; each change raises it, so the highest includes all.

--- a/hyssopshelf/authority/coordinator.py
+++ b/hyssopshelf/authority/coordinator.py
@@ -50,8 +50,8 @@
     ----------
     recorder : AssignmentRecorder or None
         Writes the assignments; None until they are loaded.
-    recalled : dict of str to Assignments
-        Assignments that members know, by host, if this node asked for them.
+    recalled : dict of str to Recalled
+        Answers to the question which assignments members know, by host.
     predecessor : str
         Host of the coordinator before, empty if there was none or it was this host.
     """
@@ -83,7 +83,7 @@
         self._encoded_holders = encode_holders({})
         self.registry = registration.MemberRegistry(coordinator=self)
         self.recorder = None
-        self.recalled: dict[str, assignments.Assignments] = {}
+        self.recalled: dict[str, exchange.Recalled] = {}
         self.predecessor = ""
         self._requested_at = float("-inf")
         self._tasks = background.TaskSet(on_failure=self._stop_after_failure)
--- a/hyssopshelf/authority/dispatch.py
+++ b/hyssopshelf/authority/dispatch.py
@@ -54,8 +54,12 @@
     message: exchange.Recall, participant, host: str, address: str
 ) -> None:
     if message.epoch >= participant.member.epoch:
-        data = assignments.encode(participant.member.assignments)
-        answer = exchange.Recalled(epoch=message.epoch, assignments=data)
+        known = participant.member.assignments
+        answer = exchange.Recalled(
+            epoch=message.epoch,
+            version=known.version,
+            assignments=assignments.encode(known) if message.full else None,
+        )
         participant.send(host, address, answer)
 
 
@@ -66,8 +70,7 @@
     local_coordinator = participant.coordinator
     if local_coordinator is None or message.epoch != local_coordinator.record.epoch:
         return
-    found = assignments.decode_assignments(message.assignments)
-    local_coordinator.recalled[host] = found
+    local_coordinator.recalled[host] = message
 
 
 @apply.register
--- a/hyssopshelf/authority/exchange.py
+++ b/hyssopshelf/authority/exchange.py
@@ -182,9 +182,15 @@
     """A coordinator's question which assignments a member knows.
 
     It asks when the store may have lost the latest ones.
+
+    Attributes
+    ----------
+    full : bool
+        Whether the answer should contain the assignments, not only their version.
     """
 
     epoch: int
+    full: bool
 
 
 @envelopes.register("authority.recalled")
@@ -194,12 +200,15 @@
 
     Attributes
     ----------
-    assignments : bytes
-        The document of all assignments.
+    version : int
+        Version of all assignments.
+    assignments : bytes or None
+        The document of all assignments, if it was asked for.
     """
 
     epoch: int
-    assignments: bytes
+    version: int
+    assignments: bytes | None = None
 
 
 @envelopes.register("authority.inquire")
--- a/hyssopshelf/authority/recovery.py
+++ b/hyssopshelf/authority/recovery.py
@@ -23,10 +23,8 @@
     """
     local_member = local_coordinator.local_member
     stored = local_member.assignments
-    asked = await _recall_assignments(local_coordinator)
-    merged = stored
-    for found in local_coordinator.recalled.values():
-        merged = merge_assignments(merged, found)
+    asked = await _ask_members(local_coordinator)
+    newest = await _fetch_newest(local_coordinator, stored)
     endpoints = local_member.gateway.board.endpoints.values()
     checked = await asyncio.gather(
         *(
@@ -35,15 +33,15 @@
                 entry,
                 [endpoint for endpoint in endpoints if endpoint.database == database],
             )
-            for database, entry in merged.databases.items()
+            for database, entry in newest.databases.items()
         )
     )
     first = assignments.find_first_version(local_coordinator.store.era or 0)
     local_member.assignments = assignments.Assignments(
-        version=max(merged.version + 1, first),
+        version=max(newest.version + 1, first),
         databases={
             database: attrs.evolve(entry, version=max(entry.version + 1, first))
-            for database, entry in zip(merged.databases, checked, strict=True)
+            for database, entry in zip(newest.databases, checked, strict=True)
         },
     )
     logs.write(
@@ -64,26 +62,14 @@
         await asyncio.sleep(timing.PING_SECONDS)
 
 
-def merge_assignments(
-    one: assignments.Assignments, other: assignments.Assignments
-) -> assignments.Assignments:
-    """Return the assignment with the highest version of each database."""
-    databases = dict(one.databases)
-    for database, entry in other.databases.items():
-        known = databases.get(database)
-        # A promotion that took effect is known under the version of its beginning.
-        if known is None or (known.version, not known.promoting) < (
-            entry.version,
-            not entry.promoting,
-        ):
-            databases[database] = entry
-    return assignments.Assignments(
-        version=max(one.version, other.version), databases=databases
-    )
+async def _ask_members(local_coordinator) -> int:
+    """Ask all known members for the version of their assignments.
 
-
-async def _recall_assignments(local_coordinator) -> int:
-    """Ask all members that are known for their assignments; return their number."""
+    Returns
+    -------
+    int
+        Number of members that were asked.
+    """
     own = local_coordinator.identity.host
     members = local_coordinator.grant_table.members
     for record in local_coordinator.local_member.members.values():
@@ -91,18 +77,44 @@
         if record.host != own and record.host not in members:
             local_coordinator.registry.add(record)
     asked = list(members.values())
-    message = exchange.Recall(epoch=local_coordinator.record.epoch)
+    message = exchange.Recall(epoch=local_coordinator.record.epoch, full=False)
     for state in asked:
         local_coordinator.send(state.host, state.address, message)
     # The coordinator that was replaced rarely answers.
     awaited = {state.host for state in asked} - {local_coordinator.predecessor}
+    recalled = local_coordinator.recalled
+    await _wait_for(lambda: awaited <= recalled.keys())
+    return len(asked)
+
+
+async def _fetch_newest(
+    local_coordinator, stored: assignments.Assignments
+) -> assignments.Assignments:
+    """Return the assignments with the highest version, the store's or a member's.
+
+    Each change raises the version, so the highest one includes all changes.
+    """
+    recalled = local_coordinator.recalled
+    ranked = sorted(recalled, key=lambda host: recalled[host].version, reverse=True)
+    message = exchange.Recall(epoch=local_coordinator.record.epoch, full=True)
+    for host in ranked:
+        state = local_coordinator.grant_table.members.get(host)
+        if recalled[host].version <= stored.version:
+            break
+        if state is None:
+            continue
+        local_coordinator.send(host, state.address, message)
+        await _wait_for(lambda host=host: recalled[host].assignments is not None)
+        if recalled[host].assignments is not None:
+            return assignments.decode_assignments(recalled[host].assignments)
+    return stored
+
+
+async def _wait_for(condition) -> None:
+    """Poll a condition until it holds or ``RECALL_SECONDS`` have passed."""
     deadline = clocks.read_clock() + RECALL_SECONDS
-    while (
-        not awaited <= local_coordinator.recalled.keys()
-        and clocks.read_clock() < deadline
-    ):
+    while not condition() and clocks.read_clock() < deadline:
         await asyncio.sleep(member.RELEASE_CHECK_SECONDS)
-    return len(asked)
 
 
 async def _check_assignment(
