--- a/hyssopshelf/authority/coordinator.py
+++ b/hyssopshelf/authority/coordinator.py
@@ -50,6 +50,9 @@
     ----------
     recorder : AssignmentRecorder or None
         Writes the assignments; None until they are loaded.
+    recovering : bool
+        Whether the assignments may be older than what was granted last; none is passed
+        on until they have been recovered.
     recalled : dict of str to Recalled
         Answers to the question which assignments members know, by host.
     predecessor : str
@@ -83,6 +86,7 @@
         self._encoded_holders = encode_holders({})
         self.registry = registration.MemberRegistry(coordinator=self)
         self.recorder = None
+        self.recovering = False
         self.recalled: dict[str, exchange.Recalled] = {}
         self.predecessor = ""
         self._requested_at = float("-inf")
@@ -132,7 +136,7 @@
             known.sent_shares = self.shares.get(host)
         self._record_observations(ping, now)
         self._request_configuration(ping, host, address, now)
-        grant = follows and self.has_authority(now)
+        grant = follows and self.has_authority(now) and not self.recovering
         if grant:
             databases = self._direct.get(host, ())
             if databases is None:
@@ -252,7 +256,7 @@
             released=tuple(self.revoked),
             assignments=(
                 assignments.encode(newer)
-                if ping.assignments_version < newer.version
+                if ping.assignments_version < newer.version and not self.recovering
                 else None
             ),
             configuration=self._pick_configuration(ping),
--- a/hyssopshelf/authority/participant.py
+++ b/hyssopshelf/authority/participant.py
@@ -241,6 +241,7 @@
         if era < (self.store.era or 0):
             await self.store_watcher.read_all()
             await recovery.recover_assignments(local_coordinator)
+            local_coordinator.recovering = False
         controller = change.ChangeController(
             coordinator=local_coordinator,
             recorder=local_coordinator.recorder,
@@ -292,6 +293,7 @@
         if found.ok_value is None:
             return 0, 0
         loaded = assignments.decode_assignments(found.ok_value.value)
+        local_coordinator.recovering = loaded.era < (self.store.era or 0)
         if loaded.version > self.member.assignments.version:
             self.member.assignments = loaded
         return found.ok_value.revision, loaded.era
