Depend on no common revision of the keys of a transaction

What clients would see: after the store had returned and the coordinator had recorded itself, no primary could be replaced any more.

Cause: the record, the assignments and a registration were written in one transaction, and the revision of its response was used as that of the record.

Change: the record is written alone, then the assignments and the registrations. The order is safe without a transaction: assignments of an earlier era are not trusted.

--- a/hyssopshelf/authority/recovery.py
+++ b/hyssopshelf/authority/recovery.py
@@ -9,7 +9,7 @@
 import attrs
 
 from hyssopshelf import clocks, logs
-from hyssopshelf.authority import assignments, exchange, member, replication, timing
+from hyssopshelf.authority import assignments, exchange, member, renewal, replication
 
 RECALL_SECONDS = 0.6
 """Time for the answers of members, to which a connection has to be opened first, in
@@ -58,8 +58,7 @@
             ],
         },
     )
-    while not await local_coordinator.recorder.save():
-        await asyncio.sleep(timing.PING_SECONDS)
+    await renewal.save_assignments(local_coordinator)
 
 
 async def _ask_members(local_coordinator) -> int:
--- a/hyssopshelf/authority/registration.py
+++ b/hyssopshelf/authority/registration.py
@@ -51,10 +51,11 @@
 
     def register_again(self) -> None:
         """Register all members in a store that may have lost their registrations."""
-        members = self.coordinator.grant_table.members
-        if members and not self._unregistered:
+        if not self._unregistered:
             self.coordinator.run_in_background(self._write_members())
-        for state in members.values():
+        identity = self.coordinator.identity
+        self._unregistered[identity.host] = identity
+        for state in self.coordinator.grant_table.members.values():
             self._unregistered[state.host] = assignments.MemberRecord(
                 host=state.host,
                 address=state.address,
@@ -78,7 +79,7 @@
             for record in batch:
                 # A host whose registration failed pings again.
                 self._unregistered.pop(record.host, None)
-                if written.is_ok():
+                if written.is_ok() and record.host != self.coordinator.identity.host:
                     self.add(record)
                     self.coordinator.announce_to(record.host, record.address)
 
--- a/hyssopshelf/authority/renewal.py
+++ b/hyssopshelf/authority/renewal.py
@@ -82,12 +82,12 @@
     store, known = local_coordinator.store, local_coordinator.record
     lease = await store.grant_lease(timing.LEASE_SECONDS)
     found = await store.get(assignments.COORDINATOR_KEY)
-    stored = await store.get(assignments.ASSIGNMENTS_KEY)
-    if lease.is_err() or found.is_err() or stored.is_err():
+    if lease.is_err() or found.is_err():
         return
-    entry = found.ok_value
+    entry, found_epoch = found.ok_value, 0
     if entry is not None:
         current = assignments.decode_coordinator(entry.value)
+        found_epoch = current.epoch
         if current.epoch > known.epoch:
             local_coordinator.stop("another coordinator is recorded in the store")
             local_coordinator.local_member.follow(current)
@@ -101,36 +101,35 @@
         epoch=election.find_next_epoch(known.epoch, store.era or 0),
         lease=lease.ok_value,
     )
-    identity = local_coordinator.identity
-    expected = {assignments.COORDINATOR_KEY: entry.revision if entry else 0}
-    writes = {
-        assignments.COORDINATOR_KEY: assignments.encode(record),
-        assignments.MEMBER_PREFIX + identity.host: assignments.encode(identity),
-    }
-    assignment_recorder = local_coordinator.recorder
-    if assignment_recorder is not None:
-        expected[assignments.ASSIGNMENTS_KEY] = (
-            stored.ok_value.revision if stored.ok_value else 0
-        )
-        writes[assignments.ASSIGNMENTS_KEY] = assignment_recorder.encode(
-            local_coordinator.local_member.assignments
-        )
-    written = await store.change(expected, writes)
+    written = await store.change(
+        {assignments.COORDINATOR_KEY: entry.revision if entry else 0},
+        {assignments.COORDINATOR_KEY: assignments.encode(record)},
+    )
     if written.is_err():
         return
     local_coordinator.record, local_coordinator.revision = record, written.ok_value
-    if assignment_recorder is not None:
-        assignment_recorder.revision = written.ok_value
     local_coordinator.grant_table.confirmed_at = sent_at
     local_coordinator.local_member.follow(record)
     local_coordinator.registry.register_again()
     local_coordinator.announce()
+    local_coordinator.run_in_background(save_assignments(local_coordinator))
     logs.write(
         logs.LogEvent.COORDINATION_RECORDED,
         {
             "epoch": record.epoch,
             "before": known.epoch,
-            "found": current.epoch if entry is not None else 0,
+            "found": found_epoch,
             "assignments": local_coordinator.local_member.assignments.version,
         },
     )
+
+
+async def save_assignments(local_coordinator) -> None:
+    """Write the assignments in force to a store that was restored.
+
+    Until then the store has those of an earlier era, which no coordinator trusts.
+    """
+    if local_coordinator.recorder is None:
+        return
+    while not await local_coordinator.recorder.save():
+        await asyncio.sleep(timing.PING_SECONDS)
--- a/hyssopshelf/authority/takeover.py
+++ b/hyssopshelf/authority/takeover.py
@@ -201,12 +201,12 @@
         known_epoch = max(current.epoch if current else 0, participant.member.epoch)
         own_key = assignments.MEMBER_PREFIX + identity.host
         expected = {assignments.COORDINATOR_KEY: revision}
-        writes = {}
-        if current is not None and election.find_era(current.epoch) < (store.era or 0):
-            # The store may have lost the registration. No coordinator has acted since
-            # it was restored, so none has removed this node.
-            writes[own_key] = assignments.encode(identity)
-        elif current is not None and not restarted:
+        # In a restored store the registration may be lost. No coordinator has acted
+        # there yet, so none has removed this node.
+        restored = current is not None and (
+            election.find_era(current.epoch) < (store.era or 0)
+        )
+        if current is not None and not restarted and not restored:
             expected[own_key] = await self._find_own_revision()
             if not expected[own_key]:
                 return
@@ -218,18 +218,19 @@
             epoch=election.find_next_epoch(known_epoch, store.era or 0),
             lease=lease.ok_value,
         )
-        writes[assignments.COORDINATOR_KEY] = assignments.encode(record)
-        written = await store.change(expected, writes)
+        written = await store.change(
+            expected, {assignments.COORDINATOR_KEY: assignments.encode(record)}
+        )
         if written.is_err():
             return
-        if own_key in writes:
-            participant.own_revision = written.ok_value
         if restarted:
             # The process that held the lease has ended, so nothing waits for its end.
             participant.spawn(self._end_lease(current, lease.ok_value))
         else:
             await self._end_lease(current, lease.ok_value)
         participant.start_coordinating(record, written.ok_value, current, reason)
+        if restored:
+            participant.coordinator.registry.register_again()
 
     async def _find_own_revision(self) -> int:
         """Return the revision of this node's registration, 0 without one."""
--- a/hyssopshelf/authority/tests/test_restored_store.py
+++ b/hyssopshelf/authority/tests/test_restored_store.py
@@ -85,6 +85,8 @@
                 return result.Err(Failure(status=election.CONFLICT_STATUS))
         revision = self._next()
         for key, value in writes.items():
+            # Whether the keys of a transaction share a revision is not promised.
+            revision = self._next()
             self.entries[key] = kvstore.Entry(key=key, value=value, revision=revision)
         for key in deletes:
             self.entries.pop(key, None)
@@ -304,6 +306,7 @@
         await wait_for(
             lambda: store.read_assignments().databases["db"].endpoint == "new", 3.0
         )
+        await wait_for(lambda: "a" in store.read_members(), 1.0)
         entry = assignments.Assignment(endpoint="newest", term=3, version=3)
         assert await assignment_recorder.record("db", entry)
         assert store.read_assignments().databases["db"].endpoint == "newest"
@@ -362,9 +365,28 @@
         await wait_for(lambda: "b" in store.read_members())
         knowing.member.follow(record)
         knowing.member.assignments = make_assignments(3, "new", 3)
+        # The recovery takes as long as a member that does not answer is waited for.
+        silent = assignments.MemberRecord(host="d", address="d:1", incarnation=1)
+        await store.change(
+            {}, {assignments.MEMBER_PREFIX + "d": assignments.encode(silent)}
+        )
+        joining = fleet.start("c")
+        joining.member.follow(record)
         store.restore(store.copy())
         started = fleet.start("a", incarnation=2)
-        await wait_for(lambda: started.gateway.board.primary_grants, 4.0)
+        granted = set()
+
+        def have_grants() -> bool:
+            boards = [node.gateway.board for node in (started, joining)]
+            granted.update(
+                board.primary_grants["db"].endpoint
+                for board in boards
+                if board.primary_grants
+            )
+            return all(board.primary_grants for board in boards)
+
+        await wait_for(have_grants, 4.0)
+        assert granted == {"new"}
         assert started.gateway.board.primary_grants["db"].endpoint == "new"
         await wait_for(lambda: knowing.gateway.board.primary_grants, 4.0)
         versions = {
