Do not record assignments that are still being recovered

What clients would see: with a second return of the store during a recovery, the coordinator records itself again and writes the assignments that it had loaded and not yet recovered, as ones of the new era. A later coordinator trusts them and grants an older primary. Found on reading the change before landing.

Change: the recovery saves its result itself; recording again leaves assignments that are not loaded or recovered.

--- a/hyssopshelf/authority/recorder.py
+++ b/hyssopshelf/authority/recorder.py
@@ -11,7 +11,7 @@
 import attrs
 
 from hyssopshelf import logs
-from hyssopshelf.authority import assignments, election
+from hyssopshelf.authority import assignments, election, timing
 
 WRITE_ATTEMPTS = 2
 """Attempts of a write; the second one is needed if an earlier write took effect but
@@ -50,6 +50,11 @@
         async with self._lock:
             return await self._write(self.coordinator.local_member.assignments)
 
+    async def save_repeatedly(self) -> None:
+        """Write the assignments in force until the store has taken them."""
+        while not await self.save():
+            await asyncio.sleep(timing.PING_SECONDS)
+
     def encode(self, newer: assignments.Assignments) -> bytes:
         """Encode assignments for the store in its present era."""
         era = self.coordinator.store.era or 0
--- a/hyssopshelf/authority/recovery.py
+++ b/hyssopshelf/authority/recovery.py
@@ -9,7 +9,7 @@
 import attrs
 
 from hyssopshelf import clocks, logs
-from hyssopshelf.authority import assignments, exchange, member, renewal, replication
+from hyssopshelf.authority import assignments, exchange, member, replication
 
 RECALL_SECONDS = 0.6
 """Time for the answers of members, to which a connection has to be opened first, in
@@ -58,7 +58,7 @@
             ],
         },
     )
-    await renewal.save_assignments(local_coordinator)
+    await local_coordinator.recorder.save_repeatedly()
 
 
 async def _ask_members(local_coordinator) -> int:
--- a/hyssopshelf/authority/renewal.py
+++ b/hyssopshelf/authority/renewal.py
@@ -112,7 +112,11 @@
     local_coordinator.local_member.follow(record)
     local_coordinator.registry.register_again()
     local_coordinator.announce()
-    local_coordinator.run_in_background(save_assignments(local_coordinator))
+    # Assignments that are not loaded or recovered yet are saved after that.
+    if local_coordinator.recorder is not None and not local_coordinator.recovering:
+        local_coordinator.run_in_background(
+            local_coordinator.recorder.save_repeatedly()
+        )
     logs.write(
         logs.LogEvent.COORDINATION_RECORDED,
         {
@@ -122,14 +126,3 @@
             "assignments": local_coordinator.local_member.assignments.version,
         },
     )
-
-
-async def save_assignments(local_coordinator) -> None:
-    """Write the assignments in force to a store that was restored.
-
-    Until then the store has those of an earlier era, which no coordinator trusts.
-    """
-    if local_coordinator.recorder is None:
-        return
-    while not await local_coordinator.recorder.save():
-        await asyncio.sleep(timing.PING_SECONDS)
--- a/hyssopshelf/authority/tests/test_restored_store.py
+++ b/hyssopshelf/authority/tests/test_restored_store.py
@@ -579,3 +579,33 @@
         )
 
     run_fleet(scenario)
+
+
+# ONE: a second return of the store makes assignments count that were not recovered.
+def test_a_coordinator_that_recovers_does_not_record_what_it_loaded():
+    async def scenario(store, fleet):
+        stored = make_assignments(1, "old", 1)
+        await store.change(
+            {}, {assignments.ASSIGNMENTS_KEY: assignments.encode(stored)}
+        )
+        store.restore(store.copy())
+        node = fleet.add("a")
+        record = assignments.CoordinatorRecord(
+            host="a", address="a:1", incarnation=1, epoch=1000, lease=0
+        )
+        silent = assignments.MemberRecord(host="d", address="d:1", incarnation=1)
+        await store.change(
+            {}, {assignments.MEMBER_PREFIX + "d": assignments.encode(silent)}
+        )
+        node.start_coordinating(record, 1, None, "test")
+        await wait_for(lambda: node.coordinator.recovering)
+        assert node.coordinator.recorder is not None
+        store.restore(store.copy())
+        await renewal.record_again(node.coordinator)
+        await asyncio.sleep(0.1)
+        assert node.coordinator.recovering
+        assert store.read_record().host == "a"
+        assert store.read_assignments().era == 0
+        await wait_for(lambda: store.read_assignments().era == store.era)
+
+    run_fleet(scenario)
