--- a/hyssopshelf/authority/tests/test_lost_takeover.py
+++ b/hyssopshelf/authority/tests/test_lost_takeover.py
@@ -6,7 +6,7 @@
 
 from hyssopshelf import clocks
 from hyssopshelf.authority import assignments, election, timing
-from hyssopshelf.authority.tests import test_restored_store as fakes
+from hyssopshelf.authority.tests import restorable_fleet
 
 
 # Primaries stay revoked for good: the coordinator renews its lease, and
@@ -14,11 +14,11 @@
 def test_a_coordinator_follows_a_takeover_whose_answer_was_lost():
     async def scenario(store, fleet):
         first = fleet.start("a")
-        await fakes.wait_for(lambda: first.coordinator is not None)
+        await restorable_fleet.wait_for(lambda: first.coordinator is not None)
         for host in ("b", "c"):
             fleet.start(host)
-        await fakes.wait_for(lambda: store.read_members() == {"a", "b", "c"})
-        await fakes.wait_for(lambda: fleet.nodes["c"].member.answered_at > 0)
+        await restorable_fleet.wait_for(lambda: store.read_members() == {"a", "b", "c"})
+        await restorable_fleet.wait_for(lambda: fleet.nodes["c"].member.answered_at > 0)
         recorder = first.coordinator.recorder
         record = store.read_record()
         lost = attrs.evolve(
@@ -31,12 +31,14 @@
         entry = assignments.Assignment(endpoint="e", term=1, version=1)
         assert not await recorder.record("db", entry)
         acting = fleet.nodes["b"]
-        await fakes.wait_for(lambda: acting.coordinator is not None, 1.0)
-        await fakes.wait_for(lambda: acting.coordinator.recorder is not None, 1.0)
+        await restorable_fleet.wait_for(lambda: acting.coordinator is not None, 1.0)
+        await restorable_fleet.wait_for(
+            lambda: acting.coordinator.recorder is not None, 1.0
+        )
         assert await acting.coordinator.recorder.record("db", entry)
         await asyncio.sleep(timing.PING_SECONDS * 3)
         now = clocks.read_clock()
         assert all(node.measure_silence(now) < 1.0 for node in fleet.nodes.values())
         assert sum(bool(n.coordinator) for n in fleet.nodes.values()) == 1
 
-    fakes.run_fleet(scenario)
+    restorable_fleet.run_fleet(scenario)
