Keep customers apart: keys, connections and limits across the fleet

A session belongs to the customer of its key and is checked at each statement or transaction. A connection is opened in one customer's name and serves it alone; every host computes which holders serve which customer by rendezvous hashing bounded by load. Inside a rank customers take turns by slot time.

--- a/hyssopshelf/authority/allocation.py
+++ b/hyssopshelf/authority/allocation.py
@@ -93,6 +93,8 @@
     region: str,
     candidates: list[HolderCandidate],
     current: list[str],
+    *,
+    exclusive: bool = False,
 ) -> list[str]:
     """Return the hosts that hold an endpoint's connections.
 
@@ -100,8 +102,14 @@
     client does not keep the others waiting. Otherwise a few large hosts near the
     endpoint do; among these, current holders are preferred, so that connections
     stay open.
+
+    Parameters
+    ----------
+    exclusive : bool
+        Whether a connection serves one customer only. A few hosts then hold them
+        even if there were enough for all, as customers share none.
     """
-    if limit >= CONNECTIONS_FOR_ALL * len(candidates):
+    if limit >= CONNECTIONS_FOR_ALL * len(candidates) and not exclusive:
         return [candidate.host for candidate in candidates]
     count = max(MINIMUM_HOLDERS, min(MAXIMUM_HOLDERS, limit // CONNECTIONS_PER_HOLDER))
     ranked = sorted(
@@ -122,6 +130,8 @@
     endpoints: list[tuple[str, str, str, int]],
     candidates: list[HolderCandidate],
     current: dict[str, list[str]],
+    *,
+    exclusive: bool = False,
 ) -> tuple[dict[str, dict[str, int]], dict[str, list[str]]]:
     """Return each node's shares, and the holders of endpoints that few nodes use.
 
@@ -133,6 +143,8 @@
         Nodes that are alive.
     current : dict of str to list of str
         Current holders, by endpoint.
+    exclusive : bool
+        Whether a connection serves one customer only.
 
     Returns
     -------
@@ -145,7 +157,12 @@
     holders: dict[str, list[str]] = {}
     for endpoint, place, region, limit in endpoints:
         chosen = choose_holders(
-            limit, place, region, candidates, current.get(endpoint, [])
+            limit,
+            place,
+            region,
+            candidates,
+            current.get(endpoint, []),
+            exclusive=exclusive,
         )
         if len(chosen) < len(candidates):
             holders[endpoint] = chosen
--- a/hyssopshelf/authority/coordinator.py
+++ b/hyssopshelf/authority/coordinator.py
@@ -408,7 +408,10 @@
             if now - state.heard_at < timing.SILENCE_SECONDS and not state.draining
         ]
         self.shares, chosen = allocation.allocate_all(
-            gateway.list_limits(), candidates, self.chosen_holders
+            gateway.list_limits(),
+            candidates,
+            self.chosen_holders,
+            exclusive=gateway.has_customers(),
         )
         self.chosen_holders = chosen
         addresses = {candidate.host: candidate.address for candidate in candidates}
--- /dev/null
+++ b/hyssopshelf/customers/tests/test_limits.py
@@ -0,0 +1,169 @@
+"""Tests of limits over all hosts: the window rule under drawn schedules."""
+
+import collections
+
+import hypothesis
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from hyssopshelf.customers import directory, limits
+
+TOLERANCE = limits.Tolerance()
+CUSTOMER = directory.Customer(name="mill", rate=12.0, burst=12.0)
+HOSTS = 4
+
+
+class WindowRule(stateful.RuleBasedStateMachine):
+    """Hosts that ask, lose answers, pause and restart empty, and a keeper that moves.
+
+    ``shared`` is false in the broken variant, in which each host keeps the limit.
+    """
+
+    shared = True
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        keeper = limits.Keeper(tolerance=TOLERANCE)
+        self.keepers = [
+            keeper if self.shared else limits.Keeper(tolerance=TOLERANCE)
+            for _ in range(HOSTS)
+        ]
+        self.hosts = [limits.HostAllowance() for _ in range(HOSTS)]
+        self.used: collections.deque[float] = collections.deque()
+        self.moved = False
+
+    def operate(self, number: int, answered: bool) -> None:
+        host = self.hosts[number]
+        if not host.use(self.now):
+            wanted = host.compute_wanted(1, TOLERANCE.validity_seconds, self.now)
+            granted, wait = self.keepers[number].grant(CUSTOMER, wanted, self.now)
+            if not answered:
+                return
+            valid_until = self.now + TOLERANCE.validity_seconds
+            host.add(granted, wait, valid_until, self.now)
+            if not host.use(self.now):
+                return
+        self.used.append(self.now)
+
+    @stateful.rule(
+        number=st.integers(0, HOSTS - 1),
+        count=st.integers(1, 40),
+        answered=st.booleans() | st.just(True),
+    )
+    def flood(self, number, count, answered):
+        for _ in range(count):
+            self.operate(number, answered)
+
+    @stateful.rule(seconds=st.floats(0.01, 3.0))
+    def wait(self, seconds):
+        self.now += seconds
+
+    @stateful.rule(number=st.integers(0, HOSTS - 1))
+    def restart_empty(self, number):
+        self.hosts[number] = limits.HostAllowance()
+
+    @stateful.precondition(lambda self: not self.moved)
+    @stateful.rule()
+    def lose_keeper(self):
+        """The next keeper knows nothing; one is lost in a window at most."""
+        self.keepers = [limits.Keeper(tolerance=TOLERANCE)] * HOSTS
+        self.moved = True
+
+    @stateful.invariant()
+    def keep_the_window(self):
+        while self.used and self.used[0] <= self.now - TOLERANCE.window_seconds:
+            self.used.popleft()
+        allowed = CUSTOMER.rate * TOLERANCE.window_seconds + CUSTOMER.burst
+        allowed = allowed * (1.0 + TOLERANCE.excess_share) + TOLERANCE.excess_operations
+        assert len(self.used) <= allowed
+
+
+class LimitOfEachHost(WindowRule):
+    """The broken variant."""
+
+    shared = False
+
+
+SETTINGS = hypothesis.settings(max_examples=60, stateful_step_count=40)
+
+
+def test_floods_losses_and_restarts_stay_within_the_window():
+    stateful.run_state_machine_as_test(WindowRule, settings=SETTINGS)
+
+
+def test_the_window_rule_finds_a_limit_that_each_host_keeps_alone():
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(LimitOfEachHost, settings=SETTINGS)
+
+
+def test_a_restart_of_all_hosts_gives_no_second_burst():
+    """A flood through the restart of all hosts, the keeper among them."""
+    keeper = limits.Keeper(tolerance=TOLERANCE)
+    first = keeper.grant(CUSTOMER, 1000, 0.0)[0]
+    restarted = limits.Keeper(tolerance=TOLERANCE)
+    second = sum(restarted.grant(CUSTOMER, 1000, 0.1 * step)[0] for step in range(50))
+    rate = CUSTOMER.rate * TOLERANCE.window_seconds
+    assert first + second <= rate + TOLERANCE.excess_operations + CUSTOMER.rate * 0.5
+
+
+def test_tokens_past_their_deadline_are_not_used():
+    host = limits.HostAllowance()
+    host.add(5, 0.0, valid_until=1.0, now=0.5)
+    assert host.use(0.9)
+    assert not host.use(1.0)
+
+
+def test_a_limit_that_is_lowered_holds_for_a_full_bucket():
+    """A customer at a limit of 100 a second is lowered to 2."""
+    keeper = limits.Keeper(tolerance=TOLERANCE)
+    before = directory.Customer(name="mill", rate=100.0, burst=100.0)
+    keeper.grant(before, 1, 0.0)
+    after = directory.Customer(name="mill", rate=2.0, burst=2.0)
+    granted, wait = keeper.grant(after, 1000, 60.0)
+    assert granted == after.burst + TOLERANCE.allowance
+    assert wait == 0.5
+
+
+def test_a_small_customer_is_not_refused_below_its_limit():
+    """One operation a second from changing hosts, at a limit of one a second."""
+    keeper = limits.Keeper(tolerance=TOLERANCE)
+    customer = directory.Customer(name="chapel", rate=1.0, burst=1.0)
+    for second in range(60):
+        jitter = 0.4 if second % 2 else 0.0
+        assert keeper.grant(customer, 1, second - jitter)[0] == 1
+
+
+def test_a_busy_host_asks_for_several_operations_at_once():
+    """Fifty operations a second at one host need a question for some only."""
+    keeper = limits.Keeper(tolerance=TOLERANCE)
+    customer = directory.Customer(name="large", rate=200.0, burst=200.0)
+    host = limits.HostAllowance()
+    questions = 0
+    for step in range(500):
+        now = step * 0.02
+        if host.use(now):
+            continue
+        questions += 1
+        wanted = host.compute_wanted(1, TOLERANCE.validity_seconds, now)
+        granted, wait = keeper.grant(customer, wanted, now)
+        host.add(granted, wait, now + TOLERANCE.validity_seconds, now)
+        assert host.use(now)
+    assert questions < 100
+
+
+def test_tokens_kept_past_their_deadline_would_exceed_the_window():
+    """Tokens hoarded at many hosts and used together exceed the window."""
+    keeper = limits.Keeper(tolerance=TOLERANCE)
+    hosts = [limits.HostAllowance() for _ in range(40)]
+    for step, host in enumerate(hosts):
+        now = float(step)
+        granted, wait = keeper.grant(CUSTOMER, 12, now)
+        host.add(granted, wait, now + TOLERANCE.validity_seconds, now)
+    now = 40.0
+    assert sum(host.use(now) for host in hosts for _ in range(12)) <= 24
+    for host in hosts:
+        host.valid_until = now + 1.0
+    used = sum(host.use(now) for host in hosts for _ in range(12))
+    assert used > 1.1 * (12 * 5 + 12) + 20
--- a/hyssopshelf/exceptions.py
+++ b/hyssopshelf/exceptions.py
@@ -26,6 +26,8 @@
     FULL = "full"
     FAILED = "failed"
     UNPREPARED = "unprepared"
+    UNKNOWN_KEY = "unknown_key"
+    LIMIT_REACHED = "limit_reached"
 
 
 class Ran(enum.Enum):
@@ -77,6 +79,8 @@
     ErrorKind.FULL: Disposition(http_status=503, ran=Ran.NO, repeatable=True),
     ErrorKind.FAILED: Disposition(http_status=500, ran=Ran.UNKNOWN, repeatable=False),
     ErrorKind.UNPREPARED: Disposition(http_status=400, ran=Ran.NO, repeatable=False),
+    ErrorKind.UNKNOWN_KEY: Disposition(http_status=401, ran=Ran.NO, repeatable=False),
+    ErrorKind.LIMIT_REACHED: Disposition(http_status=429, ran=Ran.NO, repeatable=True),
 }
 
 
--- a/hyssopshelf/gateway/catalog.py
+++ b/hyssopshelf/gateway/catalog.py
@@ -3,6 +3,7 @@
 import attrs
 
 from hyssopshelf.configuration import resources, views
+from hyssopshelf.customers import directory
 
 DEFAULT_PARTNER = "shared"
 """Partner that all work belongs to while the operator declares no partners."""
@@ -49,6 +50,8 @@
         Latency objective of a whole operation.
     rank : int
         Priority; 0 is the most urgent.
+    public : bool
+        Whether sessions need no key and belong to no customer.
     """
 
     name: str
@@ -58,6 +61,7 @@
     statement_seconds: float
     objective_seconds: float
     rank: int
+    public: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -87,12 +91,15 @@
         Connections that each endpoint of a database accepts, by database.
     limits : Limits
         Limits on clients.
+    customers : Directory or None
+        Customers and their keys; None if sessions belong to no customer.
     """
 
     version: int
     routes: dict[str, Route]
     connections: dict[str, int]
     limits: Limits
+    customers: directory.Directory | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/hyssopshelf/gateway/connection_pools.py
+++ b/hyssopshelf/gateway/connection_pools.py
@@ -5,11 +5,13 @@
 """
 
 import asyncio
+import collections
 import itertools
 
 import attrs
 
-from hyssopshelf import clocks, exceptions
+from hyssopshelf import clocks, exceptions, logs
+from hyssopshelf.balancing import connections
 from hyssopshelf.gateway import catalog, endpoint_connections, session_state
 from hyssopshelf.scheduling import queues, work
 
@@ -25,6 +27,9 @@
 counts the connections of a host that lost power, so the restarted host has to do
 with the rest of the limit."""
 
+SERVICE_SMOOTHING = 0.1
+"""Weight of a new sample in the average time for which a statement has its slot."""
+
 EXPIRY_INTERVAL_SECONDS = 0.05
 """Interval of the removal of work that cannot start before its deadline."""
 
@@ -87,6 +92,8 @@
         Attempts to open a connection.
     peak_demand : int
         Peak of connections in use and waiting work since the last reset.
+    replacements : int
+        Connections of one customer that were closed for one of another.
     """
 
     def __init__(self, *, endpoint, codec, view) -> None:
@@ -100,7 +107,10 @@
         self.refused_until = 0.0
         self.handshakes = 0
         self.peak_demand = 0
+        self.replacements = 0
         self.closed = False
+        self._pending_customers: collections.Counter[str] = collections.Counter()
+        self._service_seconds = connections.HANDSHAKE_SECONDS
         self._waiters: dict[str, asyncio.Future] = {}
         self._expiry: asyncio.TimerHandle | None = None
 
@@ -137,6 +147,7 @@
         session: session_state.SessionState,
         connection: endpoint_connections.EndpointConnection | None = None,
         version: int = 0,
+        customer: str = "",
     ) -> Checkout:
         """Wait for a slot and a connection.
 
@@ -152,6 +163,8 @@
             Connection of an open transaction, which then needs a slot only.
         version : int
             Not used; pools of connections at other nodes need it.
+        customer : str
+            Customer that the connection has to belong to.
 
         Raises
         ------
@@ -168,6 +181,7 @@
             deadline=deadline,
             enqueued_at=now,
             in_transaction=connection is not None,
+            customer=customer,
         )
         held = len(self.open_connections)
         admitted = self.queue.admit(item, self.view, now, held=held)
@@ -187,7 +201,7 @@
         except asyncio.CancelledError:
             if _is_started(waiter):
                 if connection is None:
-                    self.pending_checkouts -= 1
+                    self._end_pending(customer)
                 self.release_slot(Checkout(work_id=item.id, connection=None))
             else:
                 self.queue.discard(item.id)
@@ -197,7 +211,7 @@
         checkout = Checkout(work_id=item.id, connection=connection)
         if connection is None:
             try:
-                checkout.connection = await self._take_connection(session)
+                checkout.connection = await self._take_connection(session, customer)
             except BaseException:
                 self.release_slot(checkout)
                 raise
@@ -205,7 +219,10 @@
 
     def release_slot(self, checkout: Checkout) -> None:
         """Release the slot of a checkout and start waiting work."""
-        self.queue.finish(checkout.work_id, clocks.read_clock())
+        seconds = self.queue.finish(checkout.work_id, clocks.read_clock())
+        if seconds:
+            change = seconds - self._service_seconds
+            self._service_seconds += SERVICE_SMOOTHING * change
         self.start_waiting()
 
     def take_idle(self) -> endpoint_connections.EndpointConnection | None:
@@ -248,7 +265,9 @@
         now = clocks.read_clock()
         while True:
             fresh = self._count_available(now) > 0
-            item = self.queue.take(self.view, now, include_new=fresh)
+            item = self.queue.take(
+                self.view, now, include_new=fresh, is_ready=self._is_ready
+            )
             if item is None:
                 return
             waiter = self._waiters.get(item.id)
@@ -257,6 +276,7 @@
                 continue
             if not item.in_transaction:
                 self.pending_checkouts += 1
+                self._pending_customers[item.customer] += 1
             waiter.set_result(None)
 
     def close_surplus(self, now: float) -> None:
@@ -302,8 +322,47 @@
             new = max(0, self.view.connections - len(self.open_connections))
         return idle + new - self.pending_checkouts
 
+    def _is_ready(self, customer: str) -> bool:
+        """Return whether new work of a customer should get a connection now.
+
+        Otherwise it waits for one of its own that is in use.
+        """
+        if not customer:
+            return True
+        own_idle = -self._pending_customers[customer]
+        own_busy = other_idle = 0
+        for connection in self.idle:
+            if connection.closed:
+                continue
+            if connection.customer == customer:
+                own_idle += 1
+            else:
+                other_idle += 1
+        if own_idle > 0:
+            return True
+        idle = set(self.idle)
+        for connection in self.open_connections:
+            if connection.customer == customer and connection not in idle:
+                own_busy += not connection.in_transaction
+        situation = connections.Situation(
+            own_idle=own_idle,
+            own_busy=own_busy,
+            other_idle=other_idle,
+            room=self.view.connections - len(self.open_connections),
+            service_seconds=self._service_seconds,
+            slots=self.view.slots,
+            contended=self.queue.waiting > 1,
+        )
+        return connections.choose_action(situation) is not connections.Action.WAIT
+
+    def _end_pending(self, customer: str) -> None:
+        self.pending_checkouts -= 1
+        self._pending_customers[customer] -= 1
+        if not self._pending_customers[customer]:
+            del self._pending_customers[customer]
+
     async def _take_connection(
-        self, session: session_state.SessionState
+        self, session: session_state.SessionState, customer: str
     ) -> endpoint_connections.EndpointConnection:
         """Return the idle connection that needs the least setup, or a new one.
 
@@ -314,7 +373,7 @@
             best_cost = 0
             # Last used first, so that surplus connections stay idle and are closed.
             for connection in reversed(self.idle):
-                if connection.closed:
+                if connection.closed or connection.customer != customer:
                     continue
                 cost = session_state.estimate_cost(connection.state, session)
                 if best is None or cost < best_cost:
@@ -324,19 +383,48 @@
             if best is not None:
                 self.idle.remove(best)
                 return best
-            return await self._open_connection()
+            if len(self.open_connections) >= self.view.connections:
+                self._close_for(customer)
+            return await self._open_connection(customer)
         finally:
-            self.pending_checkouts -= 1
+            self._end_pending(customer)
+
+    def _close_for(self, customer: str) -> None:
+        """Close the idle connection of another customer that was used least recently.
 
-    async def _open_connection(self) -> endpoint_connections.EndpointConnection:
+        One whose customer has waiting work is closed only if there is no other.
+        """
+        idle = [connection for connection in self.idle if not connection.closed]
+        if not idle:
+            return
+        waiting = self.queue.waiting_customers
+        idle.sort(key=lambda c: (c.customer in waiting, c.used_at))
+        self.replacements += 1
+        logs.write_request(
+            logs.LogEvent.CONNECTION_REPLACED,
+            {
+                "endpoint": self.endpoint.id,
+                "customer": customer,
+                "replaced": idle[0].customer,
+                "connections": len(self.open_connections),
+            },
+            True,
+        )
+        idle[0].close()
+        self.idle.remove(idle[0])
+        self.open_connections.discard(idle[0])
+
+    async def _open_connection(
+        self, customer: str
+    ) -> endpoint_connections.EndpointConnection:
         self.handshakes += 1
         placeholder = endpoint_connections.EndpointConnection(
-            endpoint=self.endpoint, codec=self.codec
+            endpoint=self.endpoint, codec=self.codec, customer=customer
         )
         self.open_connections.add(placeholder)
         try:
             connection = await endpoint_connections.open_connection(
-                self.endpoint, self.codec, CONNECT_TIMEOUT_SECONDS
+                self.endpoint, self.codec, CONNECT_TIMEOUT_SECONDS, customer
             )
         except endpoint_connections.EndpointConnectionError as error:
             if error.reason == exceptions.ErrorKind.FULL.value:
--- a/hyssopshelf/gateway/endpoint_connections.py
+++ b/hyssopshelf/gateway/endpoint_connections.py
@@ -73,11 +73,18 @@
         Clock time of the start of the last exchange, in seconds.
     direct : bool
         Whether the connection is this node's own, not one at another node.
+    customer : str
+        Customer in whose name the session was started, the only one that it serves;
+        empty for the gateway's own.
+    in_transaction : bool
+        Whether a transaction was open after the last reply.
     """
 
-    def __init__(self, *, endpoint, codec) -> None:
+    def __init__(self, *, endpoint, codec, customer: str = "") -> None:
         self.endpoint = endpoint
         self.codec = codec
+        self.customer = customer
+        self.in_transaction = False
         self.state = session_state.ConnectionState()
         self.used_at = clocks.read_clock()
         self.closed = False
@@ -200,6 +207,7 @@
             raise exceptions.CodecError(f"unexpected message {line[:40]!r}")
         if self.codec.feed(self._reply, line):
             self._replies.append(self._reply)
+            self.in_transaction = self._reply.state != b"I"
             self._reply = statements.Reply()
             if len(self._replies) == self._expected_replies:
                 waiter, self._waiter = self._waiter, None
@@ -220,13 +228,17 @@
         self._waiter = None
 
 
-async def open_connection(endpoint, codec, seconds: float) -> EndpointConnection:
+async def open_connection(
+    endpoint, codec, seconds: float, customer: str = ""
+) -> EndpointConnection:
     """Connect to an endpoint and start a session there.
 
     Parameters
     ----------
     seconds : float
         Timeout of connecting and starting together.
+    customer : str
+        Customer in whose name the session is started.
 
     Raises
     ------
@@ -235,12 +247,12 @@
     """
     host, _, port = endpoint.address.rpartition(":")
     loop = asyncio.get_running_loop()
-    connection = EndpointConnection(endpoint=endpoint, codec=codec)
+    connection = EndpointConnection(endpoint=endpoint, codec=codec, customer=customer)
     try:
         async with asyncio.timeout(seconds):
             await loop.create_connection(lambda: connection, host, int(port))
             await connection.exchange(
-                codec.format_start(endpoint.database, endpoint.id), 1
+                codec.format_start(endpoint.database, endpoint.id, customer), 1
             )
     except TimeoutError as error:
         connection.close()
--- a/hyssopshelf/gateway/execution.py
+++ b/hyssopshelf/gateway/execution.py
@@ -223,7 +223,12 @@
     pool = gateway.get_pool(endpoint)
     try:
         checkout = await gateway.acquire_from(
-            pool, route.rank, deadline, session.state, version=version
+            pool,
+            route.rank,
+            deadline,
+            session.state,
+            version=version,
+            customer=session.customer,
         )
     except connection_pools.PrimaryChangedError:
         trace.add(endpoint.id, "replaced as the primary")
--- a/hyssopshelf/gateway/forward_messages.py
+++ b/hyssopshelf/gateway/forward_messages.py
@@ -41,6 +41,56 @@
     tail: bytes
 
 
+@envelopes.register("gateway.customer_forward")
+@attrs.frozen(kw_only=True)
+class CustomerForward(Forward):
+    """A Forward for a session that belongs to a customer.
+
+    Attributes
+    ----------
+    customer : str
+        Customer in whose name the message is sent.
+    """
+
+    customer: str
+
+
+@envelopes.register("gateway.ask_tokens")
+@attrs.frozen(kw_only=True)
+class AskTokens:
+    """Question to the keeper of a customer's limit.
+
+    Attributes
+    ----------
+    sequence : int
+        Number that the answer repeats.
+    wanted : int
+        Tokens that the host can use.
+    """
+
+    sequence: int
+    customer: str
+    wanted: int
+
+
+@envelopes.register("gateway.grant_tokens")
+@attrs.frozen(kw_only=True)
+class GrantTokens:
+    """Answer to AskTokens.
+
+    Attributes
+    ----------
+    granted : int
+        Tokens that the host may use.
+    wait : float
+        Seconds until the keeper has more, 0 if it granted all.
+    """
+
+    sequence: int
+    granted: int
+    wait: float
+
+
 @envelopes.register("gateway.forwarded")
 @attrs.frozen(kw_only=True)
 class Forwarded:
--- a/hyssopshelf/gateway/forwarding.py
+++ b/hyssopshelf/gateway/forwarding.py
@@ -6,11 +6,13 @@
 """
 
 import asyncio
+import functools
 import itertools
 
 import attrs
 
 from hyssopshelf import background, clocks, exceptions, logs
+from hyssopshelf.balancing import holders as customer_holders
 from hyssopshelf.gateway import (
     connection_pools,
     endpoint_connections,
@@ -57,14 +59,26 @@
         Urgency of the work, 0 first.
     version : int
         Version of the primary grant that it needs, 0 for none.
+    customer : str
+        Customer that it belongs to, empty without customers.
     """
 
-    def __init__(self, *, forwarder, endpoint, holder, rank: int, version: int):
+    def __init__(
+        self,
+        *,
+        forwarder,
+        endpoint,
+        holder,
+        rank: int,
+        version: int,
+        customer: str = "",
+    ):
         self.forwarder = forwarder
         self.endpoint = endpoint
         self.holder = holder
         self.rank = rank
         self.version = version
+        self.customer = customer
         self.state = session_state.ConnectionState()
         self.unit = forwarder.start_unit(self)
         self.closed = False
@@ -117,7 +131,12 @@
         self.step += 1
         self.waiter = asyncio.get_running_loop().create_future()
         remaining = deadline - clocks.read_clock()
-        message = forward_messages.Forward(
+        message_class = forward_messages.Forward
+        fields = {}
+        if self.customer:
+            message_class = forward_messages.CustomerForward
+            fields["customer"] = self.customer
+        message = message_class(
             unit=self.unit,
             step=self.step,
             endpoint=self.endpoint.id,
@@ -129,6 +148,7 @@
             shape=shape,
             head=head,
             tail=tail,
+            **fields,
         )
         self.forwarder.send(*self.holder, message)
         try:
@@ -192,11 +212,19 @@
         self.forwarder = forwarder
         self.codec = forwarder.gateway.endpoint_codec
 
-    async def acquire(self, rank, deadline, session, connection=None, version: int = 0):
+    async def acquire(
+        self,
+        rank,
+        deadline,
+        session,
+        connection=None,
+        version: int = 0,
+        customer: str = "",
+    ):
         """Choose a holder, in whose queue the work then waits."""
         if connection is not None:
             return connection_pools.Checkout(work_id="", connection=connection)
-        holder = self.forwarder.choose_holder(self.endpoint.id)
+        holder = self.forwarder.choose_holder(self.endpoint.id, customer)
         if holder is None or self.forwarder.gateway.board.isolated:
             raise endpoint_connections.EndpointConnectionError(
                 "no holder is reached", sent=False
@@ -207,6 +235,7 @@
             holder=holder,
             rank=rank,
             version=version,
+            customer=customer,
         )
         return connection_pools.Checkout(work_id="", connection=remote)
 
@@ -253,6 +282,7 @@
         self._units: dict[int, RemoteConnection] = {}
         self._counter = itertools.count(1)
         self._avoided: dict[str, float] = {}
+        self._assigned: dict[str, tuple] = {}
         self._pinned: dict[tuple[str, int], PinnedUnit] = {}
         self._tasks: dict[tuple[str, int], asyncio.Task] = {}
 
@@ -261,20 +291,53 @@
         holders = self.holders.get(endpoint)
         return bool(holders) and all(host != self.host for host, _ in holders)
 
+    def list_holders(self) -> set[tuple[str, str]]:
+        """Return host and address of all hosts that hold connections for others."""
+        return {holder for found in self.holders.values() for holder in found}
+
+    def is_avoided(self, host: str) -> bool:
+        """Return whether a host did not answer just now."""
+        return self._avoided.get(host, 0.0) > clocks.read_clock()
+
     def is_working(self) -> bool:
         """Return whether this node runs work or keeps transactions for others."""
         return bool(self._tasks or self._pinned)
 
-    def choose_holder(self, endpoint: str) -> tuple[str, str] | None:
-        """Return the next holder, preferably one not avoided; None without one."""
-        now = clocks.read_clock()
+    def choose_holder(
+        self, endpoint: str, customer: str = ""
+    ) -> tuple[str, str] | None:
+        """Return the next holder, preferably one not avoided; None without one.
+
+        The work of a customer goes to the holders that serve it.
+        """
         holders = self.holders.get(endpoint, [])
-        usable = [h for h in holders if self._avoided.get(h[0], 0.0) <= now]
+        usable = [h for h in holders if not self.is_avoided(h[0])]
         candidates = usable or holders
         if not candidates:
             return None
+        if customer:
+            order, count = self._list_customer_holders(endpoint, holders, customer)
+            serving = [order[name] for name in order]
+            candidates = [h for h in serving if h in candidates][:count]
         return candidates[next(self._counter) % len(candidates)]
 
+    def _list_customer_holders(self, endpoint: str, found: list, customer: str):
+        """Return a customer's holders by name, in order, and how many serve it."""
+        configuration = self.gateway.board.configuration
+        key = (configuration.version, tuple(found))
+        kept = self._assigned.get(endpoint)
+        if kept is None or kept[0] != key:
+            shares = configuration.customers.compute_shares()
+            assigned = customer_holders.assign(
+                endpoint, [host for host, _ in found], shares
+            )
+            kept = (key, assigned, shares)
+            self._assigned[endpoint] = kept
+        by_name = dict(zip((host for host, _ in found), found, strict=True))
+        order = kept[1].get(customer) or list(by_name)
+        count = customer_holders.count_holders(kept[2].get(customer, 0.0), len(found))
+        return {name: by_name[name] for name in order}, count
+
     def avoid(self, host: str, address: str) -> None:
         """Prefer other holders for a time, and reconnect to this one."""
         self.reset(address)
@@ -401,10 +464,21 @@
         try:
             if connection is None:
                 checkout = await gateway.acquire_from(
-                    pool, message.rank, deadline, state, version=message.version
+                    pool,
+                    message.rank,
+                    deadline,
+                    state,
+                    version=message.version,
+                    customer=find_customer(message),
                 )
             else:
-                checkout = await pool.acquire(message.rank, deadline, state, connection)
+                checkout = await pool.acquire(
+                    message.rank,
+                    deadline,
+                    state,
+                    connection,
+                    customer=find_customer(message),
+                )
         except BaseException as error:
             if connection is not None:
                 pool.discard_connection(connection)
@@ -492,3 +566,14 @@
             raise endpoint_connections.EndpointConnectionError(
                 NOT_PRIMARY_REASON, sent=sent
             )
+
+
+@functools.singledispatch
+def find_customer(message: forward_messages.Forward) -> str:
+    """Return the customer that forwarded work belongs to, empty without one."""
+    return ""
+
+
+@find_customer.register
+def _find_named_customer(message: forward_messages.CustomerForward) -> str:
+    return message.customer
--- a/hyssopshelf/gateway/gateway.py
+++ b/hyssopshelf/gateway/gateway.py
@@ -20,6 +20,16 @@
 """Connections to each endpoint that are kept for the coordinator's status queries
 and commands."""
 
+REPLACED_CONNECTIONS = 2
+"""Connections to each endpoint that are kept, where they belong to customers, for
+those that an endpoint still counts after they were closed."""
+
+KEY_REQUEST_INTERVAL_SECONDS = 1.0
+"""Time between two requests of a newer configuration because of unknown keys."""
+
+KEY_WAIT_SECONDS = 0.3
+"""Time for which a session with an unknown key waits for a newer configuration."""
+
 DEFAULT_CONNECTIONS = 4
 """Connections that an endpoint accepts if its database declares no limit."""
 
@@ -42,6 +52,10 @@
         Forwards work to nodes that hold connections for others.
     open_writes : dict of (str, int) to int
         Running writes by database and version of its assignment.
+    allowances : Allowances or None
+        Takes the tokens of customers' limits.
+    request_configuration : callable or None
+        Asks the coordinator for a newer configuration.
     """
 
     def __init__(self, *, board: blackboard.GatewayBlackboard, endpoint_codec) -> None:
@@ -53,6 +67,9 @@
         self.shares: dict[str, int] = {}
         self.forwarder: forwarding.Forwarder | None = None
         self.open_writes: dict[tuple[str, int], int] = {}
+        self.allowances = None
+        self.request_configuration = None
+        self._requested_at = float("-inf")
         self._changed = asyncio.Event()
         self._primary_waits: dict[str, set[asyncio.Timeout]] = {}
 
@@ -95,6 +112,8 @@
         if current is not None and configuration.version <= current.version:
             return False
         self.board.configuration = configuration
+        if self.allowances is not None and configuration.customers is not None:
+            self.allowances.forget_customers(configuration.customers.by_name)
         self.refresh_views()
         logs.write(
             logs.LogEvent.CONFIGURATION_APPLIED,
@@ -155,8 +174,40 @@
             async with asyncio.timeout(max(0.0, deadline - clocks.read_clock())):
                 await changed.wait()
 
+    async def find_customer(self, route, digest: bytes | None, *, wait: bool):
+        """Return the customer that holds a key.
+
+        A key that is not known may be new: with ``wait`` the coordinator is then
+        asked for a newer configuration, once in an interval by all that wait.
+
+        Parameters
+        ----------
+        route : Route
+            Route of the session; a public one needs no key.
+
+        Returns
+        -------
+        (bool, Customer or None)
+            Whether the session is allowed, and its customer, None if it has none.
+        """
+        directory = self.board.configuration.customers
+        if directory is None or route.public:
+            return True, None
+        customer = directory.find(digest)
+        if customer is not None or not wait or self.request_configuration is None:
+            return customer is not None, customer
+        now = clocks.read_clock()
+        if now - self._requested_at > KEY_REQUEST_INTERVAL_SECONDS:
+            self._requested_at = now
+            self.request_configuration()
+        deadline = self._requested_at + KEY_WAIT_SECONDS
+        while customer is None and clocks.read_clock() < deadline:
+            await self.wait_for_change(deadline)
+            customer = self.board.configuration.customers.find(digest)
+        return customer is not None, customer
+
     async def acquire_from(
-        self, pool, rank: int, deadline: float, state, *, version: int
+        self, pool, rank: int, deadline: float, state, *, version: int, customer: str
     ) -> connection_pools.Checkout:
         """Wait for a slot and a connection while the endpoint stays the primary.
 
@@ -165,6 +216,8 @@
         version : int
             Version of the primary's assignment under which the work runs; 0 for
             work at a replica, which a change of primary does not end.
+        customer : str
+            Customer that the work belongs to, empty without customers.
 
         Raises
         ------
@@ -174,13 +227,15 @@
             As :meth:`connection_pools.ConnectionPool.acquire`.
         """
         if not version:
-            return await pool.acquire(rank, deadline, state)
+            return await pool.acquire(rank, deadline, state, customer=customer)
         waiting = self._primary_waits.setdefault(pool.endpoint.database, set())
         try:
             async with asyncio.timeout(None) as timeout:
                 waiting.add(timeout)
                 try:
-                    return await pool.acquire(rank, deadline, state, version=version)
+                    return await pool.acquire(
+                        rank, deadline, state, version=version, customer=customer
+                    )
                 finally:
                     waiting.discard(timeout)
         except TimeoutError as error:
@@ -235,6 +290,9 @@
         """Return id, place, region and usable connections of each endpoint."""
         configuration = self.board.configuration
         limits = configuration.connections if configuration is not None else {}
+        reserved = RESERVED_CONNECTIONS
+        if self.has_customers():
+            reserved += REPLACED_CONNECTIONS
         return [
             (
                 endpoint.id,
@@ -242,13 +300,17 @@
                 self.board.regions.get(endpoint.place, ""),
                 max(
                     1,
-                    limits.get(endpoint.database, DEFAULT_CONNECTIONS)
-                    - RESERVED_CONNECTIONS,
+                    limits.get(endpoint.database, DEFAULT_CONNECTIONS) - reserved,
                 ),
             )
             for endpoint in self.board.endpoints.values()
         ]
 
+    def has_customers(self) -> bool:
+        """Return whether connections to endpoints belong to customers."""
+        configuration = self.board.configuration
+        return configuration is not None and configuration.customers is not None
+
     def apply_shares(self, shares: dict[str, int]) -> None:
         """Apply this node's shares of the endpoints' connections."""
         if shares == self.shares:
--- a/hyssopshelf/gateway/metrics.py
+++ b/hyssopshelf/gateway/metrics.py
@@ -40,12 +40,18 @@
         Time to the answer by rank.
     queued : dict of int to Histogram
         Time in queues by rank.
+    limited : Counter of str
+        Operations refused beyond the limit, by customer.
+    keys_refused : int
+        Sessions and operations refused for their key.
     """
 
     def __init__(self) -> None:
         self.outcomes: collections.Counter = collections.Counter()
         self.latencies: dict[int, Histogram] = collections.defaultdict(Histogram)
         self.queued: dict[int, Histogram] = collections.defaultdict(Histogram)
+        self.limited: collections.Counter = collections.Counter()
+        self.keys_refused = 0
 
     def record(self, rank: int, outcome: str, seconds: float, queued: float) -> None:
         """Count an answered request; ``seconds`` includes the time in queues."""
@@ -76,6 +82,12 @@
             for (rank, outcome), count in metrics.outcomes.items()
         ],
     )
+    add_metric(
+        "limited_total",
+        "Operations beyond the limit of their customer",
+        [({"customer": name}, count) for name, count in metrics.limited.items()],
+    )
+    add_metric("keys_refused_total", "Unknown keys", [({}, metrics.keys_refused)])
     _add_histograms(
         add_metric, "request_seconds", "Time to the answer", metrics.latencies
     )
@@ -84,6 +96,11 @@
     for name, text, read in (
         ("handshakes_total", "Connections opened", lambda pool: pool.handshakes),
         ("connections", "Open connections", lambda g: len(g.open_connections)),
+        (
+            "replacements_total",
+            "Connections closed for one of another customer",
+            lambda pool: pool.replacements,
+        ),
         ("queue_waiting", "Waiting work", lambda pool: pool.queue.waiting),
         ("slots_running", "Slots in use", lambda pool: pool.queue.running),
         ("connection_share", "Connections allowed", lambda pool: pool.view.connections),
--- a/hyssopshelf/gateway/server.py
+++ b/hyssopshelf/gateway/server.py
@@ -4,6 +4,7 @@
 import collections
 
 from hyssopshelf import clocks, exceptions, logs
+from hyssopshelf.customers import directory
 from hyssopshelf.gateway import endpoint_connections, execution, memory, sessions
 
 CONFIGURATION_WAIT_SECONDS = 1.5
@@ -221,7 +222,19 @@
             self._send(codec.format_refusal(kind, name))
             self.close()
             return
-        self.session = sessions.Session(gateway=gateway, name=session_name)
+        digest = None
+        if configuration.customers is not None:
+            digest = directory.compute_digest(codec.parse_key(line))
+            route = configuration.routes[session_name]
+            allowed, _ = await gateway.find_customer(route, digest, wait=True)
+            if not allowed:
+                sessions.record_unknown_key(gateway, session_name)
+                self._send(codec.format_refusal(_KIND.UNKNOWN_KEY, name))
+                self.close()
+                return
+        self.session = sessions.Session(
+            gateway=gateway, name=session_name, key_digest=digest
+        )
         self._send(codec.format_ready("I"))
 
     async def _answer_request(self, line: bytes) -> None:
@@ -243,7 +256,7 @@
             reply = execution.make_error(_KIND.INTERNAL, "internal error")
         self._send(codec.format_reply(reply, session.status))
         self._log_request(request, reply, session, clocks.read_clock() - started)
-        if reply.error is _KIND.NOT_FOUND:
+        if reply.error in (_KIND.NOT_FOUND, _KIND.UNKNOWN_KEY):
             self.close()
 
     def _log_request(self, request, reply, session, seconds: float) -> None:
--- a/hyssopshelf/gateway/sessions.py
+++ b/hyssopshelf/gateway/sessions.py
@@ -29,9 +29,13 @@
         The gateway that serves it.
     name : str
         Database name that the client asked for.
+    key_digest : bytes or None
+        Digest of the client's key; None if there were no customers at its start.
 
     Attributes
     ----------
+    customer : str
+        Customer of the present unit of work, empty without customers.
     last_write_position : LogPosition or None
         Position of the last acknowledged write.
     transaction : Transaction or None
@@ -40,9 +44,11 @@
         Whether a transaction failed and the client has not ended it yet.
     """
 
-    def __init__(self, *, gateway, name: str) -> None:
+    def __init__(self, *, gateway, name: str, key_digest: bytes | None = None) -> None:
         self.gateway = gateway
         self.name = name
+        self.key_digest = key_digest
+        self.customer = ""
         self.state = session_state.SessionState()
         self.last_write_position: statements.LogPosition | None = None
         self.transaction: transactions.Transaction | None = None
@@ -75,6 +81,38 @@
             return execution.make_error(_KIND.BAD_REQUEST, "malformed statement")
         return await run(request.statement, self, request)
 
+    async def start_operation(self, route: catalog.Route) -> statements.Reply | None:
+        """Check key and limit before a unit of work: a statement or a transaction.
+
+        Returns
+        -------
+        Reply or None
+            The refusal, None if the unit may start.
+        """
+        gateway = self.gateway
+        if not gateway.has_customers():
+            self.customer = ""
+            return None
+        allowed, customer = await gateway.find_customer(
+            route, self.key_digest, wait=False
+        )
+        if not allowed:
+            record_unknown_key(gateway, self.name)
+            return execution.make_error(_KIND.UNKNOWN_KEY, self.name)
+        if customer is None:
+            self.customer = ""
+            return None
+        self.customer = customer.name
+        deadline = clocks.read_clock() + route.statement_seconds
+        refused = await gateway.allowances.take(customer, deadline)
+        if refused is None:
+            return None
+        reason = "limit reached"
+        if refused is _KIND.UNAVAILABLE:
+            reason = "no keeper of the limit is reached"
+        self.trace.add(customer.name, reason)
+        return execution.make_error(refused, reason)
+
     def abort(self) -> None:
         """Roll back the open transaction; the client still has to end it.
 
@@ -102,6 +140,15 @@
         task.add_done_callback(self._cleanups.discard)
 
 
+def record_unknown_key(gateway, name: str) -> None:
+    """Count and log a key that nobody holds; the key itself is not logged."""
+    gateway.metrics.keys_refused += 1
+    logs.write_request(
+        logs.LogEvent.KEY_REFUSED,
+        {"name": name, "version": gateway.board.configuration.version},
+    )
+
+
 async def roll_back(transaction: transactions.Transaction) -> None:
     """Roll a transaction back; a connection that does not answer is closed."""
     connection, pool = transaction.connection, transaction.pool
@@ -152,6 +199,9 @@
     route = session.find_route()
     if route is None:
         return execution.make_error(_KIND.NOT_FOUND, session.name)
+    refusal = await session.start_operation(route)
+    if refusal is not None:
+        return refusal
     session.transaction = transactions.Transaction(
         read_only=statement.read_only, route=route, idle_since=clocks.read_clock()
     )
@@ -231,4 +281,10 @@
         if reply.error is None and writes and session.transaction is not None:
             session.transaction.wrote = True
         return reply
+    route = session.find_route()
+    if route is None:
+        return execution.make_error(_KIND.NOT_FOUND, session.name)
+    refusal = await session.start_operation(route)
+    if refusal is not None:
+        return refusal
     return await autocommit.run(session, request, writes, shape)
--- a/hyssopshelf/gateway/tests/test_retries.py
+++ b/hyssopshelf/gateway/tests/test_retries.py
@@ -44,6 +44,8 @@
         self.state = session_state.ConnectionState()
         self.closed = False
         self.direct = True
+        self.customer = ""
+        self.in_transaction = False
         self.used_at = 0.0
 
     async def run(self, state, shape, build_message, deadline):
@@ -69,7 +71,7 @@
         self.behaviours = behaviours
         self.opened: list[str] = []
 
-    async def open_connection(self, endpoint, codec, seconds):
+    async def open_connection(self, endpoint, codec, seconds, customer=""):
         self.opened.append(endpoint.id)
         behaviour = self.behaviours[endpoint.id]
         if isinstance(behaviour, str) and behaviour != "reset":
--- a/hyssopshelf/gateway/transactions.py
+++ b/hyssopshelf/gateway/transactions.py
@@ -98,7 +98,11 @@
     if checkout is None:
         try:
             checkout = await pool.acquire(
-                transaction.route.rank, deadline, session.state, connection
+                transaction.route.rank,
+                deadline,
+                session.state,
+                connection,
+                customer=session.customer,
             )
         except connection_pools.RefusalError as refusal:
             session.trace.add(pool.endpoint.id, f"refused ({refusal.reason})")
--- a/hyssopshelf/scheduling/queues.py
+++ b/hyssopshelf/scheduling/queues.py
@@ -7,7 +7,7 @@
 
 from hyssopshelf import exceptions
 from hyssopshelf.configuration import views
-from hyssopshelf.scheduling import estimates, service, work
+from hyssopshelf.scheduling import estimates, service, turns, work
 
 MINIMUM_RETRY_SECONDS = 0.05
 MAXIMUM_RETRY_SECONDS = 30.0
@@ -39,6 +39,7 @@
         factory=collections.OrderedDict
     )
     estimate: estimates.ServiceEstimate = attrs.field(factory=estimates.ServiceEstimate)
+    customer_turns: turns.CustomerTurns = attrs.field(factory=turns.CustomerTurns)
 
     def __len__(self) -> int:
         """Return the number of waiting work items."""
@@ -48,6 +49,21 @@
         """Return the queue of open transactions or that of new work."""
         return self.in_transaction if item.in_transaction else self.new
 
+    def find_next(self, is_ready) -> work.Work | None:
+        """Return the work that starts next, None if none of it can."""
+        if self.in_transaction:
+            return next(iter(self.in_transaction.values()))
+        if is_ready is None:
+            return self.customer_turns.choose(self.new.values())
+        return self.customer_turns.choose(self.new.values(), is_ready)
+
+    def count_ahead(self, customer: str) -> int:
+        """Return how many waiting items a new one of a customer has to wait for."""
+        if not customer:
+            return len(self)
+        ahead = turns.count_ahead(self.new.values(), customer)
+        return len(self.in_transaction) + ahead
+
 
 @attrs.define(kw_only=True)
 class Running:
@@ -151,12 +167,23 @@
         return result.Ok(shed)
 
     def take(
-        self, view: views.PoolView, now: float, *, include_new: bool = True
+        self,
+        view: views.PoolView,
+        now: float,
+        *,
+        include_new: bool = True,
+        is_ready=None,
     ) -> work.Work | None:
         """Start the next work and return it, or None if none can start.
 
-        Without ``include_new`` only statements of open transactions are started,
-        as they already hold a connection.
+        Parameters
+        ----------
+        include_new : bool
+            Whether new work may start; statements of open transactions always may,
+            as they already hold a connection.
+        is_ready : callable or None
+            Takes a customer and returns whether its new work can start; None if all
+            can.
         """
         self._use_view(view)
         if len(self._running) >= view.slots or not self._waiting:
@@ -170,21 +197,34 @@
             flows = [key for key, flow in self._flows.items() if flow.new]
         if not flows:
             return None
-        partner, rank = self._clocks.choose(flows, view)
+        item = self._choose_item(flows, view, is_ready)
+        if item is None:
+            return None
+        partner, rank = item.partner, item.rank
         flow = self._flows[partner, rank]
-        item = next(iter((flow.in_transaction or flow.new).values()))
         self._remove(item)
         previous_start = flow.estimate.record_start(now)
         item.started_at = now
         charge = self._clocks.start(partner, rank, view)
-        self._adjust_charge(
-            charge, item.estimated_seconds or flow.estimate.mean_seconds
-        )
+        seconds = item.estimated_seconds or flow.estimate.mean_seconds
+        self._adjust_charge(charge, seconds)
+        if item.customer:
+            flow.customer_turns.start(item.customer, seconds)
         self._running[item.id] = Running(
             item=item, charge=charge, previous_start=previous_start
         )
         return item
 
+    def _choose_item(self, flows: list, view: views.PoolView, is_ready):
+        """Return the next work of the first flow, in order, that has some ready."""
+        while flows:
+            chosen = self._clocks.choose(flows, view)
+            item = self._flows[chosen].find_next(is_ready)
+            if item is not None:
+                return item
+            flows = [flow for flow in flows if flow != chosen]
+        return None
+
     def requeue(self, item: work.Work) -> None:
         """Put work that was taken but could not start at the head of its queue.
 
@@ -216,6 +256,10 @@
         self._adjust_charge(running.charge, seconds)
         flow = self._flows.get((item.partner, item.rank))
         if flow is not None:
+            if item.customer:
+                flow.customer_turns.correct(
+                    item.customer, seconds - flow.estimate.mean_seconds
+                )
             flow.estimate.record_finish(seconds, now)
         return seconds
 
@@ -244,6 +288,11 @@
         """Return the number of slots in use."""
         return len(self._running)
 
+    @property
+    def waiting_customers(self) -> set[str]:
+        """Return the customers that have waiting work."""
+        return {item.customer for item in self._waiting.values()}
+
     @property
     def waiting_partners(self) -> set[str]:
         """Return the partners that have waiting work."""
@@ -290,6 +339,14 @@
             for other in late:
                 self._remove(other)
             return late
+        if item.customer:
+            excess_item = turns.find_excess(
+                backlogs[item.partner].values(), item.customer
+            )
+            if excess_item is None:
+                return ()
+            self._remove(excess_item)
+            return (excess_item,)
         limit = view.ranks[item.rank].queue_limit
 
         def excess(partner: str) -> float:
@@ -308,11 +365,12 @@
     ) -> float:
         # Work with fewer items ahead of it than there are slots is always
         # accepted, so that the estimates keep receiving samples.
-        if len(flow) < view.slots:
+        ahead = flow.count_ahead(item.customer)
+        if ahead < view.slots:
             return 0.0
         floor = view.ranks[item.rank].floor
         guaranteed = floor * view.capacity.get(item.partner, 0.0) * view.slots
-        return flow.estimate.estimate_wait(len(flow), guaranteed, now)
+        return flow.estimate.estimate_wait(ahead, guaranteed, now)
 
     def _is_late(self, item: work.Work, now: float) -> bool:
         flow = self._flows[item.partner, item.rank]
--- a/hyssopshelf/scheduling/work.py
+++ b/hyssopshelf/scheduling/work.py
@@ -23,6 +23,8 @@
         Expected slot time; 0 if unknown.
     started_at : float or None
         Time at which it took a slot; None while it waits.
+    customer : str
+        Customer whose turn it takes within its rank; empty without customers.
     """
 
     id: str
@@ -34,6 +36,7 @@
     in_transaction: bool = False
     estimated_seconds: float = 0.0
     started_at: float | None = None
+    customer: str = ""
 
 
 @attrs.frozen(kw_only=True)
