--- a/hyssopshelf/customers/tests/test_limits.py
+++ b/hyssopshelf/customers/tests/test_limits.py
@@ -94,8 +94,9 @@
 
 
 def test_the_window_rule_finds_a_limit_that_each_host_keeps_alone():
+    settings = hypothesis.settings(SETTINGS, phases=[hypothesis.Phase.generate])
     with pytest.raises(AssertionError):
-        stateful.run_state_machine_as_test(LimitOfEachHost, settings=SETTINGS)
+        stateful.run_state_machine_as_test(LimitOfEachHost, settings=settings)
 
 
 def test_a_restart_of_all_hosts_gives_no_second_burst():
