Wait for the next coordinator while no node hears the last one

Change: a node that learns, from an inquiry or its answer, that others do not hear the coordinator either lets requests wait for the next one, up to 6 s of silence. Reads whose replicas failed wait too while no primary is known.

--- a/hyssopshelf/authority/dispatch.py
+++ b/hyssopshelf/authority/dispatch.py
@@ -3,7 +3,7 @@
 import functools
 
 from hyssopshelf import clocks
-from hyssopshelf.authority import assignments, exchange, member
+from hyssopshelf.authority import assignments, exchange, member, timing
 
 
 @functools.singledispatch
@@ -79,6 +79,8 @@
 ) -> None:
     now = clocks.read_clock()
     silence = now - participant.member.answered_at
+    if message.epoch >= participant.member.epoch:
+        participant.silence_shared_at = now
     local_coordinator = participant.coordinator
     if local_coordinator is not None and local_coordinator.has_authority(now):
         silence = 0.0
@@ -97,6 +99,8 @@
     if message.number != participant.candidate.inquiry_number:
         return
     newer = message.epoch > participant.member.epoch
+    if not newer and message.silence > timing.SILENCE_SECONDS:
+        participant.silence_shared_at = clocks.read_clock()
     participant.candidate.contacts[host] = 0.0 if newer else message.silence
 
 
--- a/hyssopshelf/authority/participant.py
+++ b/hyssopshelf/authority/participant.py
@@ -62,6 +62,12 @@
         Whether the whole fleet starts for the first time.
     is_seed : bool
         Whether other nodes ask this one for the coordinator.
+
+    Attributes
+    ----------
+    silence_shared_at : float
+        Clock time at which another node last said that it does not hear the
+        coordinator.
     """
 
     def __init__(
@@ -99,6 +105,7 @@
         self.member.capacity = capacity
         self.coordinator: coordinator.Coordinator | None = None
         self.own_revision = 0
+        self.silence_shared_at = float("-inf")
         self._tasks = background.TaskSet()
         self._bootstrap = bootstrap
         self.candidate = takeover.Candidate(
--- a/hyssopshelf/gateway/execution.py
+++ b/hyssopshelf/gateway/execution.py
@@ -169,7 +169,7 @@
     """Choose an endpoint and wait for a slot and a connection there.
 
     Without a usable endpoint the work waits for a change of the blackboard, unless
-    an endpoint was excluded already or this node is isolated.
+    this node is isolated or the primary that is known was tried already.
 
     Returns
     -------
@@ -189,7 +189,7 @@
             version = gateway.board.primary_grants[route.database].version
             retry_time = retry.find_retry_time(version, now)
         if candidate is None or retry_time > now:
-            if retry.excluded or gateway.board.isolated:
+            if gateway.board.isolated or _is_hopeless(gateway, route, retry, now):
                 break
             await gateway.wait_for_change(
                 wait_until if candidate is None else min(retry_time, wait_until)
@@ -208,6 +208,17 @@
     return refusal
 
 
+def _is_hopeless(gateway, route, retry: retries.RetryState, now: float) -> bool:
+    """Return whether waiting for another endpoint is no use.
+
+    While no primary is known the next one may run the work, also after endpoints
+    that have failed.
+    """
+    if not retry.excluded:
+        return False
+    return gateway.board.find_primary(route.database, now) is not None
+
+
 async def _reserve_at(session, route, candidate, version: int, deadline: float, retry):
     """Wait for a slot and a connection at one endpoint.
 
--- a/hyssopshelf/gateway/isolation.py
+++ b/hyssopshelf/gateway/isolation.py
@@ -5,6 +5,9 @@
 and then closes idle sessions, so that their clients reconnect to other nodes. A node
 that has just started is not ready either, but it expects an answer of the
 coordinator, so its requests wait.
+
+If other nodes do not hear the coordinator either, they serve no better, and a new
+coordinator is to be expected. Requests then wait for it, for longer.
 """
 
 import enum
@@ -23,6 +26,16 @@
 new clients."""
 
 
+SHARED_REFUSE_SECONDS = 6.0
+"""The same while other nodes do not hear the coordinator either. A takeover takes
+longer if a part of the fleet is cut off at the same time."""
+
+SHARED_SILENCE_SECONDS = 1.5
+"""Age of the last sign that another node does not hear the coordinator up to which
+the silence counts as shared. Nodes that want to take over ask all others at least
+each 1.2 s."""
+
+
 class Stage(enum.IntEnum):
     """Reaction of a node to its isolation; each stage includes those before it."""
 
@@ -32,11 +45,17 @@
     CLOSING = 3
 
 
-def find_stage(silence: float) -> Stage:
-    """Return the stage for a silence of the coordinator, in seconds."""
+def find_stage(silence: float, *, shared: bool = False) -> Stage:
+    """Return the stage for a silence of the coordinator, in seconds.
+
+    Parameters
+    ----------
+    shared : bool
+        Whether other nodes do not hear it either.
+    """
     if silence < UNREADY_SECONDS:
         return Stage.CONNECTED
-    if silence < REFUSE_SECONDS:
+    if silence < (SHARED_REFUSE_SECONDS if shared else REFUSE_SECONDS):
         return Stage.UNREADY
     if silence < CLOSE_SECONDS:
         return Stage.REFUSING
--- a/hyssopshelf/gateway/tests/test_isolation.py
+++ b/hyssopshelf/gateway/tests/test_isolation.py
@@ -28,6 +28,13 @@
     assert isolation.find_stage(longest + 0.5) < isolation.Stage.REFUSING
 
 
+def test_the_loss_of_a_coordinator_for_all_nodes_lets_requests_wait():
+    """A coordinator is removed while a part of the fleet is cut off."""
+    assert isolation.find_stage(4.5) is isolation.Stage.CLOSING
+    assert isolation.find_stage(4.5, shared=True) is isolation.Stage.UNREADY
+    assert isolation.find_stage(9.0, shared=True) is isolation.Stage.CLOSING
+
+
 def test_a_request_is_refused_at_once_while_isolated():
     async def scenario():
         board = blackboard.GatewayBlackboard(place="a", region="r", regions={"a": "r"})
