Grant a customer what its window tolerates, and start slowly after a keeper

Change: the keeper counts what it granted in the sliding window and grants up to 0.92 of what rate, burst and tolerance allow there; the bucket bounds what is granted at once. A keeper that follows another one starts with two tokens and half the rate for a second, so both keep the window; at the first start of the fleet accounts are full.

--- a/hyssopshelf/customers/limits.py
+++ b/hyssopshelf/customers/limits.py
@@ -1,29 +1,43 @@
 """Limits on the operations of a customer that hold over all hosts.
 
-The keeper of a customer has a token bucket and grants tokens to the hosts that ask.
-A host uses them until a deadline, counted from the sending of its question. In any
-window, the operations of all hosts are at most
+The keeper of a customer grants tokens to the hosts that ask. A host uses them until a
+deadline, counted from the sending of its question, so the operations of all hosts in
+a window are among the tokens granted in the window and the validity before it. The
+keeper counts these, whatever the number of hosts, and never grants more than the
+limit and its tolerance allow. A token bucket bounds what it grants at once.
 
-    burst + allowance + rate * (window + validity),
-
-so the validity follows from the tolerated excess, and not from the number of hosts.
+A keeper that follows another one does not know what that one granted. It starts
+slowly, so that both together keep the limit.
 
 References
 ----------
 .. [1] Heinanen, Guerin, "A Single Rate Three Color Marker", RFC 2697 (token bucket).
 """
 
+import collections
 import math
 
 import attrs
 
-VALIDITY_SHARE = 0.8
-"""Part of the tolerated excess that tokens of the window before may use; the rest
-is left for a keeper that is replaced."""
+VALIDITY_SHARE = 0.08
+"""Validity of granted tokens, as a part of the window."""
+
+WINDOW_SHARE = 0.92
+"""Part of what a window allows that a keeper grants; the rest is for the keeper that
+follows it."""
+
+ALLOWANCE_SHARE = 0.25
+"""Part of the tolerated operations that a keeper grants at once beyond the burst."""
+
+SLOW_START_SECONDS = 1.0
+SLOW_START_SHARE = 0.5
+"""Time for which a new keeper grants a part of the rate only, and that part."""
+
+INITIAL_TOKENS = 2.0
+"""Tokens of a new account whose customer another keeper may have served."""
 
-ALLOWANCE_SHARE = 0.5
-"""Part of the tolerated operations that a keeper adds to the burst. The other part is
-what a new keeper starts with while its predecessor may still grant."""
+COUNT_SECONDS = 0.1
+"""Resolution of the count of granted tokens, in seconds."""
 
 PREFETCH_SHARE = 0.75
 """Part of the operations expected within the validity that a host asks for at once."""
@@ -53,75 +67,115 @@
     @property
     def validity_seconds(self) -> float:
         """Return the time for which granted tokens may be used."""
-        return VALIDITY_SHARE * self.excess_share * self.window_seconds
+        return VALIDITY_SHARE * self.window_seconds
 
     @property
-    def allowance(self) -> float:
-        """Return the operations that are added to each burst."""
-        return math.floor(ALLOWANCE_SHARE * self.excess_operations)
+    def counted_seconds(self) -> float:
+        """Return the time in which the tokens of one window were granted."""
+        return self.window_seconds + self.validity_seconds
 
-    @property
-    def initial_tokens(self) -> float:
-        """Return the tokens of a new bucket."""
-        return math.floor((1.0 - ALLOWANCE_SHARE) * self.excess_operations)
+    def compute_maximum(self, customer) -> float:
+        """Return the operations of a customer that a window tolerates."""
+        allowed = customer.rate * self.window_seconds + customer.burst
+        return allowed * (1.0 + self.excess_share) + self.excess_operations
+
+    def compute_capacity(self, customer) -> float:
+        """Return the operations of a customer that may run at once."""
+        return customer.burst + ALLOWANCE_SHARE * self.excess_operations
 
 
 @attrs.define(kw_only=True)
-class Bucket:
+class Account:
     """Tokens of one customer at its keeper.
 
     Attributes
     ----------
     tokens : float
-        Tokens at ``updated_at``.
-    updated_at : float
-        Clock time of the last update, in seconds.
+        Tokens that may be granted at once.
+    created_at, updated_at : float
+        Clock times of the start and of the last update, in seconds.
+    knows_history : bool
+        Whether no other keeper can have granted before the start.
     """
 
     tokens: float
+    created_at: float
     updated_at: float
+    knows_history: bool
+    _grants: collections.deque = attrs.field(factory=collections.deque, init=False)
+    _granted: int = attrs.field(default=0, init=False)
 
-    def take(
-        self, wanted: int, rate: float, capacity: float, now: float
-    ) -> tuple[int, float]:
-        """Take up to a number of tokens.
-
-        Parameters
-        ----------
-        rate : float
-            Tokens a second that the bucket gains.
-        capacity : float
-            Tokens that it holds at most.
+    def grant(self, customer, wanted: int, tolerance: Tolerance, now: float):
+        """Grant up to a number of tokens.
 
         Returns
         -------
         granted : int
-            Tokens taken.
+            Tokens granted.
         wait : float
             Seconds until the next token, 0 if all were granted.
         """
+        maximum = WINDOW_SHARE * tolerance.compute_maximum(customer)
+        self._drop_old(now - tolerance.counted_seconds)
+        rate = self._find_rate(customer, maximum / tolerance.counted_seconds, now)
         elapsed = max(0.0, now - self.updated_at)
+        self.updated_at = max(now, self.updated_at)
+        capacity = tolerance.compute_capacity(customer)
         self.tokens = min(capacity, self.tokens + rate * elapsed)
-        self.updated_at = max(self.updated_at, now)
-        granted = max(0, min(wanted, math.floor(self.tokens)))
-        self.tokens -= granted
+        left = max(0, math.floor(maximum) - self._granted)
+        granted = max(0, min(wanted, math.floor(self.tokens), left))
+        if granted:
+            self.tokens -= granted
+            self._count(granted, now)
         if granted == wanted:
             return granted, 0.0
-        return granted, (1.0 - self.tokens) / rate if rate > 0.0 else math.inf
+        if granted == left and self._grants:
+            oldest = self._grants[0][0] + tolerance.counted_seconds
+            return granted, max(COUNT_SECONDS / 10, oldest - now)
+        if rate <= 0.0:
+            return granted, tolerance.window_seconds
+        return granted, (1.0 - self.tokens) / rate
+
+    def _find_rate(self, customer, sustained: float, now: float) -> float:
+        age = now - self.created_at
+        if self.knows_history:
+            return sustained
+        if age < SLOW_START_SECONDS:
+            return SLOW_START_SHARE * customer.rate
+        return min(sustained, customer.rate)
+
+    def _drop_old(self, before: float) -> None:
+        while self._grants and self._grants[0][0] <= before:
+            self._granted -= self._grants.popleft()[1]
+            # What was granted here fills a whole window by now.
+            self.knows_history = True
+
+    def _count(self, granted: int, now: float) -> None:
+        self._granted += granted
+        if self._grants and now - self._grants[-1][0] < COUNT_SECONDS:
+            # Counted at the later time, so that it is dropped late, never early.
+            granted += self._grants.pop()[1]
+        self._grants.append((now, granted))
 
 
 class Keeper:
-    """Buckets of the customers whose limits a host keeps.
+    """Accounts of the customers whose limits a host keeps.
 
     Parameters
     ----------
     tolerance : Tolerance
         Accuracy of the limits.
+    first_until : float
+        Clock time in seconds up to which a new account is the customer's first, as
+        after the first start of the whole fleet.
     """
 
-    def __init__(self, *, tolerance: Tolerance) -> None:
+    def __init__(
+        self, *, tolerance: Tolerance, first_until: float = float("-inf")
+    ) -> None:
         self.tolerance = tolerance
-        self._buckets: dict[str, Bucket] = {}
+        self.first_until = first_until
+        self._accounts: dict[str, Account] = {}
 
     def grant(self, customer, wanted: int, now: float) -> tuple[int, float]:
         """Return the tokens granted and the seconds until the next ones.
@@ -133,19 +187,23 @@
         """
         if math.isinf(customer.rate):
             return wanted, 0.0
-        capacity = customer.burst + self.tolerance.allowance
-        bucket = self._buckets.get(customer.name)
-        if bucket is None:
-            # The keeper before this one may have granted a whole burst just now.
-            tokens = min(capacity, self.tolerance.initial_tokens)
-            bucket = Bucket(tokens=tokens, updated_at=now)
-            self._buckets[customer.name] = bucket
-        return bucket.take(wanted, customer.rate, capacity, now)
+        account = self._accounts.get(customer.name)
+        if account is None:
+            first = now < self.first_until
+            capacity = self.tolerance.compute_capacity(customer)
+            account = Account(
+                tokens=capacity if first else INITIAL_TOKENS,
+                created_at=now,
+                updated_at=now,
+                knows_history=first,
+            )
+            self._accounts[customer.name] = account
+        return account.grant(customer, wanted, self.tolerance, now)
 
     def forget(self, names) -> None:
-        """Drop the buckets of all customers but the named ones."""
-        for name in self._buckets.keys() - set(names):
-            del self._buckets[name]
+        """Drop the accounts of all customers but the named ones."""
+        for name in self._accounts.keys() - set(names):
+            del self._accounts[name]
 
 
 @attrs.define(kw_only=True)
--- a/hyssopshelf/gateway/allowances.py
+++ b/hyssopshelf/gateway/allowances.py
@@ -22,6 +22,10 @@
 HOLDERS_WAIT_SECONDS = 0.1
 """Time between two looks for keepers while none are known, in seconds."""
 
+FIRST_START_SECONDS = 20.0
+"""Time after the first start of the fleet within which no other host has kept a
+limit, in seconds."""
+
 LOG_INTERVAL_SECONDS = 1.0
 """Time between two lines about the same customer's limit."""
 
@@ -61,15 +65,30 @@
     find_coordinator : callable
         Returns (host, address) of the coordinator or None. It keeps all limits in a
         fleet so small that all hosts hold connections.
+    first_start : bool
+        Whether the whole fleet starts for the first time, so that no other host has
+        kept a limit before.
     """
 
-    def __init__(self, *, gateway, host: str, send, tolerance, find_coordinator):
+    def __init__(
+        self,
+        *,
+        gateway,
+        host: str,
+        send,
+        tolerance,
+        find_coordinator,
+        first_start: bool = False,
+    ):
         self.gateway = gateway
         self.host = host
         self.send = send
         self.tolerance = tolerance
         self.find_coordinator = find_coordinator
-        self.keeper = limits.Keeper(tolerance=tolerance)
+        first_until = float("-inf")
+        if first_start:
+            first_until = clocks.read_clock() + FIRST_START_SECONDS
+        self.keeper = limits.Keeper(tolerance=tolerance, first_until=first_until)
         self._states: dict[str, CustomerState] = {}
         self._asked: dict[int, asyncio.Future] = {}
         self._sequence = itertools.count(1)
