Decide by load and price whether work leaves its region, and how much of it

Cause: an entry host knows the load of an endpoint only by the latency of its own few statements there, and always takes the cheapest one, so that the hosts of a region leave and return together.

Change: where a region has several failure domains (or the operator says so), holders report the expected wait with each answer; a host compares home and abroad with the price of the way and moves the fraction that leaves slowly and up to a bound.

Not measured yet.

--- a/hyssopshelf/gateway/blackboard.py
+++ b/hyssopshelf/gateway/blackboard.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from hyssopshelf.balancing import leaving
 from hyssopshelf.gateway import catalog, freshness, statements
 
 
@@ -107,6 +108,13 @@
         Databases whose primary takes no new work because it is being replaced.
     draining : bool
         Whether this node is shutting down and finishes open work.
+    prices : Prices or None
+        Prices of leaving the failure domain and the region; None if work goes to the
+        endpoint of the lowest cost.
+    reported_waits : dict of str to ReportedWait
+        Waits that holders of endpoints reported, by endpoint.
+    departures : dict of str to Departure
+        What leaves the region, by database.
     isolated : bool
         Whether this node reaches no coordinator, so it cannot learn of a primary;
         requests for one are refused instead of waiting.
@@ -123,6 +131,9 @@
     held_elsewhere: set[str] = attrs.field(factory=set)
     releasing: set[str] = attrs.field(factory=set)
     draining: bool = False
+    prices: leaving.Prices | None = None
+    reported_waits: dict[str, leaving.ReportedWait] = attrs.field(factory=dict)
+    departures: dict[str, leaving.Departure] = attrs.field(factory=dict)
     isolated: bool = False
 
     def get_positions(self, database: str) -> freshness.PrimaryPositions:
--- a/hyssopshelf/gateway/endpoint_connections.py
+++ b/hyssopshelf/gateway/endpoint_connections.py
@@ -76,6 +76,8 @@
     customer : str
         Customer in whose name the session was started, the only one that it serves;
         empty for the gateway's own.
+    queued_seconds : float
+        Part of the last exchange that was spent in a holder's queue; 0 if direct.
     in_transaction : bool
         Whether a transaction was open after the last reply.
     """
@@ -89,6 +91,7 @@
         self.used_at = clocks.read_clock()
         self.closed = False
         self.direct = True
+        self.queued_seconds = 0.0
         self._transport: asyncio.Transport | None = None
         self._buffer = b""
         self._expected_replies = 0
--- a/hyssopshelf/gateway/execution.py
+++ b/hyssopshelf/gateway/execution.py
@@ -330,7 +330,9 @@
             endpoint_health.record_outcome(health, True, now)
         raise
     now = clocks.read_clock()
-    endpoint_health.record_answer(health, now - sent_at, now)
+    endpoint_health.record_answer(
+        health, now - sent_at - connection.queued_seconds, now
+    )
     endpoint_health.record_outcome(health, reply.error is _KIND.FAILED, now)
     return reply
 
--- a/hyssopshelf/gateway/forward_messages.py
+++ b/hyssopshelf/gateway/forward_messages.py
@@ -119,6 +119,23 @@
     position: tuple[int, int] | None = None
 
 
+@envelopes.register("gateway.loaded_forwarded")
+@attrs.frozen(kw_only=True)
+class LoadedForwarded(Forwarded):
+    """A Forwarded of a fleet that decides whether work leaves a failure domain.
+
+    Attributes
+    ----------
+    wait : int
+        Expected wait of new work for a slot at the holder, in milliseconds.
+    queued : int
+        Time that this work waited there, in milliseconds.
+    """
+
+    wait: int
+    queued: int
+
+
 @envelopes.register("gateway.cancel")
 @attrs.frozen(kw_only=True)
 class Cancel:
--- a/hyssopshelf/gateway/forwarding.py
+++ b/hyssopshelf/gateway/forwarding.py
@@ -13,6 +13,7 @@
 
 from hyssopshelf import background, clocks, exceptions, logs
 from hyssopshelf.balancing import holders as customer_holders
+from hyssopshelf.balancing import leaving
 from hyssopshelf.gateway import (
     connection_pools,
     endpoint_connections,
@@ -84,6 +85,7 @@
         self.closed = False
         self.direct = False
         self.pinned = False
+        self.queued_seconds = 0.0
         self.step = 0
         self.waiter: asyncio.Future | None = None
 
@@ -174,6 +176,7 @@
                 endpoint_fault=answer.failure != NOT_PRIMARY_REASON,
             )
         self.pinned = answer.state != b"I"
+        self.queued_seconds = record_load(answer, self.endpoint.id, self.forwarder)
         return statements.Reply(
             rows=answer.rows,
             signature=answer.signature,
@@ -412,11 +415,8 @@
         try:
             answer = await self._run(message, key)
         except connection_pools.RefusalError as refusal:
-            answer = forward_messages.Forwarded(
-                unit=message.unit,
-                step=message.step,
-                error=refusal.kind.value,
-                reason=refusal.reason,
+            answer = self._make_answer(
+                message, 0.0, error=refusal.kind.value, reason=refusal.reason
             )
         except endpoint_connections.EndpointConnectionError as error:
             answer = forward_messages.Forwarded(
@@ -449,6 +449,7 @@
     ) -> forward_messages.Forwarded:
         """Send the message to the endpoint and return the answer."""
         gateway = self.gateway
+        started_at = clocks.read_clock()
         deadline = clocks.read_clock() + message.remaining
         state = session_state.SessionState(values=dict(message.values or ()))
         pinned = self._pinned.pop(key, None)
@@ -492,6 +493,7 @@
                 ) from error
             raise
         connection = checkout.connection
+        queued = clocks.read_clock() - started_at
         if message.values is None:
             state.values.update(connection.state.values)
         reply = valid_reply = None
@@ -506,9 +508,9 @@
             if reply is not None:
                 in_transaction = reply.state != b"I"
             self._finish_step(key, pool, connection, valid_reply, in_transaction)
-        return forward_messages.Forwarded(
-            unit=message.unit,
-            step=message.step,
+        return self._make_answer(
+            message,
+            queued,
             rows=reply.rows,
             signature=reply.signature,
             error=reply.error.value if reply.error else "",
@@ -517,6 +519,18 @@
             position=tuple(reply.position) if reply.position is not None else None,
         )
 
+    def _make_answer(
+        self, message: forward_messages.Forward, queued: float, **fields
+    ) -> forward_messages.Forwarded:
+        """Return an answer, with this holder's load if the fleet balances by it."""
+        fields |= {"unit": message.unit, "step": message.step}
+        if self.gateway.board.prices is None:
+            return forward_messages.Forwarded(**fields)
+        wait = self.gateway.estimate_wait(message.endpoint)
+        return forward_messages.LoadedForwarded(
+            wait=round(1000 * wait), queued=round(1000 * queued), **fields
+        )
+
     async def _send_to_endpoint(
         self, message: forward_messages.Forward, connection, state, deadline
     ):
@@ -577,3 +591,19 @@
 @find_customer.register
 def _find_named_customer(message: forward_messages.CustomerForward) -> str:
     return message.customer
+
+
+@functools.singledispatch
+def record_load(answer: forward_messages.Forwarded, endpoint: str, forwarder) -> float:
+    """Record the load that an answer reports; return the seconds in the queue."""
+    return 0.0
+
+
+@record_load.register
+def _record_reported_load(
+    answer: forward_messages.LoadedForwarded, endpoint: str, forwarder
+) -> float:
+    forwarder.gateway.board.reported_waits[endpoint] = leaving.ReportedWait(
+        seconds=answer.wait / 1000, at=clocks.read_clock()
+    )
+    return answer.queued / 1000
--- a/hyssopshelf/gateway/gateway.py
+++ b/hyssopshelf/gateway/gateway.py
@@ -143,6 +143,7 @@
                 )
         self.board.endpoints = endpoints
         for endpoint_id in previous.keys() - endpoints.keys():
+            self.board.reported_waits.pop(endpoint_id, None)
             logs.write(logs.LogEvent.ENDPOINT_REMOVED, {"endpoint": endpoint_id})
             self.board.health.pop(endpoint_id, None)
             pool = self.connection_pools.pop(endpoint_id, None)
@@ -252,6 +253,10 @@
 
     def estimate_wait(self, endpoint_id: str) -> float:
         """Return the expected wait for a slot of an endpoint in seconds."""
+        forwarder = self.forwarder
+        if forwarder is not None and forwarder.is_forwarded(endpoint_id):
+            report = self.board.reported_waits.get(endpoint_id)
+            return 0.0 if report is None else report.estimate(clocks.read_clock())
         pool = self.connection_pools.get(endpoint_id)
         if pool is None:
             return 0.0
--- a/hyssopshelf/gateway/routing.py
+++ b/hyssopshelf/gateway/routing.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from hyssopshelf import logs
+from hyssopshelf.balancing import leaving
 from hyssopshelf.gateway import catalog, endpoint_health, statements
 
 SAME_PLACE_SECONDS = 0.004
@@ -113,8 +115,39 @@
                 )
             ]
     candidates = [c for c in candidates if c.endpoint.id not in excluded]
-    candidates.sort(key=lambda c: estimate_cost(board, c, estimate_wait, now))
-    return candidates
+    costs = [(estimate_cost(board, c, estimate_wait, now), c) for c in candidates]
+    costs.sort(key=lambda pair: pair[0])
+    if board.prices is None:
+        return [candidate for _, candidate in costs]
+    return _order_by_departure(board, route.database, costs, now)
+
+
+def _order_by_departure(board, database: str, costs: list, now: float) -> list:
+    """Return candidates with those of this region first, unless the work leaves it."""
+    home, abroad, rest = [], [], []
+    for (avoided, leaves, seconds), candidate in costs:
+        region = board.regions.get(candidate.endpoint.place)
+        if avoided or leaves:
+            rest.append(candidate)
+        elif region == board.region:
+            home.append((seconds, candidate))
+        else:
+            abroad.append((seconds, candidate))
+    departure = board.departures.setdefault(database, leaving.Departure())
+    before = departure.leaves
+    ordered = leaving.order(home, abroad, departure, now)
+    if departure.leaves is not before:
+        logs.write_request(
+            logs.LogEvent.REGION_LEFT,
+            {
+                "database": database,
+                "leaves": departure.leaves,
+                "home_ms": round(home[0][0] * 1000),
+                "abroad_ms": round(abroad[0][0] * 1000),
+            },
+            True,
+        )
+    return ordered + rest
 
 
 def estimate_cost(board, candidate: Candidate, estimate_wait, now: float) -> tuple:
@@ -134,7 +167,13 @@
     seconds += estimate_wait(endpoint.id)
     if health is not None:
         seconds += endpoint_health.compute_error_cost(health, now)
-    if not same_region:
+    if board.prices is not None:
+        seconds += leaving.compute_price(
+            board.prices,
+            same_place=endpoint.place == board.place,
+            same_region=same_region,
+        )
+    elif not same_region:
         seconds += REGION_PENALTY_SECONDS
     if candidate.primary:
         seconds += PRIMARY_PENALTY_SECONDS
--- a/hyssopshelf/gateway/tests/test_retries.py
+++ b/hyssopshelf/gateway/tests/test_retries.py
@@ -46,6 +46,7 @@
         self.direct = True
         self.customer = ""
         self.in_transaction = False
+        self.queued_seconds = 0.0
         self.used_at = 0.0
 
     async def run(self, state, shape, build_message, deadline):
