Count granted tokens by fixed intervals

Grants less than 0.1 s apart were merged under the later time, so those of a busy customer never left the window; zigo140, at 0.6 of its limit, was refused from second 12 on.

Change: grants are counted at the end of fixed intervals. A test sends 80 operations a second at a limit of 136 for a minute.

--- a/hyssopshelf/customers/limits.py
+++ b/hyssopshelf/customers/limits.py
@@ -152,10 +152,11 @@
 
     def _count(self, granted: int, now: float) -> None:
         self._granted += granted
-        if self._grants and now - self._grants[-1][0] < COUNT_SECONDS:
-            # Counted at the later time, so that it is dropped late, never early.
+        # Counted at the end of the interval, so that it is dropped late, never early.
+        counted_at = (math.floor(now / COUNT_SECONDS) + 1) * COUNT_SECONDS
+        if self._grants and self._grants[-1][0] >= counted_at:
             granted += self._grants.pop()[1]
-        self._grants.append((now, granted))
+        self._grants.append((counted_at, granted))
 
 
 class Keeper:
--- a/hyssopshelf/customers/tests/test_limits.py
+++ b/hyssopshelf/customers/tests/test_limits.py
@@ -166,6 +166,13 @@
     assert questions < 100
 
 
+def test_a_steady_customer_of_many_hosts_is_never_refused_below_its_limit():
+    """Eighty operations a second, one question each, at a limit of 136."""
+    keeper = limits.Keeper(tolerance=TOLERANCE, first_until=1.0)
+    customer = directory.Customer(name="large", rate=136.0, burst=136.0)
+    assert all(keeper.grant(customer, 1, step * 0.0125)[0] for step in range(4800))
+
+
 def test_tokens_kept_past_their_deadline_would_exceed_the_window():
     """Tokens hoarded at many hosts and used together exceed the window."""
     keeper = limits.Keeper(tolerance=TOLERANCE)
