Explain where a statement would go now, and why, without sending it

hyssopshelf explain NAME asks a node at the address of its metrics; the answer comes from the functions that route.

--- a/hyssopshelf/command/main.py
+++ b/hyssopshelf/command/main.py
@@ -120,6 +120,13 @@
     status.add_argument("--version", type=int, default=0)
     bill = add("bill", run_bill, "Show the slot time used in a pool.")
     bill.add_argument("pool")
+    explain = add("explain", run_explain, "Tell where a statement would go now.")
+    explain.add_argument("name", help="database name that the client asks for")
+    explain.add_argument("--write", action="store_true", help="it writes")
+    explain.add_argument("--customer", default="-", help="customer of the session")
+    explain.add_argument(
+        "--position", default="-", help="TERM.NUMBER of the session's last write"
+    )
     add("drain", run_drain, "Stop the node at --server gracefully.")
     return parser
 
@@ -304,6 +311,25 @@
     return print_response(arguments, response, tables.format_yaml)
 
 
+def run_explain(arguments, api_client: client.Client) -> int:
+    """Tell where a statement would go now, and why; nothing is sent.
+
+    The server is the address of a node's metrics.
+    """
+    fields = (
+        "write" if arguments.write else "read",
+        arguments.name,
+        arguments.customer,
+        arguments.position,
+    )
+    path = "/explain/" + "/".join(map(quote_segment, fields))
+    response = api_client.call("GET", path)
+    code = print_response(arguments, response, tables.format_explanation)
+    if code == ExitStatus.DONE and response.body["choice"] is None:
+        return ExitStatus.NOT_FOUND
+    return code
+
+
 def run_drain(arguments, api_client: client.Client) -> int:
     """Stop one node gracefully; the server list must name just this node."""
     if len(api_client.servers) > 1:
--- a/hyssopshelf/command/tables.py
+++ b/hyssopshelf/command/tables.py
@@ -47,6 +47,30 @@
     return "accepted"
 
 
+def format_explanation(body: dict) -> str:
+    """Return candidates with the parts of their cost, the choice and its reason."""
+    columns = (
+        "endpoint",
+        "place",
+        "cost_ms",
+        "latency_ms",
+        "wait_ms",
+        "errors_ms",
+        "way_ms",
+        "avoided",
+        "holders",
+    )
+    rows = [
+        [
+            ",".join(value) if isinstance(value := candidate[name], list) else value
+            for name in columns
+        ]
+        for candidate in body.get("candidates", ())
+    ]
+    choice = f"choice: {body['choice'] or '-'} ({body['reason']})"
+    return "\n".join([format_table(columns, rows), choice])
+
+
 def format_resources(body: dict) -> str:
     """Return a table of pools or of the resources of one, or a resource as YAML."""
     if "pools" in body:
--- a/hyssopshelf/gateway/forwarding.py
+++ b/hyssopshelf/gateway/forwarding.py
@@ -90,16 +90,21 @@
 
         The work of a customer goes to the holders that serve it.
         """
+        candidates = self.list_choices(endpoint, customer)
+        if not candidates:
+            return None
+        return candidates[next(self._counter) % len(candidates)]
+
+    def list_choices(self, endpoint: str, customer: str = "") -> list[tuple[str, str]]:
+        """Return the holders among which work at an endpoint is spread."""
         holders = self.holders.get(endpoint, [])
         usable = [h for h in holders if not self.is_avoided(h[0])]
         candidates = usable or holders
-        if not candidates:
-            return None
-        if customer:
+        if candidates and customer:
             order, count = self._list_customer_holders(endpoint, holders, customer)
             serving = [order[name] for name in order]
             candidates = [h for h in serving if h in candidates][:count]
-        return candidates[next(self._counter) % len(candidates)]
+        return candidates
 
     def _list_customer_holders(self, endpoint: str, found: list, customer: str):
         """Return a customer's holders by name, in order, and how many serve it."""
--- a/hyssopshelf/gateway/gateway.py
+++ b/hyssopshelf/gateway/gateway.py
@@ -312,6 +312,13 @@
             for endpoint in self.board.endpoints.values()
         ]
 
+    def list_holders(self, endpoint_id: str, customer: str) -> list[str]:
+        """Return the hosts whose connections work at an endpoint would use."""
+        forwarder = self.forwarder
+        if forwarder is None or not forwarder.is_forwarded(endpoint_id):
+            return []
+        return [host for host, _ in forwarder.list_choices(endpoint_id, customer)]
+
     def has_customers(self) -> bool:
         """Return whether connections to endpoints belong to customers."""
         configuration = self.board.configuration
--- a/hyssopshelf/gateway/routing.py
+++ b/hyssopshelf/gateway/routing.py
@@ -98,6 +98,21 @@
     excluded : set of str
         Ids of endpoints where the read has failed.
     """
+    candidates = find_candidates(board, route, session_position, excluded, now)
+    costs = sort_by_cost(board, candidates, estimate_wait, now)
+    if board.prices is None:
+        return [candidate for _, candidate in costs]
+    return _order_by_departure(board, route.database, costs, now)
+
+
+def find_candidates(
+    board,
+    route: catalog.Route,
+    session_position: statements.LogPosition | None,
+    excluded: set[str],
+    now: float,
+) -> list[Candidate]:
+    """Return the endpoints that may run a read, as for `list_candidates`, unsorted."""
     primary = board.find_primary(route.database, now)
     candidates = []
     if primary is not None:
@@ -114,12 +129,16 @@
                     board.get_health(endpoint.id), position, now
                 )
             ]
-    candidates = [c for c in candidates if c.endpoint.id not in excluded]
+    return [c for c in candidates if c.endpoint.id not in excluded]
+
+
+def sort_by_cost(
+    board, candidates: list[Candidate], estimate_wait, now: float
+) -> list[tuple[tuple, Candidate]]:
+    """Return candidates with their cost, see `estimate_cost`, the cheapest first."""
     costs = [(estimate_cost(board, c, estimate_wait, now), c) for c in candidates]
     costs.sort(key=lambda pair: pair[0])
-    if board.prices is None:
-        return [candidate for _, candidate in costs]
-    return _order_by_departure(board, route.database, costs, now)
+    return costs
 
 
 def _order_by_departure(board, database: str, costs: list, now: float) -> list:
