Give a customer that is at its limit its urgent operations first

Change: questions to a keeper carry how many ranks are more urgent; a keeper leaves 2% of the window to each of these. Tokens at a host are kept by rank. A new keeper leaves no reserve while it starts slowly.

--- a/hyssopshelf/customers/limits.py
+++ b/hyssopshelf/customers/limits.py
@@ -36,6 +36,10 @@
 INITIAL_TOKENS = 2.0
 """Tokens of a new account whose customer another keeper may have served."""
 
+RESERVE_SHARE = 0.02
+"""Part of what a window allows that is left to each more urgent rank. As urgent
+operations leave the window, it only has to cover how unevenly they come."""
+
 COUNT_SECONDS = 0.1
 """Resolution of the count of granted tokens, in seconds."""
 
@@ -105,9 +109,17 @@
     _grants: collections.deque = attrs.field(factory=collections.deque, init=False)
     _granted: int = attrs.field(default=0, init=False)
 
-    def grant(self, customer, wanted: int, tolerance: Tolerance, now: float):
+    def grant(
+        self, customer, wanted: int, tolerance: Tolerance, now: float, order: int = 0
+    ):
         """Grant up to a number of tokens.
 
+        Parameters
+        ----------
+        order : int
+            Number of ranks that are more urgent than the operations'. A small reserve
+            is left to these, so that they get what the customer has when it is short.
+
         Returns
         -------
         granted : int
@@ -122,8 +134,10 @@
         self.updated_at = max(now, self.updated_at)
         capacity = tolerance.compute_capacity(customer)
         self.tokens = min(capacity, self.tokens + rate * elapsed)
-        left = max(0, math.floor(maximum) - self._granted)
-        granted = max(0, min(wanted, math.floor(self.tokens), left))
+        reserve = math.ceil(RESERVE_SHARE * order * maximum)
+        left = max(0, math.floor(maximum) - self._granted - reserve)
+        kept = min(reserve, capacity / 2) if self.knows_history else 0.0
+        granted = max(0, min(wanted, math.floor(self.tokens - kept), left))
         if granted:
             self.tokens -= granted
             self._count(granted, now)
@@ -134,7 +148,7 @@
             return granted, max(COUNT_SECONDS / 10, oldest - now)
         if rate <= 0.0:
             return granted, tolerance.window_seconds
-        return granted, (1.0 - self.tokens) / rate
+        return granted, max(COUNT_SECONDS / 10, (1.0 + kept - self.tokens) / rate)
 
     def _find_rate(self, customer, sustained: float, now: float) -> float:
         age = now - self.created_at
@@ -178,13 +192,17 @@
         self.first_until = first_until
         self._accounts: dict[str, Account] = {}
 
-    def grant(self, customer, wanted: int, now: float) -> tuple[int, float]:
+    def grant(
+        self, customer, wanted: int, now: float, order: int = 0
+    ) -> tuple[int, float]:
         """Return the tokens granted and the seconds until the next ones.
 
         Parameters
         ----------
         customer : Customer
             The customer, with the limit in force.
+        order : int
+            Number of ranks that are more urgent than the operations'.
         """
         if math.isinf(customer.rate):
             return wanted, 0.0
@@ -199,7 +217,7 @@
                 knows_history=first,
             )
             self._accounts[customer.name] = account
-        return account.grant(customer, wanted, self.tolerance, now)
+        return account.grant(customer, wanted, self.tolerance, now, order)
 
     def forget(self, names) -> None:
         """Drop the accounts of all customers but the named ones."""
--- a/hyssopshelf/customers/tests/test_limits.py
+++ b/hyssopshelf/customers/tests/test_limits.py
@@ -173,6 +173,21 @@
     assert all(keeper.grant(customer, 1, step * 0.0125)[0] for step in range(4800))
 
 
+def test_urgent_operations_of_a_customer_at_its_limit_are_served_first():
+    """Ten urgent operations a second beside 400 others, at a limit of 136."""
+    keeper = limits.Keeper(tolerance=TOLERANCE, first_until=1.0)
+    customer = directory.Customer(name="large", rate=136.0, burst=136.0)
+    refused = 0
+    others = 0
+    for step in range(8000):
+        now = step * 0.0025
+        if step % 40 == 0:
+            refused += 1 - keeper.grant(customer, 1, now)[0]
+        others += keeper.grant(customer, 1, now, order=2)[0]
+    assert refused == 0
+    assert others > 0.85 * 136 * 20
+
+
 def test_tokens_kept_past_their_deadline_would_exceed_the_window():
     """Tokens hoarded at many hosts and used together exceed the window."""
     keeper = limits.Keeper(tolerance=TOLERANCE)
--- a/hyssopshelf/gateway/allowances.py
+++ b/hyssopshelf/gateway/allowances.py
@@ -89,19 +89,23 @@
         if first_start:
             first_until = clocks.read_clock() + FIRST_START_SECONDS
         self.keeper = limits.Keeper(tolerance=tolerance, first_until=first_until)
-        self._states: dict[str, CustomerState] = {}
+        self._states: dict[tuple[str, int], CustomerState] = {}
         self._asked: dict[int, asyncio.Future] = {}
         self._sequence = itertools.count(1)
         self._ranked: tuple = ()
         self._tasks = background.TaskSet()
 
-    async def take(self, customer, deadline: float) -> exceptions.ErrorKind | None:
+    async def take(
+        self, customer, order: int, deadline: float
+    ) -> exceptions.ErrorKind | None:
         """Take the token for one operation.
 
         Parameters
         ----------
         customer : Customer
             The customer, with the limit in force.
+        order : int
+            Number of ranks that are more urgent than the operation's.
         deadline : float
             Clock time until which the token may be awaited, in seconds.
 
@@ -112,7 +116,10 @@
         """
         if customer.rate == float("inf"):
             return None
-        state = self._states.setdefault(customer.name, CustomerState())
+        key = (customer.name, order)
+        state = self._states.get(key)
+        if state is None:
+            state = self._states[key] = CustomerState()
         now = clocks.read_clock()
         if not state.waiters and state.allowance.use(now):
             return None
@@ -123,7 +130,7 @@
         state.waiters.append(waiter)
         if not state.asking:
             state.asking = True
-            self._tasks.start(self._ask(customer.name, state, deadline))
+            self._tasks.start(self._ask(key, state, deadline))
         kind = await waiter
         if kind is _KIND.LIMIT_REACHED:
             self._record_refusal(customer, state, clocks.read_clock())
@@ -133,7 +140,7 @@
         self, message: forward_messages.AskTokens, host: str, address: str
     ) -> None:
         """Grant tokens to another host."""
-        granted, wait = self._grant(message.customer, message.wanted)
+        granted, wait = self._grant(message.customer, message.wanted, message.order)
         answer = forward_messages.GrantTokens(
             sequence=message.sequence, granted=granted, wait=wait
         )
@@ -148,23 +155,25 @@
     def forget_customers(self, names) -> None:
         """Drop the state of all customers but the named ones."""
         self.keeper.forget(names)
-        for name in self._states.keys() - set(names):
-            if not self._states[name].waiters:
-                del self._states[name]
+        for key, state in list(self._states.items()):
+            if key[0] not in names and not state.waiters:
+                del self._states[key]
 
     def count_waiting(self) -> int:
         """Return the number of operations that wait for a token."""
         return sum(len(state.waiters) for state in self._states.values())
 
-    def _grant(self, name: str, wanted: int) -> tuple[int, float]:
+    def _grant(self, name: str, wanted: int, order: int) -> tuple[int, float]:
         configuration = self.gateway.board.configuration
         directory = configuration.customers if configuration is not None else None
         customer = directory.by_name.get(name) if directory is not None else None
         if customer is None:
             return 0, LOG_INTERVAL_SECONDS
-        return self.keeper.grant(customer, wanted, clocks.read_clock())
+        return self.keeper.grant(customer, wanted, clocks.read_clock(), order)
 
-    async def _ask(self, name: str, state: CustomerState, deadline: float) -> None:
+    async def _ask(
+        self, key: tuple[str, int], state: CustomerState, deadline: float
+    ) -> None:
         """Ask for tokens until no operation waits, or the keeper has none left."""
         try:
             while state.waiters:
@@ -173,7 +182,7 @@
                 wanted = state.allowance.compute_wanted(
                     len(state.waiters), validity, now
                 )
-                answer = await self._ask_keepers(name, wanted, deadline)
+                answer = await self._ask_keepers(*key, wanted, deadline)
                 if answer is None:
                     self._answer_all(state, _KIND.UNAVAILABLE)
                     return
@@ -190,7 +199,7 @@
             self._answer_all(state, _KIND.UNAVAILABLE)
 
     async def _ask_keepers(
-        self, name: str, wanted: int, deadline: float
+        self, name: str, order: int, wanted: int, deadline: float
     ) -> tuple[int, float] | None:
         """Return the answer of the first keeper that gives one."""
         while not (ranked := self._rank_keepers(name)):
@@ -201,12 +210,12 @@
             )
         for host, address in ranked:
             if host == self.host:
-                return self._grant(name, wanted)
+                return self._grant(name, wanted, order)
             sequence = next(self._sequence)
             waiter = asyncio.get_running_loop().create_future()
             self._asked[sequence] = waiter
             message = forward_messages.AskTokens(
-                sequence=sequence, customer=name, wanted=wanted
+                sequence=sequence, customer=name, wanted=wanted, order=order
             )
             self.send(host, address, message)
             try:
--- a/hyssopshelf/gateway/catalog.py
+++ b/hyssopshelf/gateway/catalog.py
@@ -93,6 +93,8 @@
         Limits on clients.
     customers : Directory or None
         Customers and their keys; None if sessions belong to no customer.
+    orders : dict of int to int
+        Number of ranks that are more urgent than each rank.
     """
 
     version: int
@@ -101,6 +103,18 @@
     limits: Limits
     customers: directory.Directory | None = None
 
+    orders: dict[int, int] = attrs.field(
+        init=False,
+        eq=False,
+        repr=False,
+        default=attrs.Factory(lambda self: _order_ranks(self.routes), takes_self=True),
+    )
+
+
+def _order_ranks(routes: dict[str, Route]) -> dict[int, int]:
+    ranks = sorted({route.rank for route in routes.values()})
+    return {rank: order for order, rank in enumerate(ranks)}
+
 
 @attrs.frozen(kw_only=True)
 class Endpoint:
--- a/hyssopshelf/gateway/forward_messages.py
+++ b/hyssopshelf/gateway/forward_messages.py
@@ -66,11 +66,14 @@
         Number that the answer repeats.
     wanted : int
         Tokens that the host can use.
+    order : int
+        Number of ranks that are more urgent than the operations'.
     """
 
     sequence: int
     customer: str
     wanted: int
+    order: int
 
 
 @envelopes.register("gateway.grant_tokens")
--- a/hyssopshelf/gateway/sessions.py
+++ b/hyssopshelf/gateway/sessions.py
@@ -104,7 +104,8 @@
             return None
         self.customer = customer.name
         deadline = clocks.read_clock() + route.statement_seconds
-        refused = await gateway.allowances.take(customer, deadline)
+        order = gateway.board.configuration.orders[route.rank]
+        refused = await gateway.allowances.take(customer, order, deadline)
         if refused is None:
             return None
         reason = "limit reached"
