Start substitutes of a keeper anew, and replace connections while an endpoint is full

Found by reading: a keeper that had stood in for another one, or had lost and regained its role, would have used an old account and given a second burst; it now starts slowly, and accounts go when holders change. A pool that an endpoint had just refused as full opened another connection beside idle ones of other customers; it replaces one.

--- a/hyssopshelf/customers/limits.py
+++ b/hyssopshelf/customers/limits.py
@@ -36,6 +36,10 @@
 INITIAL_TOKENS = 2.0
 """Tokens of a new account whose customer another keeper may have served."""
 
+SUBSTITUTE_SECONDS = 1.0
+"""Time without a question after which a keeper that substitutes for another one starts
+anew; a host avoids a silent keeper for as long."""
+
 RESERVE_SHARE = 0.02
 """Part of what a window allows that is left to each more urgent rank. As urgent
 operations leave the window, it only has to cover how unevenly they come."""
@@ -193,7 +197,13 @@
         self._accounts: dict[str, Account] = {}
 
     def grant(
-        self, customer, wanted: int, now: float, order: int = 0
+        self,
+        customer,
+        wanted: int,
+        now: float,
+        order: int = 0,
+        *,
+        substitutes: bool = False,
     ) -> tuple[int, float]:
         """Return the tokens granted and the seconds until the next ones.
 
@@ -203,10 +213,19 @@
             The customer, with the limit in force.
         order : int
             Number of ranks that are more urgent than the operations'.
+        substitutes : bool
+            Whether the customer's first keeper is another host, which may have granted
+            since this one was last asked.
         """
         if math.isinf(customer.rate):
             return wanted, 0.0
         account = self._accounts.get(customer.name)
+        if (
+            account is not None
+            and substitutes
+            and now - account.updated_at > SUBSTITUTE_SECONDS
+        ):
+            account = None
         if account is None:
             first = now < self.first_until
             capacity = self.tolerance.compute_capacity(customer)
@@ -214,14 +233,14 @@
                 tokens=capacity if first else INITIAL_TOKENS,
                 created_at=now,
                 updated_at=now,
-                knows_history=first,
+                knows_history=first and not substitutes,
             )
             self._accounts[customer.name] = account
         return account.grant(customer, wanted, self.tolerance, now, order)
 
-    def forget(self, names) -> None:
-        """Drop the accounts of all customers but the named ones."""
-        for name in self._accounts.keys() - set(names):
+    def retain(self, is_kept) -> None:
+        """Drop the accounts of customers for whose name a function returns false."""
+        for name in [name for name in self._accounts if not is_kept(name)]:
             del self._accounts[name]
 
 
--- a/hyssopshelf/customers/tests/test_limits.py
+++ b/hyssopshelf/customers/tests/test_limits.py
@@ -188,6 +188,15 @@
     assert others > 0.85 * 136 * 20
 
 
+def test_a_substitute_starts_slowly_each_time_that_it_is_needed():
+    """The first keeper is silent twice; in between it has granted a whole window."""
+    keeper = limits.Keeper(tolerance=TOLERANCE)
+    for step in range(100):
+        keeper.grant(CUSTOMER, 9, 0.1 * step, substitutes=True)
+    granted, _ = keeper.grant(CUSTOMER, 99, 20.0, substitutes=True)
+    assert granted == limits.INITIAL_TOKENS
+
+
 def test_tokens_kept_past_their_deadline_would_exceed_the_window():
     """Tokens hoarded at many hosts and used together exceed the window."""
     keeper = limits.Keeper(tolerance=TOLERANCE)
--- a/hyssopshelf/gateway/allowances.py
+++ b/hyssopshelf/gateway/allowances.py
@@ -154,7 +154,7 @@
 
     def forget_customers(self, names) -> None:
         """Drop the state of all customers but the named ones."""
-        self.keeper.forget(names)
+        self.keeper.retain(names.__contains__)
         for key, state in list(self._states.items()):
             if key[0] not in names and not state.waiters:
                 del self._states[key]
@@ -169,7 +169,18 @@
         customer = directory.by_name.get(name) if directory is not None else None
         if customer is None:
             return 0, LOG_INTERVAL_SECONDS
-        return self.keeper.grant(customer, wanted, clocks.read_clock(), order)
+        return self.keeper.grant(
+            customer,
+            wanted,
+            clocks.read_clock(),
+            order,
+            substitutes=not self._is_first_keeper(name),
+        )
+
+    def _is_first_keeper(self, name: str) -> bool:
+        """Return whether no other host comes before this one as a customer's keeper."""
+        ranked = self._find_keepers(name)
+        return not ranked or ranked[0][0] == self.host
 
     async def _ask(
         self, key: tuple[str, int], state: CustomerState, deadline: float
@@ -233,19 +244,30 @@
     def _rank_keepers(self, name: str) -> list[tuple[str, str]]:
         """Return the keepers of a customer, those that answer first."""
         forwarder = self.gateway.forwarder
-        key = id(forwarder.holders)
-        if not self._ranked or self._ranked[0] != key:
+        ranked = self._find_keepers(name)
+        return sorted(ranked, key=lambda holder: forwarder.is_avoided(holder[0]))
+
+    def _find_keepers(self, name: str) -> list[tuple[str, str]]:
+        """Return the keepers of a customer in their order.
+
+        When the holders have changed, accounts of customers that have another first
+        keeper now are dropped.
+        """
+        forwarder = self.gateway.forwarder
+        changed = not self._ranked or self._ranked[0] is not forwarder.holders
+        if changed:
             found = {
                 host: (host, address) for host, address in forwarder.list_holders()
             }
-            self._ranked = (key, forwarder.holders, found, {})
-        _, _, found, kept = self._ranked
+            self._ranked = (forwarder.holders, found, {})
+            self.keeper.retain(self._is_first_keeper)
+        _, found, kept = self._ranked
         if not found:
             record = self.find_coordinator()
             return [record] if record is not None else []
         if name not in kept:
             kept[name] = [found[h] for h in keepers.rank_keepers(name, found)]
-        return sorted(kept[name], key=lambda holder: forwarder.is_avoided(holder[0]))
+        return kept[name]
 
     def _record_refusal(self, customer, state: CustomerState, now: float) -> None:
         """Count an operation beyond the limit; log it once in an interval."""
--- a/hyssopshelf/gateway/connection_pools.py
+++ b/hyssopshelf/gateway/connection_pools.py
@@ -317,10 +317,13 @@
     def _count_available(self, now: float) -> int:
         """Return how many more work items can get a connection, idle or new."""
         idle = sum(1 for connection in self.idle if not connection.closed)
-        new = 0
-        if now >= self.refused_until:
-            new = max(0, self.view.connections - len(self.open_connections))
-        return idle + new - self.pending_checkouts
+        return idle + self._count_room(now) - self.pending_checkouts
+
+    def _count_room(self, now: float) -> int:
+        """Return how many connections may be opened in addition."""
+        if now < self.refused_until:
+            return 0
+        return max(0, self.view.connections - len(self.open_connections))
 
     def _is_ready(self, customer: str) -> bool:
         """Return whether new work of a customer should get a connection now.
@@ -348,7 +351,7 @@
             own_idle=own_idle,
             own_busy=own_busy,
             other_idle=other_idle,
-            room=self.view.connections - len(self.open_connections),
+            room=self._count_room(clocks.read_clock()),
             service_seconds=self._service_seconds,
             slots=self.view.slots,
             contended=self.queue.waiting > 1,
@@ -383,7 +386,7 @@
             if best is not None:
                 self.idle.remove(best)
                 return best
-            if len(self.open_connections) >= self.view.connections:
+            if customer and not self._count_room(clocks.read_clock()):
                 self._close_for(customer)
             return await self._open_connection(customer)
         finally:
--- a/hyssopshelf/scheduling/turns.py
+++ b/hyssopshelf/scheduling/turns.py
@@ -45,6 +45,8 @@
         seen = set()
         for item in waiting:
             customer = item.customer
+            if not customer:
+                return item
             if customer in seen:
                 continue
             seen.add(customer)
