Keep a limit on both sides of a partition

Change: a keeper beside which another may grant (a substitute, or a first keeper that hears no coordinator for 1.7 s) grants 0.07 of the window in all; the first 0.91, a new one 0.4 of the rate for 1.5 s.

--- a/hyssopshelf/customers/limits.py
+++ b/hyssopshelf/customers/limits.py
@@ -22,15 +22,23 @@
 VALIDITY_SHARE = 0.08
 """Validity of granted tokens, as a part of the window."""
 
-WINDOW_SHARE = 0.92
+WINDOW_SHARE = 0.91
 """Part of what a window allows that a keeper grants; the rest is for the keeper that
 follows it."""
 
+SUBSTITUTE_SHARE = 0.07
+"""The same of a keeper beside which another one may grant: one that substitutes for
+the first keeper, or a first keeper that hears no coordinator."""
+
+CUT_OFF_SECONDS = 1.7
+"""Silence of the coordinator after which others may follow another keeper. A coordinator
+chooses one 1.2 s after it last heard the first; the slow start bridges the rest."""
+
 ALLOWANCE_SHARE = 0.25
 """Part of the tolerated operations that a keeper grants at once beyond the burst."""
 
-SLOW_START_SECONDS = 1.0
-SLOW_START_SHARE = 0.5
+SLOW_START_SECONDS = 1.5
+SLOW_START_SHARE = 0.4
 """Time for which a new keeper grants a part of the rate only, and that part."""
 
 INITIAL_TOKENS = 2.0
@@ -114,12 +122,20 @@
     _granted: int = attrs.field(default=0, init=False)
 
     def grant(
-        self, customer, wanted: int, tolerance: Tolerance, now: float, order: int = 0
+        self,
+        customer,
+        wanted: int,
+        tolerance: Tolerance,
+        now: float,
+        order: int,
+        share: float,
     ):
         """Grant up to a number of tokens.
 
         Parameters
         ----------
+        share : float
+            Part of what a window tolerates that may be granted.
         order : int
             Number of ranks that are more urgent than the operations'. A small reserve
             is left to these, so that they get what the customer has when it is short.
@@ -131,12 +147,12 @@
         wait : float
             Seconds until the next token, 0 if all were granted.
         """
-        maximum = WINDOW_SHARE * tolerance.compute_maximum(customer)
+        maximum = share * tolerance.compute_maximum(customer)
         self._drop_old(now - tolerance.counted_seconds)
         rate = self._find_rate(customer, maximum / tolerance.counted_seconds, now)
         elapsed = max(0.0, now - self.updated_at)
         self.updated_at = max(now, self.updated_at)
-        capacity = tolerance.compute_capacity(customer)
+        capacity = min(maximum, tolerance.compute_capacity(customer))
         self.tokens = min(capacity, self.tokens + rate * elapsed)
         reserve = math.ceil(RESERVE_SHARE * order * maximum)
         left = max(0, math.floor(maximum) - self._granted - reserve)
@@ -159,7 +175,7 @@
         if self.knows_history:
             return sustained
         if age < SLOW_START_SECONDS:
-            return SLOW_START_SHARE * customer.rate
+            return min(sustained, SLOW_START_SHARE * customer.rate)
         return min(sustained, customer.rate)
 
     def _drop_old(self, before: float) -> None:
@@ -204,6 +220,7 @@
         order: int = 0,
         *,
         substitutes: bool = False,
+        cut_off: bool = False,
     ) -> tuple[int, float]:
         """Return the tokens granted and the seconds until the next ones.
 
@@ -216,6 +233,9 @@
         substitutes : bool
             Whether the customer's first keeper is another host, which may have granted
             since this one was last asked.
+        cut_off : bool
+            Whether this host hears no coordinator, so that others may follow another
+            keeper.
         """
         if math.isinf(customer.rate):
             return wanted, 0.0
@@ -236,7 +256,8 @@
                 knows_history=first and not substitutes,
             )
             self._accounts[customer.name] = account
-        return account.grant(customer, wanted, self.tolerance, now, order)
+        share = SUBSTITUTE_SHARE if substitutes or cut_off else WINDOW_SHARE
+        return account.grant(customer, wanted, self.tolerance, now, order, share)
 
     def retain(self, is_kept) -> None:
         """Drop the accounts of customers for whose name a function returns false."""
--- a/hyssopshelf/gateway/allowances.py
+++ b/hyssopshelf/gateway/allowances.py
@@ -65,6 +65,8 @@
     find_coordinator : callable
         Returns (host, address) of the coordinator or None. It keeps all limits in a
         fleet so small that all hosts hold connections.
+    measure_silence : callable
+        Returns the seconds since this host last heard a coordinator.
     first_start : bool
         Whether the whole fleet starts for the first time, so that no other host has
         kept a limit before.
@@ -78,6 +80,7 @@
         send,
         tolerance,
         find_coordinator,
+        measure_silence,
         first_start: bool = False,
     ):
         self.gateway = gateway
@@ -85,6 +88,7 @@
         self.send = send
         self.tolerance = tolerance
         self.find_coordinator = find_coordinator
+        self.measure_silence = measure_silence
         first_until = float("-inf")
         if first_start:
             first_until = clocks.read_clock() + FIRST_START_SECONDS
@@ -175,6 +179,7 @@
             clocks.read_clock(),
             order,
             substitutes=not self._is_first_keeper(name),
+            cut_off=self.measure_silence() > limits.CUT_OFF_SECONDS,
         )
 
     def _is_first_keeper(self, name: str) -> bool:
