--- a/hyssopshelf/customers/limits.py
+++ b/hyssopshelf/customers/limits.py
@@ -31,8 +31,8 @@
 the first keeper, or a first keeper that hears no coordinator."""
 
 CUT_OFF_SECONDS = 1.7
-"""Silence of the coordinator after which others may follow another keeper. A coordinator
-chooses one 1.2 s after it last heard the first; the slow start bridges the rest."""
+"""Silence of the coordinator after which others may follow another keeper. It chooses
+one 1.2 s after it last heard the first; the slow start bridges the rest."""
 
 ALLOWANCE_SHARE = 0.25
 """Part of the tolerated operations that a keeper grants at once beyond the burst."""
