--- a/hyssopshelf/gateway/gateway.py
+++ b/hyssopshelf/gateway/gateway.py
@@ -205,7 +205,10 @@
         deadline = self._requested_at + KEY_WAIT_SECONDS
         while customer is None and clocks.read_clock() < deadline:
             await self.wait_for_change(deadline)
-            customer = self.board.configuration.customers.find(digest)
+            directory = self.board.configuration.customers
+            if directory is None:
+                return True, None
+            customer = directory.find(digest)
         return customer is not None, customer
 
     async def acquire_from(
