--- a/hyssopshelf/gateway/forwarding.py
+++ b/hyssopshelf/gateway/forwarding.py
@@ -100,7 +100,7 @@
         holders = self.holders.get(endpoint, [])
         usable = [h for h in holders if not self.is_avoided(h[0])]
         candidates = usable or holders
-        if candidates and customer:
+        if candidates and customer and self.gateway.has_customers():
             order, count = self._list_customer_holders(endpoint, holders, customer)
             serving = [order[name] for name in order]
             candidates = [h for h in serving if h in candidates][:count]
@@ -117,6 +117,8 @@
                 endpoint, [host for host, _ in found], shares
             )
             kept = (key, assigned, shares)
+            for removed in self._assigned.keys() - self.holders.keys():
+                del self._assigned[removed]
             self._assigned[endpoint] = kept
         by_name = dict(zip((host for host, _ in found), found, strict=True))
         order = kept[1].get(customer) or list(by_name)
