--- a/hyssopshelf/balancing/__init__.py
+++ b/hyssopshelf/balancing/__init__.py
@@ -1,1 +1,1 @@
-"""Decisions on where work goes: holders, connections, and leaving the zone."""
+"""Decisions on where work goes: holders, connections, and spillover."""
--- a/hyssopshelf/balancing/leaving.py
+++ b/hyssopshelf/balancing/spillover.py
@@ -1,10 +1,10 @@
 """Whether work leaves its failure domain or region, and how much of it.
 
 Traffic between failure domains takes longer and is paid for; the price of a unit of
-work is stated as a delay. Leaving pays while the expected response time at home
-exceeds that abroad by more than the price. How much leaves is a fraction that moves
-slowly, so that two domains do not swap their load, and that is bounded, so that a
-full domain does not drown its neighbours.
+work is stated as a delay. Leaving pays while the expected response time of the local
+endpoint exceeds that of a remote one by more than the price. How much leaves is a
+fraction that moves slowly, so that two domains do not swap their load, and that is
+bounded, so that a full domain does not overload its neighbours.
 """
 
 import attrs
@@ -18,7 +18,7 @@
 milliseconds is answered within the objective of urgent work."""
 
 MAXIMUM_FRACTION = 0.6
-"""Greatest fraction that leaves while the home serves at all."""
+"""Greatest fraction that leaves while a local endpoint serves at all."""
 
 SCALE_SECONDS = 0.1
 """Saving, in seconds, at which half of the maximum fraction leaves."""
@@ -29,7 +29,7 @@
 
 @attrs.frozen(kw_only=True)
 class Prices:
-    """Delay that callers accept to keep the bytes of a unit of work at home.
+    """Delay that callers accept to keep the bytes of a unit of work local.
 
     Attributes
     ----------
@@ -64,35 +64,30 @@
 
 
 @attrs.define(kw_only=True)
-class Departure:
+class Spillover:
     """Fraction of the work of one database that leaves this host's region.
 
     Attributes
     ----------
     fraction : float
         Fraction that leaves now.
-    leaves : bool
+    active : bool
         Whether leaving pays at present, for the log.
     """
 
     fraction: float = 0.0
-    leaves: bool = False
+    active: bool = False
     _updated_at: float | None = attrs.field(default=None, init=False)
     _credit: float = attrs.field(default=0.0, init=False)
 
-    def update(self, saving: float, now: float) -> bool:
+    def update(self, saving: float, now: float) -> None:
         """Move the fraction towards what a saving is worth.
 
         Parameters
         ----------
         saving : float
-            Expected response time at home less that abroad and the price of leaving,
+            Expected local response time less the remote one and the price of leaving,
             in seconds.
-
-        Returns
-        -------
-        bool
-            Whether it has begun or ceased to pay.
         """
         gain = max(0.0, saving)
         target = MAXIMUM_FRACTION * gain / (gain + SCALE_SECONDS)
@@ -105,10 +100,7 @@
             min(RISE_PER_SECOND * elapsed, target - self.fraction),
         )
         self.fraction = min(MAXIMUM_FRACTION, max(0.0, self.fraction + change))
-        leaves = self.fraction > 0.0
-        changed = leaves != self.leaves
-        self.leaves = leaves
-        return changed
+        self.active = self.fraction > 0.0
 
     def draw(self) -> bool:
         """Return whether the next unit of work leaves; spreads them evenly."""
@@ -126,17 +118,17 @@
     return prices.place_seconds if same_region else prices.region_seconds
 
 
-def order(home: list, abroad: list, departure: Departure, now: float) -> list:
+def order(local: list, remote: list, spill: Spillover, now: float) -> list:
     """Return candidates in the order in which work tries them.
 
     Parameters
     ----------
-    home, abroad : list of (float, object)
-        Cost with the price of the way, and candidate, the cheapest first. Abroad is
-        another region; work that has no candidate at home leaves.
+    local, remote : list of (float, object)
+        Cost with the price of the way, and candidate, the cheapest first. Remote is
+        another region; work that has no local candidate leaves.
     """
-    if not home or not abroad:
-        return [candidate for _, candidate in (home or abroad)]
-    departure.update(home[0][0] - abroad[0][0], now)
-    first, second = (abroad, home) if departure.draw() else (home, abroad)
+    if not local or not remote:
+        return [candidate for _, candidate in (local or remote)]
+    spill.update(local[0][0] - remote[0][0], now)
+    first, second = (remote, local) if spill.draw() else (local, remote)
     return [candidate for _, candidate in (*first, *second)]
--- a/hyssopshelf/gateway/blackboard.py
+++ b/hyssopshelf/gateway/blackboard.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from hyssopshelf.balancing import leaving
+from hyssopshelf.balancing import spillover
 from hyssopshelf.gateway import catalog, freshness, statements
 
 
@@ -113,7 +113,7 @@
         endpoint of the lowest cost.
     reported_waits : dict of str to ReportedWait
         Waits that holders of endpoints reported, by endpoint.
-    departures : dict of str to Departure
+    spillovers : dict of str to Spillover
         What leaves the region, by database.
     isolated : bool
         Whether this node reaches no coordinator, so it cannot learn of a primary;
@@ -131,9 +131,9 @@
     held_elsewhere: set[str] = attrs.field(factory=set)
     releasing: set[str] = attrs.field(factory=set)
     draining: bool = False
-    prices: leaving.Prices | None = None
-    reported_waits: dict[str, leaving.ReportedWait] = attrs.field(factory=dict)
-    departures: dict[str, leaving.Departure] = attrs.field(factory=dict)
+    prices: spillover.Prices | None = None
+    reported_waits: dict[str, spillover.ReportedWait] = attrs.field(factory=dict)
+    spillovers: dict[str, spillover.Spillover] = attrs.field(factory=dict)
     isolated: bool = False
 
     def get_positions(self, database: str) -> freshness.PrimaryPositions:
--- a/hyssopshelf/gateway/explanation.py
+++ b/hyssopshelf/gateway/explanation.py
@@ -4,7 +4,7 @@
 """
 
 from hyssopshelf import clocks
-from hyssopshelf.balancing import leaving
+from hyssopshelf.balancing import spillover
 from hyssopshelf.gateway import catalog, endpoint_health, routing
 
 
@@ -61,9 +61,9 @@
         "choice": found[0]["endpoint"] if found else None,
         "reason": _find_reason(board, found, needs_primary),
     }
-    departure = board.departures.get(route.database)
-    if board.prices is not None and not needs_primary and departure is not None:
-        explanation["leaving_fraction"] = round(departure.fraction, 3)
+    spill = board.spillovers.get(route.database)
+    if board.prices is not None and not needs_primary and spill is not None:
+        explanation["spillover_fraction"] = round(spill.fraction, 3)
     return explanation
 
 
@@ -76,7 +76,7 @@
     same_region = board.regions.get(endpoint.place) == board.region
     price = 0.0 if same_region else routing.REGION_PENALTY_SECONDS
     if board.prices is not None:
-        price = leaving.compute_price(
+        price = spillover.compute_price(
             board.prices,
             same_place=endpoint.place == board.place,
             same_region=same_region,
--- a/hyssopshelf/gateway/remote_pools.py
+++ b/hyssopshelf/gateway/remote_pools.py
@@ -8,7 +8,7 @@
 import functools
 
 from hyssopshelf import clocks, exceptions
-from hyssopshelf.balancing import leaving
+from hyssopshelf.balancing import spillover
 from hyssopshelf.gateway import (
     connection_pools,
     endpoint_connections,
@@ -253,7 +253,7 @@
 def _record_reported_load(
     answer: forward_messages.LoadedForwarded, endpoint: str, forwarder
 ) -> float:
-    forwarder.gateway.board.reported_waits[endpoint] = leaving.ReportedWait(
+    forwarder.gateway.board.reported_waits[endpoint] = spillover.ReportedWait(
         seconds=answer.wait / 1000, at=clocks.read_clock()
     )
     return answer.queued / 1000
--- a/hyssopshelf/gateway/routing.py
+++ b/hyssopshelf/gateway/routing.py
@@ -9,7 +9,7 @@
 import attrs
 
 from hyssopshelf import logs
-from hyssopshelf.balancing import leaving
+from hyssopshelf.balancing import spillover
 from hyssopshelf.gateway import catalog, endpoint_health, statements
 
 SAME_PLACE_SECONDS = 0.004
@@ -102,7 +102,7 @@
     costs = sort_by_cost(board, candidates, estimate_wait, now)
     if board.prices is None:
         return [candidate for _, candidate in costs]
-    return _order_by_departure(board, route.database, costs, now)
+    return _order_by_spillover(board, route.database, costs, now)
 
 
 def find_candidates(
@@ -141,28 +141,28 @@
     return costs
 
 
-def _order_by_departure(board, database: str, costs: list, now: float) -> list:
+def _order_by_spillover(board, database: str, costs: list, now: float) -> list:
     """Return candidates with those of this region first, unless the work leaves it."""
-    home, abroad, rest = [], [], []
+    local, remote, rest = [], [], []
     for (avoided, leaves, seconds), candidate in costs:
         region = board.regions.get(candidate.endpoint.place)
         if avoided or leaves:
             rest.append(candidate)
         elif region == board.region:
-            home.append((seconds, candidate))
+            local.append((seconds, candidate))
         else:
-            abroad.append((seconds, candidate))
-    departure = board.departures.setdefault(database, leaving.Departure())
-    before = departure.leaves
-    ordered = leaving.order(home, abroad, departure, now)
-    if departure.leaves is not before:
+            remote.append((seconds, candidate))
+    spill = board.spillovers.setdefault(database, spillover.Spillover())
+    before = spill.active
+    ordered = spillover.order(local, remote, spill, now)
+    if spill.active is not before:
         logs.write_request(
             logs.LogEvent.REGION_LEFT,
             {
                 "database": database,
-                "leaves": departure.leaves,
-                "home_ms": round(home[0][0] * 1000),
-                "abroad_ms": round(abroad[0][0] * 1000),
+                "active": spill.active,
+                "local_ms": round(local[0][0] * 1000),
+                "remote_ms": round(remote[0][0] * 1000),
             },
             True,
         )
@@ -187,7 +187,7 @@
     if health is not None:
         seconds += endpoint_health.compute_error_cost(health, now)
     if board.prices is not None:
-        seconds += leaving.compute_price(
+        seconds += spillover.compute_price(
             board.prices,
             same_place=endpoint.place == board.place,
             same_region=same_region,
