--- a/review/standins/database.py
+++ b/review/standins/database.py
@@ -363,6 +363,8 @@
         ]
 
     def _begin(self, rest: str) -> list[str]:
+        if self.state == "T":
+            return self._fail("MALFORMED")
         if rest != "READ" and not self.instance.primary:
             return self._fail("READONLY")
         self.state, self.read_only = "T", rest == "READ"
