End a coordinator's lease before its record is replaced

Cause: a candidate replaced the record first and ended the former lease after that. If nobody acted on the record (its answer was lost), the next candidate ended only the lease that this record names, and the coordinator before it could renew its own for good. A candidate that was cut off after the write repeated the call that ends the lease without a bound, then counted its authority from the end of that call although it had been replaced meanwhile.

Change: a record is replaced only after the lease that it names has ended, so no lease but the recorded one can be renewed. The calls are the same three in another order. Authority counts from the sending of the write that recorded the node, or of the read that found its record after a lost answer; such a takeover takes effect at once.

--- a/hyssopshelf/authority/election.py
+++ b/hyssopshelf/authority/election.py
@@ -8,6 +8,7 @@
 ABSENT = "no coordinator is known"
 RESIGNING = "coordinator resigns"
 STORE_UNREACHABLE = "coordinator does not reach the store"
+RECORDED = "other nodes follow a newer record"
 SILENT_WITHOUT_STORE = "coordinator is silent and the store does not answer"
 
 EPOCH_STEP = 1000
--- a/hyssopshelf/authority/participant.py
+++ b/hyssopshelf/authority/participant.py
@@ -187,7 +187,16 @@
                 return
             await asyncio.sleep(timing.PING_SECONDS)
 
-    def start_coordinating(self, record, revision: int, current, reason: str) -> None:
+    def start_coordinating(
+        self,
+        record,
+        revision: int,
+        current,
+        reason: str,
+        *,
+        confirmed_at: float | None = None,
+        ended_at: float | None = None,
+    ) -> None:
         """Coordinate after the store has recorded this node.
 
         Parameters
@@ -198,6 +207,12 @@
             Its revision.
         current : CoordinatorRecord or None
             The record that it replaced.
+        confirmed_at : float or None
+            Clock time at which the call was sent by which the store confirmed the
+            record, in seconds; None for now.
+        ended_at : float or None
+            Clock time at which the lease of the replaced record had ended, in seconds;
+            None for now.
         """
         now = clocks.read_clock()
         local_coordinator = coordinator.Coordinator(
@@ -208,9 +223,10 @@
             store=self.store,
             send=self.send,
         )
-        local_coordinator.grant_table.confirmed_at = now
+        table = local_coordinator.grant_table
+        table.confirmed_at = now if confirmed_at is None else confirmed_at
         if current is not None:
-            local_coordinator.grant_table.predecessor_ended_at = now
+            table.predecessor_ended_at = now if ended_at is None else ended_at
             if current.host != self.identity.host:
                 local_coordinator.predecessor = current.host
                 local_coordinator.registry.add_predecessor(current)
--- a/hyssopshelf/authority/takeover.py
+++ b/hyssopshelf/authority/takeover.py
@@ -1,7 +1,14 @@
-"""A member's attempts to become the coordinator."""
+"""A member's attempts to become the coordinator.
+
+A record is replaced only after the lease that it names has ended. So of all leases of
+coordinators only that of the recorded one can be renewed, also if the answer to the
+write of a record is lost and nobody acts on it.
+"""
 
 import asyncio
 
+import attrs
+
 from hyssopshelf import clocks, exceptions, kvstore, logs
 from hyssopshelf.authority import (
     allocation,
@@ -20,6 +27,22 @@
 """Pause between attempts to take over through the store while it is unreachable."""
 
 
+@attrs.frozen(kw_only=True)
+class Confirmation:
+    """The store's answer that it has a record.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the record.
+    sent_at : float
+        Clock time at which the confirmed call was sent, in seconds.
+    """
+
+    revision: int
+    sent_at: float
+
+
 class Candidate:
     """Decides when a node takes over, and asks the other members and the store.
 
@@ -64,6 +87,14 @@
         else:
             self._failures = 0
 
+    def check_record(self, now: float) -> None:
+        """Start an attempt because others follow a record that may name this node.
+
+        Its write may have taken effect although the answer was lost.
+        """
+        if now >= self._next_attempt_at and not self.participant.gateway.board.draining:
+            self.attempt(election.RECORDED)
+
     def attempt(self, reason: str) -> None:
         """Start an attempt unless one is in progress."""
         if not self._attempting:
@@ -97,13 +128,12 @@
 
     def _is_still_needed(self, reason: str) -> bool:
         """Return whether the reason of an attempt to take over still holds."""
+        local_coordinator = self.participant.coordinator
+        active = local_coordinator is not None and local_coordinator.active
         if reason == election.SILENT_WITHOUT_STORE:
-            local_coordinator = self.participant.coordinator
-            return (
-                local_coordinator is not None
-                and local_coordinator.active
-                and local_coordinator.interim
-            )
+            return active and local_coordinator.interim
+        if reason == election.RECORDED:
+            return not active
         local_member = self.participant.member
         return (
             election.find_takeover_reason(local_member, clocks.read_clock()) == reason
@@ -117,7 +147,13 @@
         current = None
         if entry.revision:
             current = assignments.decode_coordinator(entry.value)
-            if self._follow(current, reason):
+            if self._is_own(current) and reason != election.SILENT_WITHOUT_STORE:
+                self.participant.member.follow(current)
+                reason = election.ABSENT
+            elif reason == election.RECORDED:
+                self.participant.member.follow(current)
+                return
+            elif self._follow(current, reason):
                 return
         await self._replace(entry.revision, current, reason)
 
@@ -210,6 +246,12 @@
             expected[own_key] = await self._find_own_revision()
             if not expected[own_key]:
                 return
+        if restarted:
+            # The process that held the lease has ended, so nothing waits for its end.
+            participant.spawn(self._end_lease(current, lease.ok_value))
+        elif not await self._end_lease(current, lease.ok_value):
+            return
+        ended_at = clocks.read_clock()
         record = assignments.CoordinatorRecord(
             host=identity.host,
             address=identity.address,
@@ -218,20 +260,41 @@
             epoch=election.find_next_epoch(known_epoch, store.era or 0),
             lease=lease.ok_value,
         )
-        written = await store.change(
-            expected, {assignments.COORDINATOR_KEY: assignments.encode(record)}
-        )
-        if written.is_err():
+        confirmation = await self._write_record(expected, record)
+        if confirmation is None:
             return
-        if restarted:
-            # The process that held the lease has ended, so nothing waits for its end.
-            participant.spawn(self._end_lease(current, lease.ok_value))
-        else:
-            await self._end_lease(current, lease.ok_value)
-        participant.start_coordinating(record, written.ok_value, current, reason)
+        participant.start_coordinating(
+            record,
+            confirmation.revision,
+            current,
+            reason,
+            confirmed_at=confirmation.sent_at,
+            ended_at=ended_at,
+        )
         if restored:
             participant.coordinator.registry.register_again()
 
+    async def _write_record(
+        self, expected: dict[str, int], record: assignments.CoordinatorRecord
+    ) -> Confirmation | None:
+        """Write the record; return None unless the store is known to have it.
+
+        Without an answer the record is read, as the write may have taken effect.
+        """
+        store = self.participant.store
+        value = assignments.encode(record)
+        sent_at = clocks.read_clock()
+        written = await store.change(expected, {assignments.COORDINATOR_KEY: value})
+        if written.is_ok():
+            return Confirmation(revision=written.ok_value, sent_at=sent_at)
+        if written.err_value.status == election.CONFLICT_STATUS:
+            return None
+        sent_at = clocks.read_clock()
+        found = await store.get(assignments.COORDINATOR_KEY)
+        if found.is_err() or found.ok_value is None or found.ok_value.value != value:
+            return None
+        return Confirmation(revision=found.ok_value.revision, sent_at=sent_at)
+
     async def _find_own_revision(self) -> int:
         """Return the revision of this node's registration, 0 without one."""
         participant = self.participant
@@ -244,19 +307,20 @@
             return found.ok_value.revision
         return participant.own_revision
 
-    async def _end_lease(self, current, own_lease: int) -> None:
+    async def _end_lease(self, current, own_lease: int) -> bool:
         """End the earlier coordinator's lease, and so its authority.
 
-        Repeats the call until the store answers. A restored store may have given the
-        number of that lease to this node.
+        A restored store may have given the number of that lease to this node.
+
+        Returns
+        -------
+        bool
+            Whether the lease has certainly ended.
         """
         if current is None or current.lease in (0, own_lease):
-            return
-        while True:
-            ended = await self.participant.store.end_lease(current.lease)
-            if ended.is_ok() or ended.err_value.status == election.NOT_FOUND_STATUS:
-                return
-            await asyncio.sleep(timing.PING_SECONDS)
+            return True
+        ended = await self.participant.store.end_lease(current.lease)
+        return ended.is_ok() or ended.err_value.status == election.NOT_FOUND_STATUS
 
     def _has_majority(self, reason: str) -> bool:
         """Return whether a majority of the members supported the last inquiry."""
