Finish a takeover that was recorded while its answer was lost

Cause: a coordinator whose write was refused because of its record went on, and the node that the record names had no way to learn of it before it asked the store again.

Change: a coordinator that gets 412 for its record reads it, stops if another node is recorded, follows that one and pings it. A node that gets a ping of a newer epoch than it knows reads the record and acts if it is named there. Nothing is sent while all is well.

--- a/hyssopshelf/authority/dispatch.py
+++ b/hyssopshelf/authority/dispatch.py
@@ -16,6 +16,8 @@
 def _apply_ping(message: exchange.Ping, participant, host: str, address: str) -> None:
     local_coordinator = participant.coordinator
     if local_coordinator is None or not local_coordinator.active:
+        if message.epoch > participant.member.epoch:
+            participant.candidate.check_record(clocks.read_clock())
         return
     if message.epoch > local_coordinator.record.epoch:
         local_coordinator.stop("a newer coordinator exists")
--- a/hyssopshelf/authority/participant.py
+++ b/hyssopshelf/authority/participant.py
@@ -259,7 +259,9 @@
         revision, era = loaded
         local_coordinator.registry.publish()
         local_coordinator.recorder = recorder.AssignmentRecorder(
-            coordinator=local_coordinator, revision=revision
+            coordinator=local_coordinator,
+            revision=revision,
+            on_replaced=lambda: renewal.check_record(local_coordinator),
         )
         if era < (self.store.era or 0):
             await self.store_watcher.read_all()
--- a/hyssopshelf/authority/recorder.py
+++ b/hyssopshelf/authority/recorder.py
@@ -27,11 +27,15 @@
         Every write is conditional on the revision of its record.
     revision : int
         Revision of the assignments that it loaded, 0 if there were none.
+    on_replaced : callable or None
+        Coroutine function that is called when the store refuses a write because of
+        the coordinator's record.
     """
 
-    def __init__(self, *, coordinator, revision: int) -> None:
+    def __init__(self, *, coordinator, revision: int, on_replaced=None) -> None:
         self.coordinator = coordinator
         self.revision = revision
+        self.on_replaced = on_replaced
         self._lock = asyncio.Lock()
 
     async def record(self, database: str, entry: assignments.Assignment) -> bool:
@@ -81,6 +85,8 @@
             if failure.status != election.CONFLICT_STATUS:
                 return False
             if not await self._find_revision():
+                if self.on_replaced is not None:
+                    await self.on_replaced()
                 return False
         return False
 
--- a/hyssopshelf/authority/renewal.py
+++ b/hyssopshelf/authority/renewal.py
@@ -56,20 +56,32 @@
         local_coordinator.grant_table.confirmed_at = sent_at
         local_coordinator.local_member.follow(record)
     elif written.err_value.status == election.CONFLICT_STATUS:
-        found = await local_coordinator.store.get(assignments.COORDINATOR_KEY)
-        if found.is_err() or found.ok_value is None:
-            return
-        current = assignments.decode_coordinator(found.ok_value.value)
-        if current.epoch == local_coordinator.record.epoch and (
-            current.incarnation == local_coordinator.record.incarnation
-        ):
-            # An earlier write of a new lease took effect although its answer was lost.
-            local_coordinator.record = current
-            local_coordinator.revision = found.ok_value.revision
-            local_coordinator.local_member.follow(current)
-        else:
-            local_coordinator.stop("another coordinator is recorded in the store")
-            local_coordinator.local_member.follow(current)
+        await check_record(local_coordinator)
+
+
+async def check_record(local_coordinator) -> None:
+    """Read the coordinator's record after the store refused a write.
+
+    Stops the coordinator if the store names another one, and pings that one: it may
+    not know that the write of its record took effect.
+    """
+    found = await local_coordinator.store.get(assignments.COORDINATOR_KEY)
+    if found.is_err() or found.ok_value is None or not local_coordinator.active:
+        return
+    current = assignments.decode_coordinator(found.ok_value.value)
+    known = local_coordinator.record
+    if (current.epoch, current.incarnation) == (known.epoch, known.incarnation):
+        # An earlier write of a new lease took effect although its answer was lost.
+        local_coordinator.record = current
+        local_coordinator.revision = found.ok_value.revision
+        local_coordinator.local_member.follow(current)
+        return
+    if election.find_era(known.epoch) < (local_coordinator.store.era or 0):
+        # The renewal of the lease finds out what the restored store has lost.
+        return
+    local_coordinator.stop("another coordinator is recorded in the store")
+    local_coordinator.local_member.follow(current)
+    local_coordinator.local_member.ping()
 
 
 async def record_again(local_coordinator) -> None:
