Number units of work so that no two processes share a number

Cause: each process numbered its units of work from 1, and a holder knows an open transaction, the entry node an answer, by that number alone.

Ruled out: a late Cancel, a connection returned with an open transaction (each broken line begins with the first step of a unit).

Change: numbers begin at the process's start in milliseconds and a random part (hyssopshelf.numbering); so do the questions for tokens of a limit. A holder that gets a number of a later process ends the units of the earlier one.

--- a/hyssopshelf/gateway/allowances.py
+++ b/hyssopshelf/gateway/allowances.py
@@ -7,11 +7,10 @@
 
 import asyncio
 import collections
-import itertools
 
 import attrs
 
-from hyssopshelf import background, clocks, exceptions, logs
+from hyssopshelf import background, clocks, exceptions, logs, numbering
 from hyssopshelf.customers import keepers, limits
 from hyssopshelf.gateway import forward_messages
 
@@ -95,7 +94,7 @@
         self.keeper = limits.Keeper(tolerance=tolerance, first_until=first_until)
         self._states: dict[tuple[str, int], CustomerState] = {}
         self._asked: dict[int, asyncio.Future] = {}
-        self._sequence = itertools.count(1)
+        self._sequence = numbering.start_count()
         self._ranked: tuple = ()
         self._tasks = background.TaskSet()
 
--- a/hyssopshelf/gateway/forward_messages.py
+++ b/hyssopshelf/gateway/forward_messages.py
@@ -13,7 +13,8 @@
     Attributes
     ----------
     unit : int
-        Number of the unit of work at the entry node.
+        Number of the unit of work at the entry node; no other process of that host
+        uses it.
     step : int
         Number of the message within it.
     version : int
@@ -63,7 +64,7 @@
     Attributes
     ----------
     sequence : int
-        Number that the answer repeats.
+        Number that the answer repeats; no other process of the host uses it.
     wanted : int
         Tokens that the host can use.
     order : int
--- a/hyssopshelf/gateway/forwarding.py
+++ b/hyssopshelf/gateway/forwarding.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from hyssopshelf import background, clocks, exceptions, logs
+from hyssopshelf import background, clocks, exceptions, logs, numbering
 from hyssopshelf.balancing import holders as customer_holders
 from hyssopshelf.gateway import (
     connection_pools,
@@ -60,11 +60,13 @@
         self.reset = reset
         self.holders: dict[str, list[tuple[str, str]]] = {}
         self._units: dict[int, remote_pools.RemoteConnection] = {}
-        self._counter = itertools.count(1)
+        self._counter = numbering.start_count()
+        self._turns = itertools.count()
         self._avoided: dict[str, float] = {}
         self._assigned: dict[str, tuple] = {}
         self._pinned: dict[tuple[str, int], PinnedUnit] = {}
         self._tasks: dict[tuple[str, int], asyncio.Task] = {}
+        self._latest_units: dict[str, int] = {}
 
     def is_forwarded(self, endpoint: str) -> bool:
         """Return whether other hosts hold the endpoint's connections."""
@@ -93,7 +95,7 @@
         candidates = self.list_choices(endpoint, customer)
         if not candidates:
             return None
-        return candidates[next(self._counter) % len(candidates)]
+        return candidates[next(self._turns) % len(candidates)]
 
     def list_choices(self, endpoint: str, customer: str = "") -> list[tuple[str, str]]:
         """Return the holders among which work at an endpoint is spread."""
@@ -165,6 +167,7 @@
         self, message: forward_messages.Forward, host: str, address: str
     ) -> None:
         """Start the work that an entry node forwards."""
+        self._end_former_units(host, message.unit)
         key = (host, message.unit)
         task = asyncio.get_running_loop().create_task(
             self._serve(message, key, address)
@@ -174,7 +177,9 @@
 
     def receive_cancel(self, message: forward_messages.Cancel, host: str) -> None:
         """Stop the work of a unit; its connection is closed."""
-        key = (host, message.unit)
+        self._end_unit((host, message.unit))
+
+    def _end_unit(self, key: tuple[str, int]) -> None:
         task = self._tasks.get(key)
         if task is not None:
             task.cancel()
@@ -182,6 +187,20 @@
         if pinned is not None:
             pinned.pool.discard_connection(pinned.connection)
 
+    def _end_former_units(self, host: str, unit: int) -> None:
+        """End the units of an earlier process of an entry node.
+
+        It does not matter for consistency, as their numbers are not used again; their
+        connections are scarce.
+        """
+        latest = self._latest_units.get(host, 0)
+        self._latest_units[host] = max(latest, unit)
+        if not latest or not numbering.is_earlier_process(latest, unit):
+            return
+        for key in {*self._pinned, *self._tasks}:
+            if key[0] == host and numbering.is_earlier_process(key[1], unit):
+                self._end_unit(key)
+
     def expire(self, now: float) -> None:
         """Close the connections of transactions whose entry node is silent."""
         for key, pinned in list(self._pinned.items()):
