Take no answer to or of a member's former process for its successor's

Cause: pings were numbered from 1 in each process, so the answer to a ping of a killed process granted its successor the use of primaries from the sending of the successor's own ping, although the coordinator counts no grant for a new incarnation. Released named no process, so the answer of a killed process was counted for its successor.

Released carries the member's incarnation, which the coordinator compares.

--- a/hyssopshelf/authority/dispatch.py
+++ b/hyssopshelf/authority/dispatch.py
@@ -46,7 +46,7 @@
     if local_coordinator is None or message.epoch != local_coordinator.record.epoch:
         return
     state = local_coordinator.grant_table.members.get(host)
-    if state is not None:
+    if state is not None and state.incarnation == message.incarnation:
         before = state.released.get(message.database, 0)
         state.released[message.database] = max(message.version, before)
 
--- a/hyssopshelf/authority/exchange.py
+++ b/hyssopshelf/authority/exchange.py
@@ -32,7 +32,7 @@
     Attributes
     ----------
     sequence : int
-        Number that the answer repeats.
+        Number that the answer repeats; no other process of the host uses it.
     stamp : float
         The coordinator's clock in its last answer, 0 without one.
     held : float
@@ -160,11 +160,17 @@
     """Answer to Release: the member has stopped using the primary.
 
     It does not acknowledge any further write of it to a client.
+
+    Attributes
+    ----------
+    incarnation : int
+        Incarnation of the member; the answer does not hold for its successor.
     """
 
     database: str
     version: int
     epoch: int
+    incarnation: int
 
 
 @envelopes.register("authority.announce")
--- a/hyssopshelf/authority/member.py
+++ b/hyssopshelf/authority/member.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from hyssopshelf import clocks, logs
+from hyssopshelf import clocks, logs, numbering
 from hyssopshelf.authority import allocation, assignments, exchange, timing
 from hyssopshelf.gateway import blackboard, statements
 
@@ -93,7 +93,7 @@
         self.holders_version = 0
         self.capacity = 1.0
         self.released: dict[str, int] = {}
-        self._sequence = 0
+        self._sequences = numbering.start_count()
         self._sent_at: dict[int, float] = {}
         self._stamp = 0.0
         self._stamped_at = 0.0
@@ -138,16 +138,16 @@
         heard_at = max(self._stamped_at, self.followed_at)
         if now - heard_at > timing.RECONNECT_SECONDS:
             self.reset(record.address)
-        self._sequence += 1
+        sequence = next(self._sequences)
         self._sent_at = {
             number: at
             for number, at in self._sent_at.items()
             if now - at < timing.GRANT_SECONDS
         }
-        self._sent_at[self._sequence] = now
+        self._sent_at[sequence] = now
         document_cache = self.document_cache
         message = exchange.Ping(
-            sequence=self._sequence,
+            sequence=sequence,
             incarnation=self.identity.incarnation,
             place=self.identity.place,
             epoch=self.epoch,
--- a/hyssopshelf/authority/participant.py
+++ b/hyssopshelf/authority/participant.py
@@ -380,7 +380,10 @@
             host,
             address,
             exchange.Released(
-                database=message.database, version=message.version, epoch=message.epoch
+                database=message.database,
+                version=message.version,
+                epoch=message.epoch,
+                incarnation=self.identity.incarnation,
             ),
         )
 
--- a/hyssopshelf/authority/takeover.py
+++ b/hyssopshelf/authority/takeover.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from hyssopshelf import clocks, exceptions, kvstore, logs
+from hyssopshelf import clocks, exceptions, kvstore, logs, numbering
 from hyssopshelf.authority import (
     allocation,
     assignments,
@@ -67,7 +67,8 @@
         self.participant = participant
         self.bootstrap = bootstrap
         self.is_seed = is_seed
-        self.inquiry_number = 0
+        self._numbers = numbering.start_count()
+        self.inquiry_number = next(self._numbers)
         self.contacts: dict[str, float] = {}
         self._attempting = False
         self._next_attempt_at = 0.0
@@ -346,7 +347,7 @@
                 assignments.decode_member(e.value) for e in page.ok_value.entries
             ]
             others = {r.host: r for r in records if r.host != participant.identity.host}
-        self.inquiry_number += 1
+        self.inquiry_number = next(self._numbers)
         self.contacts = {}
         message = exchange.Inquire(number=self.inquiry_number, epoch=local_member.epoch)
         for record in others.values():
--- /dev/null
+++ b/hyssopshelf/authority/tests/test_restarted_member.py
@@ -0,0 +1,74 @@
+"""Tests of late messages of a member's former process, or to it."""
+
+import asyncio
+
+import attrs
+
+from hyssopshelf import clocks
+from hyssopshelf.authority import assignments, dispatch, exchange, grants
+from hyssopshelf.authority.tests import restorable_fleet, test_participant
+
+COORDINATOR = assignments.CoordinatorRecord(
+    host="c", address="c:1", incarnation=1, epoch=1000, lease=0
+)
+
+
+def make_member(sent: list):
+    """Return the participant of a process of the host ``h``."""
+    node = test_participant.make_participant(test_participant.FakeStore(), 1.0)
+    node.send = node.member.send = lambda host, address, message: sent.append(message)
+    node.member.follow(COORDINATOR)
+    return node
+
+
+# ONE and STALE: a grant that the coordinator gave to a killed process, and no longer
+# counts, was used by its successor from the sending of its own ping on.
+def test_an_answer_to_the_ping_of_a_former_process_grants_nothing():
+    async def scenario():
+        known = restorable_fleet.make_assignments(1, "e", 1)
+        answers = []
+        for _ in range(2):
+            sent = []
+            node = make_member(sent)
+            node.member.ping()
+            answers.append(
+                exchange.Pong(
+                    sequence=sent[0].sequence,
+                    epoch=COORDINATOR.epoch,
+                    authoritative=True,
+                    assignments=assignments.encode(known),
+                )
+            )
+        node.member.receive_pong(answers[0], "c")
+        assert not node.gateway.board.primary_grants
+        node.member.receive_pong(answers[1], "c")
+        assert node.gateway.board.primary_grants["db"].endpoint == "e"
+
+    asyncio.run(scenario())
+
+
+# ONE: a primary was replaced although the successor of a process that had released it
+# could still use it.
+def test_a_release_by_a_former_process_does_not_hold_for_its_successor():
+    async def scenario(store, fleet):
+        node = fleet.add("a")
+        record = attrs.evolve(COORDINATOR, host="a", address="a:1")
+        node.start_coordinating(record, 1, None, "test")
+        for incarnation in (1, 2):
+            node.coordinator.registry.add(
+                assignments.MemberRecord(
+                    host="m", address="m:1", incarnation=incarnation
+                )
+            )
+        state = node.coordinator.grant_table.members["m"]
+        node.coordinator.grant_table.record_grant(state, ["db"], clocks.read_clock())
+        for incarnation, holders in ((1, ["m"]), (2, [])):
+            message = exchange.Released(
+                database="db", version=3, epoch=1000, incarnation=incarnation
+            )
+            dispatch.apply(message, node, "m", "m:1")
+            table: grants.GrantTable = node.coordinator.grant_table
+            found = table.find_grant_holders("db", 3, clocks.read_clock())
+            assert found == holders
+
+    restorable_fleet.run_fleet(scenario)
