Take no empty answer of a restarted member for the newest assignments

Callers could see all primaries of the fleet forgotten until endpoints report themselves again; found by reading, not in a play.

Cause: a recovery asks members for the version of their assignments, then the one with the newest for the document. If that one was restarted between the two questions, its empty document was taken although it had told a higher version.

Change: a document older than the version told before is passed over and the next member is asked.

Result: the test fails before (version 0 in the place of 4) and passes.

--- a/hyssopshelf/authority/recovery.py
+++ b/hyssopshelf/authority/recovery.py
@@ -102,10 +102,14 @@
             break
         if state is None:
             continue
+        told = recalled[host].version
         local_coordinator.send(host, state.address, message)
         await _wait_for(lambda host=host: recalled[host].assignments is not None)
         if recalled[host].assignments is not None:
-            return assignments.decode_assignments(recalled[host].assignments)
+            found = assignments.decode_assignments(recalled[host].assignments)
+            # A member that was restarted since the first question knows nothing.
+            if found.version >= told:
+                return found
     return stored
 
 
--- a/hyssopshelf/authority/tests/test_restarted_member.py
+++ b/hyssopshelf/authority/tests/test_restarted_member.py
@@ -5,7 +5,7 @@
 import attrs
 
 from hyssopshelf import clocks
-from hyssopshelf.authority import assignments, dispatch, exchange, grants
+from hyssopshelf.authority import assignments, dispatch, exchange, grants, recovery
 from hyssopshelf.authority.tests import restorable_fleet, test_participant
 
 COORDINATOR = assignments.CoordinatorRecord(
@@ -72,3 +72,26 @@
             assert found == holders
 
     restorable_fleet.run_fleet(scenario)
+
+
+# All primaries were forgotten: the empty assignments of a member that was restarted
+# between two questions were taken for the newest.
+def test_a_member_restarted_during_a_recovery_does_not_empty_the_assignments():
+    async def scenario(store, fleet):
+        node = fleet.add("a")
+        node.start_coordinating(COORDINATOR, 1, COORDINATOR, "test")
+        for number, version in ((1, 5), (2, 4)):
+            other = fleet.add(f"m{number}")
+            other.member.assignments = restorable_fleet.make_assignments(
+                version, "new", 2
+            )
+            node.coordinator.registry.add(other.identity)
+        await recovery._ask_members(node.coordinator)
+        fleet.remove("m1")
+        fleet.add("m1", incarnation=2)
+        stored = restorable_fleet.make_assignments(1, "old", 1)
+        newest = await recovery._fetch_newest(node.coordinator, stored)
+        assert newest.version == 4
+        assert newest.databases["db"].endpoint == "new"
+
+    restorable_fleet.run_fleet(scenario)
