Promote only a replica that has every acknowledged commit

Cause: replicas were asked for their status once, before the release of the primary; one that answered BUSY counted as if it had nothing, and another one without the last commits was promoted. Nothing read syncReplicas. Leaving replicas and, after a failed promotion, the replica chosen before were left out.

A busy replica's answer gives a lower bound of its log, and the start of a transaction shows that a busy endpoint leads. A replica that the registry has lost counts for 10 s, then as gone. With syncReplicas 0 the questions and their time are as before.

--- a/hyssopshelf/authority/change.py
+++ b/hyssopshelf/authority/change.py
@@ -16,6 +16,7 @@
     member,
     replication,
     suspicion,
+    targets,
     timing,
 )
 from hyssopshelf.gateway import endpoint_connections, probes
@@ -41,10 +42,6 @@
 CATCH_UP_SECONDS = 0.6
 """Time in which the new primary may catch up in a planned change."""
 
-CATCH_UP_ENTRIES = 200
-"""Log entries that a replica may lack when a planned change starts; a primary writes
-some tens a second, so the replica catches up within ``CATCH_UP_SECONDS``."""
-
 DEMOTED_SECONDS = 1.5
 """Time for which a primary reports itself as a replica before it is replaced; a
 registry entry may be that old."""
@@ -81,6 +78,9 @@
         self.promotion_client = promotion_client
         self.local_member = coordinator.local_member
         self.gateway = coordinator.local_member.gateway
+        self.chooser = targets.TargetChooser(
+            coordinator=coordinator, count_failing=self._count_failing
+        )
         self._changing: set[str] = set()
         self._demoted_since: dict[str, float] = {}
         self._retry_at: dict[str, float] = collections.defaultdict(float)
@@ -230,7 +230,7 @@
                 "epoch": self.coordinator.record.epoch,
             },
         )
-        target = await self._choose_target(database, assigned, planned)
+        target = await self.chooser.choose(database, assigned, planned)
         if target is None:
             return False
         self.coordinator.revoked.add(database)
@@ -246,7 +246,17 @@
                 {"database": database, "reason": "no longer needed or allowed"},
             )
             return False
-        if planned:
+        if self.chooser.get_synchronous(database):
+            target = await self.chooser.wait_for_complete(
+                database,
+                assigned,
+                resumed=False,
+                seconds=CATCH_UP_SECONDS if planned else targets.COMPLETE_SECONDS,
+            )
+            if target is None:
+                self.coordinator.revoked.discard(database)
+                return False
+        elif planned:
             target = await self._catch_up(database, assigned, target)
         return await self._replace(database, assigned, target)
 
@@ -284,49 +294,21 @@
         endpoint = self._list_endpoints(database).get(entry.endpoint)
         if endpoint is not None and await self._promote(database, entry):
             return True
-        target = await self._choose_target(database, entry, False)
+        if self.chooser.get_synchronous(database):
+            target = await self.chooser.wait_for_complete(
+                database, entry, resumed=True, seconds=targets.COMPLETE_SECONDS
+            )
+        else:
+            target = await self.chooser.choose(database, entry, False)
         if target is None:
             return False
         return await self._replace(database, entry, target)
 
-    async def _choose_target(self, database: str, assigned, planned: bool):
-        """Return the replica to promote, or None.
-
-        Replicas that fewer nodes fail to reach go first, then the most advanced.
-        """
-        candidates = [
-            endpoint
-            for endpoint in self._list_endpoints(database).values()
-            if endpoint.id != assigned.endpoint and not endpoint.leaving
-        ]
-        endpoints = [endpoint.id for endpoint in candidates]
+    def _count_failing(self, endpoints: list[str]) -> dict[str, int]:
+        """Return how many of its users fail to reach each endpoint."""
         failure_reports = self._collect_failure_reports(clocks.read_clock())
         reports, _ = self._group_reports(endpoints, failure_reports)
-        found = await asyncio.gather(
-            *(replication.ask_status(self.gateway, endpoint) for endpoint in candidates)
-        )
-        ranked = [
-            (
-                -suspicion.count_failing(reports[endpoint.id], endpoint.id, 0.0),
-                status.position,
-                endpoint.id,
-                endpoint,
-            )
-            for endpoint, status in zip(candidates, found, strict=True)
-            if status is not None
-        ]
-        if not ranked:
-            logs.write(
-                logs.LogEvent.CHANGE_ABANDONED,
-                {"database": database, "reason": "no replica answers"},
-            )
-            return None
-        _, position, _, target = max(ranked, key=lambda row: row[:3])
-        if planned:
-            seen = self.gateway.board.get_positions(database).get_last_position()
-            if seen is not None and seen.number - position.number > CATCH_UP_ENTRIES:
-                return None
-        return target
+        return targets.count_failing(reports)
 
     async def _wait_for_release(self, database: str, version: int, planned: bool):
         """Ask for a release; return when no grant holder is left.
@@ -415,12 +397,15 @@
             endpoint = self._list_endpoints(database).get(entry.endpoint)
             if endpoint is None:
                 break
-            status = await replication.ask_status(self.gateway, endpoint)
-            if (
-                status is not None
-                and status.role == "primary"
-                and status.term > entry.term
-            ):
+            others = [
+                other
+                for other in self._list_endpoints(database).values()
+                if other.id != endpoint.id
+            ]
+            status = await replication.ask_promoted(
+                self.gateway, endpoint, others, entry.term
+            )
+            if status is not None:
                 await self._complete(database, entry, status, started)
                 return True
             await asyncio.sleep(PROMOTION_CHECK_SECONDS)
--- a/hyssopshelf/gateway/blackboard.py
+++ b/hyssopshelf/gateway/blackboard.py
@@ -82,6 +82,27 @@
     lagging_until: float = 0.0
 
 
+REMOVED_SECONDS = 10.0
+"""Time for which an endpoint that the registry has lost may come back with its log.
+With the time until its entry is removed, a change of primary stays below 17 s."""
+
+
+@attrs.frozen(kw_only=True)
+class RemovedEndpoint:
+    """An endpoint that is no longer registered.
+
+    Attributes
+    ----------
+    endpoint : Endpoint
+        Its last entry.
+    until : float
+        Clock time from which it counts as gone, in seconds.
+    """
+
+    endpoint: catalog.Endpoint
+    until: float
+
+
 @attrs.define(kw_only=True)
 class GatewayBlackboard:
     """State that the controllers of a gateway node share.
@@ -96,6 +117,8 @@
         Configuration in force.
     endpoints : dict of str to Endpoint
         Registered endpoints by id.
+    removed_endpoints : dict of str to RemovedEndpoint
+        Endpoints that were registered a short time ago, by id.
     primary_grants : dict of str to PrimaryGrant
         Latest grant of each database; it may have expired.
     primary_positions : dict of str to PrimaryPositions
@@ -125,6 +148,7 @@
     regions: dict[str, str]
     configuration: catalog.Configuration | None = None
     endpoints: dict[str, catalog.Endpoint] = attrs.field(factory=dict)
+    removed_endpoints: dict[str, RemovedEndpoint] = attrs.field(factory=dict)
     primary_grants: dict[str, PrimaryGrant] = attrs.field(factory=dict)
     primary_positions: dict[str, freshness.PrimaryPositions] = attrs.field(factory=dict)
     health: dict[str, EndpointHealth] = attrs.field(factory=dict)
@@ -144,6 +168,40 @@
         """Return the health of an endpoint, created on demand."""
         return self.health.setdefault(endpoint, EndpointHealth())
 
+    def replace_endpoints(
+        self, endpoints: dict[str, catalog.Endpoint], now: float
+    ) -> None:
+        """Replace the registered endpoints and remember the removed ones for a time."""
+        removed = {
+            endpoint_id: RemovedEndpoint(endpoint=endpoint, until=now + REMOVED_SECONDS)
+            for endpoint_id, endpoint in self.endpoints.items()
+        }
+        self.removed_endpoints = {
+            endpoint_id: entry
+            for endpoint_id, entry in {**self.removed_endpoints, **removed}.items()
+            if endpoint_id not in endpoints and now < entry.until
+        }
+        self.endpoints = endpoints
+
+    def list_missing(self, database: str, now: float) -> list[str]:
+        """Return the ids of a database's endpoints that may come back with their logs.
+
+        One that left as planned does not: its log passes to the next endpoint at its
+        address.
+        """
+        addresses = {
+            endpoint.address
+            for endpoint in self.endpoints.values()
+            if endpoint.database == database
+        }
+        return [
+            endpoint_id
+            for endpoint_id, entry in self.removed_endpoints.items()
+            if entry.endpoint.database == database
+            and now < entry.until
+            and not (entry.endpoint.leaving and entry.endpoint.address in addresses)
+        ]
+
     def find_primary(self, database: str, now: float) -> catalog.Endpoint | None:
         """Return the primary, or None if its grant expired or it is being replaced."""
         grant = self.primary_grants.get(database)
--- a/hyssopshelf/gateway/catalog.py
+++ b/hyssopshelf/gateway/catalog.py
@@ -89,6 +89,8 @@
         Routes by name.
     connections : dict of str to int
         Connections that each endpoint of a database accepts, by database.
+    synchronous : dict of str to int
+        Replicas that have received a commit before it is acknowledged, by database.
     limits : Limits
         Limits on clients.
     customers : Directory or None
@@ -101,6 +103,7 @@
     routes: dict[str, Route]
     connections: dict[str, int]
     limits: Limits
+    synchronous: dict[str, int] = attrs.field(factory=dict)
     customers: directory.Directory | None = None
 
     orders: dict[int, int] = attrs.field(
--- a/hyssopshelf/gateway/gateway.py
+++ b/hyssopshelf/gateway/gateway.py
@@ -142,7 +142,7 @@
                         "started": endpoint.started,
                     },
                 )
-        self.board.endpoints = endpoints
+        self.board.replace_endpoints(endpoints, clocks.read_clock())
         for endpoint_id in previous.keys() - endpoints.keys():
             self.board.reported_waits.pop(endpoint_id, None)
             logs.write(logs.LogEvent.ENDPOINT_REMOVED, {"endpoint": endpoint_id})
--- a/hyssopshelf/gateway/probes.py
+++ b/hyssopshelf/gateway/probes.py
@@ -94,8 +94,10 @@
             )
 
 
-async def send_unqueued(gateway, endpoint, message: bytes | None, seconds: float):
-    """Send one message without waiting in the queue; return connection and reply.
+async def send_unqueued(
+    gateway, endpoint, message: bytes | None, seconds: float, *, replies: int = 1
+):
+    """Send a message without waiting in the queue; return connection and first reply.
 
     It uses an idle connection of the pool, or a new one that may exceed this node's
     share.
@@ -106,6 +108,8 @@
         Encoded message; None resets the connection.
     seconds : float
         Timeout of connecting and exchange together.
+    replies : int
+        Number of replies to the message; no transaction is open after the last one.
 
     Raises
     ------
@@ -126,7 +130,7 @@
         connection.state.prepared.clear()
     try:
         async with asyncio.timeout(max(0.0, deadline - clocks.read_clock())):
-            replies = await connection.exchange(message, 1)
+            found = await connection.exchange(message, replies)
     except TimeoutError as error:
         pool.discard_connection(connection)
         raise endpoint_connections.EndpointConnectionError(
@@ -136,4 +140,4 @@
         pool.discard_connection(connection)
         raise
     pool.release_connection(connection)
-    return connection, replies[0]
+    return connection, found[0]
