--- a/hyssopshelf/authority/change.py
+++ b/hyssopshelf/authority/change.py
@@ -96,7 +96,11 @@
             await asyncio.sleep(CHECK_SECONDS)
 
     def _list_databases(self) -> list[str]:
-        names = {entry.database for entry in self.gateway.board.endpoints.values()}
+        """Return the databases to check; other writers may register any name."""
+        board = self.gateway.board
+        names = {entry.database for entry in board.endpoints.values()}
+        if board.configuration is not None:
+            names &= board.configuration.connections.keys()
         return sorted(names | set(self.local_member.assignments.databases))
 
     def _list_endpoints(self, database: str) -> dict:
--- a/hyssopshelf/gateway/endpoint_connections.py
+++ b/hyssopshelf/gateway/endpoint_connections.py
@@ -260,7 +260,9 @@
     except TimeoutError as error:
         connection.close()
         raise EndpointConnectionError("session start timed out") from error
-    except OSError as error:
+    except (OSError, ValueError, OverflowError) as error:
+        # The address may be one that the system cannot use.
+        connection.close()
         raise EndpointConnectionError(repr(error)) from error
     except asyncio.CancelledError:
         connection.close()
