Close the pool of an endpoint that is not registered

Found by the review in the code; no play showed it.

Cause: work that started before an endpoint's removal may open a pool after it. The next change of the registry raised KeyError; at a coordinator that ended the task that follows the registry, and its role with it.

Change: such a pool is closed.

Result: test_removed_endpoint.py fails before (KeyError) and passes.

--- a/hyssopshelf/gateway/gateway.py
+++ b/hyssopshelf/gateway/gateway.py
@@ -151,7 +151,12 @@
             if pool is not None:
                 pool.close()
         for endpoint_id, pool in list(self.connection_pools.items()):
-            endpoint = endpoints[endpoint_id]
+            endpoint = endpoints.get(endpoint_id)
+            if endpoint is None:
+                # Work that had started before the removal opened it.
+                del self.connection_pools[endpoint_id]
+                pool.close()
+                continue
             pool = self.get_local_pool(endpoint)
             pool.endpoint = endpoint
             if endpoint.leaving:
