Ask busy endpoints again in a recovery of assignments

Cause: a recovery asked each endpoint once for its role and term. If those that knew of a later primary had no free slot, the assignment of the older copy was taken for the newest.

Change: a busy endpoint is asked again until it answers or RECALL_SECONDS have passed.

Result: the test with three busy answers of each endpoint fails before (the old primary is granted) and passes.

--- a/hyssopshelf/authority/recovery.py
+++ b/hyssopshelf/authority/recovery.py
@@ -129,8 +129,9 @@
     replaced. If the later primary does not answer, the assignment names none, and a
     change of primary chooses one.
     """
+    deadline = clocks.read_clock() + RECALL_SECONDS
     found = await asyncio.gather(
-        *(replication.ask_status(gateway, endpoint) for endpoint in endpoints)
+        *(_ask_status(gateway, endpoint, deadline) for endpoint in endpoints)
     )
     statuses = {
         endpoint.id: status
@@ -144,3 +145,13 @@
         if status.role == "primary" and status.term == latest:
             return attrs.evolve(entry, endpoint=endpoint, term=latest, promoting=False)
     return attrs.evolve(entry, endpoint="", term=latest, promoting=True)
+
+
+async def _ask_status(gateway, endpoint, deadline: float):
+    """Ask an endpoint for its status, again while it is busy; None without one."""
+    while True:
+        end = await replication.ask_log_end(gateway, endpoint)
+        if end is None or end.exact or clocks.read_clock() >= deadline:
+            break
+        await asyncio.sleep(member.RELEASE_CHECK_SECONDS)
+    return end if end is not None and end.exact else None
--- a/hyssopshelf/authority/tests/test_recovery.py
+++ b/hyssopshelf/authority/tests/test_recovery.py
@@ -1,8 +1,11 @@
 """Tests of the recovery of assignments that a restored store has lost."""
 
 import asyncio
+import collections
 
-from hyssopshelf import clocks
+import pytest
+
+from hyssopshelf import clocks, exceptions
 from hyssopshelf.authority import assignments, recovery, renewal
 from hyssopshelf.authority.tests import restorable_fleet
 from hyssopshelf.gateway import catalog, probes, statements
@@ -61,9 +64,12 @@
     restorable_fleet.run_fleet(scenario)
 
 
-# ONE: no node that is left knows of the last change of primary.
-def test_the_endpoints_tell_of_a_primary_that_the_store_forgot(monkeypatch):
+# ONE: no node that is left knows of the last change of primary; also if endpoints are
+# busy when they are asked.
+@pytest.mark.parametrize("busy", [0, 3])
+def test_the_endpoints_tell_of_a_primary_that_the_store_forgot(monkeypatch, busy):
     terms = {"old": ("replica", 3), "new": ("primary", 3)}
+    asked = collections.Counter()
 
     class Codec:
         def format_status(self):
@@ -74,8 +80,13 @@
             return role, term, statements.LogPosition(term, 1)
 
     async def answer(local_gateway, endpoint, data, seconds):
-        reply = type("Reply", (), {"error": None, "rows": [terms[endpoint.id]]})
-        return clocks.read_clock(), reply
+        asked[endpoint.id] += 1
+        if asked[endpoint.id] <= busy:
+            return None, statements.Reply(
+                error=exceptions.ErrorKind.NOT_RUN,
+                position=statements.LogPosition(1, 1),
+            )
+        return None, statements.Reply(rows=[terms[endpoint.id]])
 
     monkeypatch.setattr(probes, "send_unqueued", answer)
 
