Take over from a forgotten coordinator, and only with a record or an agreement

Cause: a node whose own earlier record was in the store took it for a record that all wait for, also if a newer coordinator was known, and gave up its attempt. A ping of a newer epoch made a node coordinate if the store had no record at all. A replica that was removed while it was asked raised KeyError in a resumed change.

Change: an own record counts if no newer epoch is known; an attempt because of a ping needs a record that names this node; the registry is asked with a default.

--- a/hyssopshelf/authority/takeover.py
+++ b/hyssopshelf/authority/takeover.py
@@ -148,14 +148,15 @@
         current = None
         if entry.revision:
             current = assignments.decode_coordinator(entry.value)
-            if self._is_own(current) and reason != election.SILENT_WITHOUT_STORE:
+            if self._is_recorded(current, reason):
                 self.participant.member.follow(current)
                 reason = election.ABSENT
-            elif reason == election.RECORDED:
-                self.participant.member.follow(current)
-                return
-            elif self._follow(current, reason):
+            elif reason != election.RECORDED and self._follow(current, reason):
                 return
+        if reason == election.RECORDED:
+            if current is not None:
+                self.participant.member.follow(current)
+            return
         await self._replace(entry.revision, current, reason)
 
     async def _find_record(self, reason: str):
@@ -213,6 +214,17 @@
         """Return whether a record names an earlier process of this host."""
         return record.host == self.participant.identity.host
 
+    def _is_recorded(self, current: assignments.CoordinatorRecord, reason: str) -> bool:
+        """Return whether all others wait for this node, as the store names it.
+
+        An interim coordinator is active, so nobody waits.
+        """
+        return (
+            self._is_own(current)
+            and current.epoch >= self.participant.member.epoch
+            and reason != election.SILENT_WITHOUT_STORE
+        )
+
     def _follow(self, current: assignments.CoordinatorRecord, reason: str) -> bool:
         """Follow the recorded coordinator; return whether it gets time to answer."""
         local_member = self.participant.member
--- a/hyssopshelf/authority/targets.py
+++ b/hyssopshelf/authority/targets.py
@@ -129,9 +129,10 @@
                 name
                 for name, end in ends.items()
                 if end is not None
-                and (_leads(end, assigned.term) or board.endpoints[name].leads)
+                and name != chosen
+                and (_leads(end, assigned.term) or self._is_registered_primary(name))
             ]
-            primary = next((name for name in leading if name != chosen), "")
+            primary = leading[0] if leading else ""
         complete = durability.find_complete(
             {**dict.fromkeys(missing), **ends},
             self.get_synchronous(database),
@@ -146,6 +147,10 @@
         # The longest log comes first among equals.
         return min(usable, key=lambda e: (e.leaving, failing[e.id]))
 
+    def _is_registered_primary(self, name: str) -> bool:
+        endpoint = self.gateway.board.endpoints.get(name)
+        return endpoint is not None and endpoint.leads
+
     def _list_endpoints(self, database: str) -> list:
         return [
             endpoint
--- a/hyssopshelf/authority/tests/test_two_coordinators.py
+++ b/hyssopshelf/authority/tests/test_two_coordinators.py
@@ -10,7 +10,7 @@
 import result
 
 from hyssopshelf import clocks
-from hyssopshelf.authority import assignments, timing
+from hyssopshelf.authority import assignments, election, timing
 from hyssopshelf.authority.tests import restorable_fleet
 
 
@@ -197,3 +197,42 @@
         assert store.read_record() == lost
 
     run_cut_fleet(scenario)
+
+
+# A node whose own earlier record was in the store did not replace a silent coordinator
+# of a newer epoch, which the store had forgotten.
+def test_an_older_record_of_this_node_does_not_stop_its_takeover():
+    async def scenario(store, fleet):
+        node = fleet.add("b")
+        other = fleet.add("c")
+        for host in ("b", "c", "x"):
+            member = assignments.MemberRecord(
+                host=host, address=f"{host}:1", incarnation=1
+            )
+            key = assignments.MEMBER_PREFIX + host
+            await store.change({}, {key: assignments.encode(member)})
+        for host, epoch in (("b", 1000), ("x", 5000)):
+            record = assignments.CoordinatorRecord(
+                host=host, address=f"{host}:1", incarnation=1, epoch=epoch, lease=0
+            )
+            if host == "b":
+                value = assignments.encode(record)
+                await store.change({}, {assignments.COORDINATOR_KEY: value})
+        for follower in (node, other):
+            restorable_fleet.lose_coordinator(follower, record)
+        await node.candidate.try_take_over(election.SILENT)
+        assert node.coordinator is not None
+        assert node.coordinator.record.epoch > 5000
+
+    run_cut_fleet(scenario)
+
+
+# A node that was taken for the recorded one became the coordinator of a store without
+# a record, although nobody had agreed.
+def test_a_ping_of_a_newer_epoch_makes_no_coordinator_without_a_record():
+    async def scenario(store, fleet):
+        node = fleet.add("b")
+        await node.candidate.try_take_over(election.RECORDED)
+        assert node.coordinator is None
+
+    run_cut_fleet(scenario)
