Count any grant of a member that may follow an interim coordinator

Cause: a change of primary waited only for members to which this coordinator had given direct grants. A member that it does not hear may follow an interim coordinator of a majority, which chooses other holders and gives them direct grants.

While a majority follows, the wait is as before.

--- a/hyssopshelf/authority/grants.py
+++ b/hyssopshelf/authority/grants.py
@@ -192,8 +192,9 @@
             self.predecessor_ended_at + timing.AUTHORITY_SECONDS + GRANT_EXPIRY_SECONDS
         )
         promised = self.majority_since + timing.PROMISE_SECONDS + GRANT_EXPIRY_SECONDS
+        # An interim coordinator chooses other holders, so any grant counts here.
         longest = (
-            max(granted_until, self.predecessor_ended_at + GRANT_EXPIRY_SECONDS)
+            max(member.granted_until, self.predecessor_ended_at + GRANT_EXPIRY_SECONDS)
             + timing.MAJORITY_AUTHORITY_SECONDS
         )
         return min(longest, max(granted_until, renewed, promised))
--- a/hyssopshelf/authority/tests/test_grants.py
+++ b/hyssopshelf/authority/tests/test_grants.py
@@ -104,6 +104,30 @@
     assert table.find_grant_holders("db", 1, much_later) == []
 
 
+# ONE: a coordinator that a majority does not hear replaced a primary which that
+# majority used by grants of an interim coordinator, with other holders.
+def test_a_member_without_a_direct_grant_counts_while_it_may_follow_another_one():
+    table = make_table(4)
+    record_pings(table, 4, NOW)
+    table.majority_since = NOW - 5.0
+    for state in table.members.values():
+        table.record_grant(state, ["db"] if state.host == "h0" else [], NOW)
+    table.members["h0"].released["db"] = 1
+    assert table.find_grant_holders("db", 1, NOW) == []
+    later = NOW + 5.0
+    record_pings(table, 1, later)
+    assert table.find_grant_holders("db", 1, later) == ["h1", "h2", "h3"]
+    for number in range(9):
+        followed = later + number * timing.PING_SECONDS
+        record_pings(table, 4, followed)
+    assert table.find_grant_holders("db", 1, followed) == []
+    much_later = (
+        NOW + grants.GRANT_EXPIRY_SECONDS + timing.MAJORITY_AUTHORITY_SECONDS + 0.1
+    )
+    record_pings(table, 1, much_later)
+    assert table.find_grant_holders("db", 1, much_later) == []
+
+
 def test_a_successor_waits_for_grants_of_its_predecessor():
     table = make_table(4)
     table.predecessor_ended_at = NOW
