--- a/hyssopshelf/authority/tests/restorable_fleet.py
+++ b/hyssopshelf/authority/tests/restorable_fleet.py
@@ -195,12 +195,12 @@
             await asyncio.sleep(0.01)
 
 
-def run_fleet(scenario) -> None:
+def run_fleet(scenario, fleet_class=Fleet) -> None:
     """Run a coroutine that takes a store and a fleet."""
 
     async def run():
         store = RestorableStore()
-        fleet = Fleet(store)
+        fleet = fleet_class(store)
         try:
             await scenario(store, fleet)
         finally:
--- a/hyssopshelf/authority/tests/test_two_coordinators.py
+++ b/hyssopshelf/authority/tests/test_two_coordinators.py
@@ -103,15 +103,7 @@
 
 
 def run_cut_fleet(scenario) -> None:
-    async def run():
-        store = restorable_fleet.RestorableStore()
-        fleet = CutFleet(store)
-        try:
-            await scenario(store, fleet)
-        finally:
-            fleet.stop()
-
-    asyncio.run(run())
+    restorable_fleet.run_fleet(scenario, CutFleet)
 
 
 # Guards against two coordinators. The answer to a successor's record is lost: nobody
