--- a/hyssopshelf/gateway/autocommit.py
+++ b/hyssopshelf/gateway/autocommit.py
@@ -180,6 +180,7 @@
     usable = False
     if writes:
         gateway.start_write(database, reservation.version)
+    session.trace.sent_to = pool.endpoint.id
     try:
         reply = await execution.exchange(
             gateway, pool, connection, session.state, shape, build_message, deadline
--- a/hyssopshelf/gateway/execution.py
+++ b/hyssopshelf/gateway/execution.py
@@ -73,12 +73,15 @@
         ``endpoint:outcome`` of each attempt that did not succeed.
     endpoint : str
         Endpoint that ran the statement, empty without one.
+    sent_to : str
+        Endpoint that the statement was last sent to, empty if to none.
     queued_seconds : float
         Time spent waiting for slots and connections.
     """
 
     attempts: list[str] = attrs.field(factory=list)
     endpoint: str = ""
+    sent_to: str = ""
     queued_seconds: float = 0.0
 
     def add(self, endpoint: str, outcome: str) -> None:
--- a/hyssopshelf/gateway/metrics.py
+++ b/hyssopshelf/gateway/metrics.py
@@ -44,6 +44,8 @@
         Operations refused beyond the limit, by customer.
     keys_refused : int
         Sessions and operations refused for their key.
+    requests_cut : Counter of str
+        Requests whose connection ended before the answer, by who ended it.
     """
 
     def __init__(self) -> None:
@@ -52,6 +54,7 @@
         self.queued: dict[int, Histogram] = collections.defaultdict(Histogram)
         self.limited: collections.Counter = collections.Counter()
         self.keys_refused = 0
+        self.requests_cut: collections.Counter[str] = collections.Counter()
 
     def record(self, rank: int, outcome: str, seconds: float, queued: float) -> None:
         """Count an answered request; ``seconds`` includes the time in queues."""
@@ -88,6 +91,11 @@
         [({"customer": name}, count) for name, count in metrics.limited.items()],
     )
     add_metric("keys_refused_total", "Unknown keys", [({}, metrics.keys_refused)])
+    add_metric(
+        "requests_cut_total",
+        "Requests whose connection ended before the answer",
+        [({"by": name}, count) for name, count in metrics.requests_cut.items()],
+    )
     _add_histograms(
         add_metric, "request_seconds", "Time to the answer", metrics.latencies
     )
--- a/hyssopshelf/gateway/server.py
+++ b/hyssopshelf/gateway/server.py
@@ -3,9 +3,17 @@
 import asyncio
 import collections
 
+import attrs
+
 from hyssopshelf import clocks, exceptions, logs
 from hyssopshelf.customers import directory
-from hyssopshelf.gateway import endpoint_connections, execution, memory, sessions
+from hyssopshelf.gateway import (
+    endpoint_connections,
+    execution,
+    memory,
+    sessions,
+    statements,
+)
 
 CONFIGURATION_WAIT_SECONDS = 1.5
 """Time for which a new session waits for the first configuration of a node that has
@@ -23,6 +31,20 @@
 _KIND = exceptions.ErrorKind
 
 
+@attrs.frozen(kw_only=True)
+class OpenRequest:
+    """A request that a client sent and that has no answer yet.
+
+    Attributes
+    ----------
+    started_at : float
+        Clock time at which its processing began, in seconds.
+    """
+
+    request: statements.Request
+    started_at: float
+
+
 class ClientServer:
     """Accepts clients and closes their sessions at a graceful stop.
 
@@ -34,6 +56,11 @@
         Codec of the clients' protocol.
     limit : int
         Bytes that the buffers of all clients may hold together.
+
+    Attributes
+    ----------
+    stopping_since : float or None
+        Clock time at which the process was told to stop, in seconds.
     """
 
     def __init__(self, *, gateway, codec, limit: int) -> None:
@@ -41,6 +68,7 @@
         self.codec = codec
         self.budget = memory.BufferBudget(limit=limit)
         self.connections: set[ClientConnection] = set()
+        self.stopping_since: float | None = None
         self._server: asyncio.Server | None = None
 
     async def listen(self, address: str) -> None:
@@ -83,6 +111,20 @@
         for other in self.budget.update(connection, count):
             other.abort("clients hold too much memory")
 
+    def count_open(self) -> dict[str, int]:
+        """Return the numbers of sessions, open transactions and open requests."""
+        sessions_open = [c.session for c in self.connections if c.session is not None]
+        return {
+            "sessions": len(self.connections),
+            "transactions": sum(s.transaction is not None for s in sessions_open),
+            "requests": sum(c.open_request is not None for c in self.connections),
+        }
+
+    def record_exit(self) -> None:
+        """Log the requests that the exit of the process cuts off."""
+        for connection in self.connections:
+            connection.record_cut("exit", "the process ends")
+
     def close_idle(self) -> int:
         """Close sessions without work; return how many are left."""
         for connection in list(self.connections):
@@ -103,6 +145,7 @@
     def __init__(self, *, server: ClientServer) -> None:
         self.server = server
         self.session: sessions.Session | None = None
+        self.open_request: OpenRequest | None = None
         self.working = False
         self._transport: asyncio.Transport | None = None
         self._buffer = b""
@@ -141,6 +184,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Close the session, after its running statement if there is one."""
+        if not self._closed:
+            self.record_cut("client", repr(exc) if exc else "end of stream")
         self._closed = True
         self.server.connections.discard(self)
         self.server.budget.release(self)
@@ -161,11 +206,38 @@
     def abort(self, reason: str) -> None:
         """Close the connection at once and drop its buffers."""
         self._log_refusal(reason)
+        self.record_cut("gateway", reason)
         self._closed = True
         self._buffer = b""
         self._pending.clear()
         self._transport.abort()
 
+    def record_cut(self, decided_by: str, reason: str) -> None:
+        """Count and log the open request, whose client will get no answer."""
+        if self.open_request is None:
+            return
+        server = self.server
+        server.gateway.metrics.requests_cut[decided_by] += 1
+        now = clocks.read_clock()
+        stop_ms = None
+        if server.stopping_since is not None:
+            stop_ms = round(1000 * (now - server.stopping_since))
+        request = self.open_request.request
+        logs.write_request(
+            logs.LogEvent.REQUEST_CUT,
+            {
+                "id": request.id.decode(errors="replace"),
+                "name": self.session.name,
+                "statement": type(request.statement).__name__,
+                "by": decided_by,
+                "reason": reason,
+                "endpoint": self.session.trace.sent_to,
+                "age_ms": round(1000 * (now - self.open_request.started_at)),
+                "waiting": len(self._pending),
+                "stop_ms": stop_ms,
+            },
+        )
+
     def _log_refusal(self, reason: str) -> None:
         name = self.session.name if self.session else ""
         logs.write_request(
@@ -245,6 +317,7 @@
             self.close()
             return
         started = clocks.read_clock()
+        self.open_request = OpenRequest(request=request, started_at=started)
         try:
             reply = await session.answer(request)
         except Exception as error:  # a defect of the gateway must reach the log
@@ -255,6 +328,7 @@
             session.close()
             reply = execution.make_error(_KIND.INTERNAL, "internal error")
         self._send(codec.format_reply(reply, session.status))
+        self.open_request = None
         self._log_request(request, reply, session, clocks.read_clock() - started)
         if reply.error in (_KIND.NOT_FOUND, _KIND.UNKNOWN_KEY):
             self.close()
--- a/hyssopshelf/gateway/transactions.py
+++ b/hyssopshelf/gateway/transactions.py
@@ -111,6 +111,7 @@
         gateway.start_write(pool.endpoint.database, transaction.grant_version)
     sent_at = clocks.read_clock()
     build_message = execution.make_message_builder(session, request, None)
+    session.trace.sent_to = pool.endpoint.id
     try:
         reply = await execution.exchange(
             gateway, pool, connection, session.state, shape, build_message, deadline
