Answer a restarted member over a new connection

Cause: the coordinator's connection to the killed process pauses between its attempts, from 0.1 s up to 1 s while the host is away, and the first ping of the new process, which the coordinator receives, did not end the pause. The answer carries primaries and grants, so the node's requests waited for it. Change: the coordinator resets the connection when it notices a new incarnation. The test failed before: a pong and no reset.

--- a/hyssopshelf/authority/coordinator.py
+++ b/hyssopshelf/authority/coordinator.py
@@ -123,7 +123,9 @@
         if ping.incarnation in known.former_incarnations:
             return
         if known.incarnation != ping.incarnation:
-            # The member's process was restarted.
+            # The process was restarted; the connection to the former one pauses
+            # between its attempts, the longer the host was away.
+            self.local_member.reset(address)
             self.registry.add(registration.make_record(ping, host, address))
             known = self.grant_table.members[host]
         known.address = address
--- a/hyssopshelf/authority/tests/test_restarted_member.py
+++ b/hyssopshelf/authority/tests/test_restarted_member.py
@@ -47,6 +47,37 @@
     asyncio.run(scenario())
 
 
+# A restarted node waited up to a second for the first answer of the coordinator, whose
+# connection paused between its attempts (review/4 without a read that was served).
+def test_a_restarted_member_is_answered_over_a_new_connection():
+    async def scenario(store, fleet):
+        node = fleet.add("a")
+        node.start_coordinating(COORDINATOR, 1, None, "test")
+        events = []
+        node.member.reset = lambda address: events.append(("reset", address))
+        send = node.coordinator.send
+
+        def record_pong(host, address, message):
+            if isinstance(message, exchange.Pong):
+                events.append(("pong", address))
+            send(host, address, message)
+
+        node.coordinator.send = record_pong
+        for incarnation in (1, 2):
+            other = fleet.add("m", incarnation=incarnation)
+            if incarnation == 1:
+                node.coordinator.registry.add(other.identity)
+            other.member.send = lambda host, address, ping: dispatch.apply(
+                ping, node, "m", "m:1"
+            )
+            other.member.follow(COORDINATOR)
+            other.member.ping()
+            fleet.remove("m")
+        assert events == [("pong", "m:1"), ("reset", "m:1"), ("pong", "m:1")]
+
+    restorable_fleet.run_fleet(scenario)
+
+
 # ONE: a primary was replaced although the successor of a process that had released it
 # could still use it.
 def test_a_release_by_a_former_process_does_not_hold_for_its_successor():
