--- a/hyssopshelf/gateway/server.py
+++ b/hyssopshelf/gateway/server.py
@@ -1,48 +1,9 @@
-"""Accepts client connections and answers their requests."""
+"""Accepts client connections and closes them at a graceful stop."""
 
 import asyncio
-import collections
 
-import attrs
-
-from hyssopshelf import clocks, exceptions, logs
-from hyssopshelf.customers import directory
-from hyssopshelf.gateway import (
-    endpoint_connections,
-    execution,
-    memory,
-    sessions,
-    statements,
-)
-
-CONFIGURATION_WAIT_SECONDS = 1.5
-"""Time for which a new session waits for the first configuration of a node that has
-just started, in seconds; clients give up after 2 s."""
-
-MAXIMUM_PENDING = 32
-"""Queued requests of one client above which reading from it pauses."""
-
-MAXIMUM_UNSENT_BYTES = 256 * 1024
-"""Unsent answers of a client, in bytes, above which its connection is closed."""
-
-UNKNOWN_RANK = -1
-"""Rank under which requests without a route are counted."""
-
-_KIND = exceptions.ErrorKind
-
-
-@attrs.frozen(kw_only=True)
-class OpenRequest:
-    """A request that a client sent and that has no answer yet.
-
-    Attributes
-    ----------
-    started_at : float
-        Clock time at which its processing began, in seconds.
-    """
-
-    request: statements.Request
-    started_at: float
+from hyssopshelf import logs
+from hyssopshelf.gateway import client_connections, memory
 
 
 class ClientServer:
@@ -67,7 +28,7 @@
         self.gateway = gateway
         self.codec = codec
         self.budget = memory.BufferBudget(limit=limit)
-        self.connections: set[ClientConnection] = set()
+        self.connections: set[client_connections.ClientConnection] = set()
         self.stopping_since: float | None = None
         self._server: asyncio.Server | None = None
 
@@ -76,7 +37,10 @@
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: ClientConnection(server=self), host, int(port), backlog=1024
+            lambda: client_connections.ClientConnection(server=self),
+            host,
+            int(port),
+            backlog=1024,
         )
 
     def stop_listening(self) -> None:
@@ -106,7 +70,9 @@
                 )
                 session.abort()
 
-    def update_buffered(self, connection: "ClientConnection", count: int) -> None:
+    def update_buffered(
+        self, connection: client_connections.ClientConnection, count: int
+    ) -> None:
         """Record a connection's buffered bytes; close the largest above the limit."""
         for other in self.budget.update(connection, count):
             other.abort("clients hold too much memory")
@@ -131,239 +97,3 @@
             if connection.is_idle():
                 connection.close()
         return len(self.connections)
-
-
-class ClientConnection(asyncio.Protocol):
-    """Connection of one client; answers its requests in order.
-
-    Parameters
-    ----------
-    server : ClientServer
-        The listener that accepted it.
-    """
-
-    def __init__(self, *, server: ClientServer) -> None:
-        self.server = server
-        self.session: sessions.Session | None = None
-        self.open_request: OpenRequest | None = None
-        self.working = False
-        self._transport: asyncio.Transport | None = None
-        self._buffer = b""
-        self._pending: collections.deque[bytes] = collections.deque()
-        self._pending_bytes = 0
-        self._task: asyncio.Task | None = None
-        self._closed = False
-        self._paused = False
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Register the connection."""
-        self._transport = transport
-        endpoint_connections.tune_socket(transport)
-        self.server.connections.add(self)
-
-    def data_received(self, data: bytes) -> None:
-        """Queue complete requests; pause reading if too many wait."""
-        if self._closed:
-            return
-        lines = (self._buffer + data).split(b"\r\n")
-        self._buffer = lines.pop()
-        if len(self._buffer) > self.server.codec.maximum_bytes:
-            self._log_refusal("message is too long")
-            self.close()
-            return
-        self._pending.extend(lines)
-        self._pending_bytes += sum(map(len, lines))
-        self._count_bytes()
-        if len(self._pending) > MAXIMUM_PENDING and not self._paused:
-            self._paused = True
-            self._transport.pause_reading()
-        if self._pending and not self.working:
-            self.working = True
-            loop = asyncio.get_running_loop()
-            self._task = loop.create_task(self._process_pending())
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Close the session, after its running statement if there is one."""
-        if not self._closed:
-            self.record_cut("client", repr(exc) if exc else "end of stream")
-        self._closed = True
-        self.server.connections.discard(self)
-        self.server.budget.release(self)
-        if not self.working and self.session is not None:
-            self.session.close()
-
-    def is_idle(self) -> bool:
-        """Return whether no request or transaction is open."""
-        if self.working or self._pending or self._buffer:
-            return False
-        return self.session is None or self.session.status == "I"
-
-    def close(self) -> None:
-        """Close the connection once the answers already written are sent."""
-        self._closed = True
-        self._transport.close()
-
-    def abort(self, reason: str) -> None:
-        """Close the connection at once and drop its buffers."""
-        self._log_refusal(reason)
-        self.record_cut("gateway", reason)
-        self._closed = True
-        self._buffer = b""
-        self._pending.clear()
-        self._transport.abort()
-
-    def record_cut(self, decided_by: str, reason: str) -> None:
-        """Count and log the open request, whose client will get no answer."""
-        if self.open_request is None:
-            return
-        server = self.server
-        server.gateway.metrics.requests_cut[decided_by] += 1
-        now = clocks.read_clock()
-        stop_ms = None
-        if server.stopping_since is not None:
-            stop_ms = round(1000 * (now - server.stopping_since))
-        request = self.open_request.request
-        logs.write_request(
-            logs.LogEvent.REQUEST_CUT,
-            {
-                "id": request.id.decode(errors="replace"),
-                "name": self.session.name,
-                "statement": type(request.statement).__name__,
-                "by": decided_by,
-                "reason": reason,
-                "endpoint": self.session.trace.sent_to,
-                "age_ms": round(1000 * (now - self.open_request.started_at)),
-                "waiting": len(self._pending),
-                "stop_ms": stop_ms,
-            },
-        )
-
-    def _log_refusal(self, reason: str) -> None:
-        name = self.session.name if self.session else ""
-        logs.write_request(
-            logs.LogEvent.SESSION_REFUSED, {"name": name, "reason": reason}
-        )
-
-    def _count_bytes(self) -> None:
-        unsent = self._transport.get_write_buffer_size()
-        self.server.update_buffered(
-            self, len(self._buffer) + self._pending_bytes + unsent
-        )
-
-    async def _process_pending(self) -> None:
-        try:
-            while self._pending and not self._closed:
-                line = self._pending.popleft()
-                self._pending_bytes -= len(line)
-                if self._paused and len(self._pending) <= MAXIMUM_PENDING // 2:
-                    self._paused = False
-                    self._transport.resume_reading()
-                if self.session is None:
-                    await self._start_session(line)
-                else:
-                    await self._answer_request(line)
-        finally:
-            self.working = False
-            if self._closed and self.session is not None:
-                self.session.close()
-
-    async def _start_session(self, line: bytes) -> None:
-        """Open the session; just after the start it waits for the configuration."""
-        codec = self.server.codec
-        name = codec.parse_start(line)
-        if name is None:
-            self._log_refusal("first message is not START")
-            self._send(codec.format_refusal(_KIND.BAD_REQUEST, b"START expected"))
-            self.close()
-            return
-        session_name = name.decode(errors="replace")
-        gateway = self.server.gateway
-        deadline = clocks.read_clock() + CONFIGURATION_WAIT_SECONDS
-        while gateway.board.configuration is None and clocks.read_clock() < deadline:
-            await gateway.wait_for_change(deadline)
-        configuration = gateway.board.configuration
-        if configuration is None or session_name not in configuration.routes:
-            kind = _KIND.NOT_FOUND if configuration is not None else _KIND.UNAVAILABLE
-            logs.write_request(
-                logs.LogEvent.SESSION_REFUSED,
-                {
-                    "name": session_name,
-                    "version": configuration.version if configuration else 0,
-                },
-            )
-            self._send(codec.format_refusal(kind, name))
-            self.close()
-            return
-        digest = None
-        if configuration.customers is not None:
-            digest = directory.compute_digest(codec.parse_key(line))
-            route = configuration.routes[session_name]
-            allowed, _ = await gateway.find_customer(route, digest, wait=True)
-            if not allowed:
-                sessions.record_unknown_key(gateway, session_name)
-                self._send(codec.format_refusal(_KIND.UNKNOWN_KEY, name))
-                self.close()
-                return
-        self.session = sessions.Session(
-            gateway=gateway, name=session_name, key_digest=digest
-        )
-        self._send(codec.format_ready("I"))
-
-    async def _answer_request(self, line: bytes) -> None:
-        codec = self.server.codec
-        session = self.session
-        request = codec.parse_request(line)
-        if request is None:
-            self.close()
-            return
-        started = clocks.read_clock()
-        self.open_request = OpenRequest(request=request, started_at=started)
-        try:
-            reply = await session.answer(request)
-        except Exception as error:  # a defect of the gateway must reach the log
-            logs.write(
-                logs.LogEvent.REQUEST_CRASHED,
-                {"id": request.id.decode(errors="replace"), "error": repr(error)},
-            )
-            session.close()
-            reply = execution.make_error(_KIND.INTERNAL, "internal error")
-        self._send(codec.format_reply(reply, session.status))
-        self.open_request = None
-        self._log_request(request, reply, session, clocks.read_clock() - started)
-        if reply.error in (_KIND.NOT_FOUND, _KIND.UNKNOWN_KEY):
-            self.close()
-
-    def _log_request(self, request, reply, session, seconds: float) -> None:
-        trace = session.trace
-        route = session.find_route()
-        self.server.gateway.metrics.record(
-            route.rank if route is not None else UNKNOWN_RANK,
-            reply.error.value if reply.error else "done",
-            seconds,
-            trace.queued_seconds,
-        )
-        if reply.error is None and not trace.attempts and not trace.endpoint:
-            return
-        configuration = self.server.gateway.board.configuration
-        fields = {
-            "id": request.id.decode(errors="replace"),
-            "name": session.name,
-            "statement": type(request.statement).__name__,
-            "endpoint": trace.endpoint,
-            "trail": trace.attempts,
-            "queued_ms": round(trace.queued_seconds * 1000, 1),
-            "total_ms": round(seconds * 1000, 1),
-            "version": configuration.version if configuration else 0,
-            "outcome": reply.error.value if reply.error else "done",
-        }
-        if reply.error is not None:
-            fields["detail"] = reply.detail.decode(errors="replace")
-        logs.write_request(logs.LogEvent.REQUEST_ANSWERED, fields, reply.error is None)
-
-    def _send(self, data: bytes) -> None:
-        if self._closed:
-            return
-        self._transport.write(data)
-        self._count_bytes()
-        if self._transport.get_write_buffer_size() > MAXIMUM_UNSENT_BYTES:
-            self.abort("answers are not read")
--- a/hyssopshelf/gateway/tests/test_memory.py
+++ b/hyssopshelf/gateway/tests/test_memory.py
@@ -5,7 +5,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hyssopshelf.gateway import blackboard, gateway, memory, server
+from hyssopshelf.gateway import (
+    blackboard,
+    client_connections,
+    gateway,
+    memory,
+    server,
+)
 
 LIMIT_BYTES = 40 * 1024 * 1024
 """Limit on the smallest known host, which has 200 MiB."""
@@ -42,9 +48,9 @@
     maximum_bytes = 1024 * 1024
 
 
-def connect(listener) -> tuple[server.ClientConnection, FakeTransport]:
+def connect(listener) -> tuple[client_connections.ClientConnection, FakeTransport]:
     transport = FakeTransport()
-    connection = server.ClientConnection(server=listener)
+    connection = client_connections.ClientConnection(server=listener)
     connection.connection_made(transport)
     return connection, transport
 
--- a/hyssopshelf/gateway/tests/test_session_start.py
+++ b/hyssopshelf/gateway/tests/test_session_start.py
@@ -3,7 +3,13 @@
 import asyncio
 
 from hyssopshelf import clocks
-from hyssopshelf.gateway import blackboard, catalog, gateway, server
+from hyssopshelf.gateway import (
+    blackboard,
+    catalog,
+    client_connections,
+    gateway,
+    server,
+)
 
 
 class LineCodec:
@@ -41,7 +47,7 @@
     clients = server.ClientServer(
         gateway=node_gateway, codec=LineCodec(), limit=1_000_000
     )
-    connection = server.ClientConnection(server=clients)
+    connection = client_connections.ClientConnection(server=clients)
     connection._transport = FakeTransport()
     connection.data_received(b"START orders\r\n")
     return connection._transport
