Close the connection of a client if processing it fails

Callers saw: a client whose session start failed unexpectedly waited until its own timeout, and nothing was logged. Cause: an exception outside of a session's answer ended the task that processes the client's messages; the connection stayed open and nobody read it.

--- a/hyssopshelf/gateway/client_connections.py
+++ b/hyssopshelf/gateway/client_connections.py
@@ -173,6 +173,9 @@
                     await self._start_session(line)
                 else:
                     await self._answer_request(line)
+        except Exception as error:  # a defect of the gateway must reach the log
+            logs.write(logs.LogEvent.REQUEST_CRASHED, {"id": "", "error": repr(error)})
+            self.close()
         finally:
             self.working = False
             if self._closed and self.session is not None:
--- /dev/null
+++ b/hyssopshelf/gateway/tests/test_client_connections.py
@@ -0,0 +1,113 @@
+"""Tests of the ways in which the connection of a client ends."""
+
+import asyncio
+import itertools
+
+from hyssopshelf import exceptions, logs
+from hyssopshelf.gateway import (
+    blackboard,
+    client_connections,
+    execution,
+    gateway,
+    server,
+    sessions,
+    statements,
+)
+
+_KIND = exceptions.ErrorKind
+
+
+class FakeCodec:
+    """Takes each line as the id of a request; replies name the outcome."""
+
+    maximum_bytes = 1000
+
+    def parse_request(self, line):
+        return statements.Request(id=line, text=line, statement=statements.Rollback())
+
+    def format_reply(self, reply, state):
+        return b"%s " % (reply.error.value.encode() if reply.error else b"done")
+
+    def format_refusal(self, kind, name):
+        return kind.value.encode()
+
+    def parse_start(self, line):
+        return b"orders"
+
+
+class FakeTransport:
+    """Collects what is written; ``ended`` tells by which call it was closed."""
+
+    def __init__(self) -> None:
+        self.written = b""
+        self.ended = ""
+
+    def write(self, data):
+        self.written += data
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def write_eof(self):
+        self.ended = "end of stream"
+
+    def close(self):
+        self.ended = "close"
+
+    def abort(self):
+        self.ended = "reset"
+
+    def pause_reading(self):
+        pass
+
+    resume_reading = pause_reading
+
+
+class ScriptedSession(sessions.Session):
+    """Answers each request after a time, with an outcome for each."""
+
+    def __init__(self, *, node_gateway, seconds: float, outcomes=()) -> None:
+        super().__init__(gateway=node_gateway, name="orders")
+        self.seconds = seconds
+        self.outcomes = itertools.chain(outcomes, itertools.repeat(None))
+
+    async def answer(self, request):
+        self.trace = execution.RequestTrace()
+        await asyncio.sleep(self.seconds)
+        return statements.Reply(error=next(self.outcomes))
+
+
+def make_gateway() -> gateway.Gateway:
+    board = blackboard.GatewayBlackboard(place="a", region="r", regions={})
+    return gateway.Gateway(board=board, endpoint_codec=None)
+
+
+def connect(*, seconds=0.01, outcomes=()):
+    """Return a server, one of its connections and its transport."""
+    node_gateway = make_gateway()
+    clients = server.ClientServer(
+        gateway=node_gateway, codec=FakeCodec(), limit=1_000_000
+    )
+    connection = client_connections.ClientConnection(server=clients)
+    connection._transport = FakeTransport()
+    connection.session = ScriptedSession(
+        node_gateway=node_gateway, seconds=seconds, outcomes=outcomes
+    )
+    clients.connections.add(connection)
+    return clients, connection, connection._transport
+
+
+# LOST: requests whose session failed unexpectedly waited for ever.
+def test_a_session_that_fails_to_start_is_closed_and_logged(monkeypatch):
+    async def scenario():
+        events = []
+        monkeypatch.setattr(logs, "write", lambda event, fields: events.append(event))
+        _, connection, transport = connect()
+        connection.session = None
+        connection.server.gateway.board = None
+        connection.data_received(b"START orders\r\n")
+        await asyncio.sleep(0.01)
+        assert transport.ended == "close"
+        assert events == [logs.LogEvent.REQUEST_CRASHED]
+
+    asyncio.run(scenario())
