Answer the other requests of a client whose session ends by an error

Callers saw: a client that had sent several requests got the answer to the first one of a route that was removed, or none before a message that is too long, and a close for the others. Cause: the connection was closed while requests that had been read were waiting or at an endpoint. Change: such a connection reads no more, answers what it has read, and is closed then.

--- a/hyssopshelf/gateway/client_connections.py
+++ b/hyssopshelf/gateway/client_connections.py
@@ -64,6 +64,7 @@
         self._pending_bytes = 0
         self._task: asyncio.Task | None = None
         self._closed = False
+        self._ending = False
         self._paused = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -74,24 +75,23 @@
 
     def data_received(self, data: bytes) -> None:
         """Queue complete requests; pause reading if too many wait."""
-        if self._closed:
+        if self._closed or self._ending:
             return
         lines = (self._buffer + data).split(b"\r\n")
         self._buffer = lines.pop()
         if len(self._buffer) > self.server.codec.maximum_bytes:
             self._log_refusal("message is too long")
-            self.close()
-            return
+            self._buffer = b""
+            self._ending = True
         self._pending.extend(lines)
         self._pending_bytes += sum(map(len, lines))
         self._count_bytes()
         if len(self._pending) > MAXIMUM_PENDING and not self._paused:
             self._paused = True
             self._transport.pause_reading()
-        if self._pending and not self.working:
-            self.working = True
-            loop = asyncio.get_running_loop()
-            self._task = loop.create_task(self._process_pending())
+        self._start_processing()
+        if not self.working and self._ending:
+            self.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Close the session, after its running statement if there is one."""
@@ -178,8 +178,21 @@
             self.close()
         finally:
             self.working = False
-            if self._closed and self.session is not None:
+            self._finish_processing()
+
+    def _start_processing(self) -> None:
+        if self._pending and not self.working:
+            self.working = True
+            loop = asyncio.get_running_loop()
+            self._task = loop.create_task(self._process_pending())
+
+    def _finish_processing(self) -> None:
+        """Close the connection if the last answer was also the last of the session."""
+        if self._closed:
+            if self.session is not None:
                 self.session.close()
+        elif self._ending:
+            self.close()
 
     async def _start_session(self, line: bytes) -> None:
         """Open the session; just after the start it waits for the configuration."""
@@ -245,7 +258,7 @@
         self.open_request = None
         self._log_request(request, reply, session, clocks.read_clock() - started)
         if reply.error in (_KIND.NOT_FOUND, _KIND.UNKNOWN_KEY):
-            self.close()
+            self._ending = True
 
     def _log_request(self, request, reply, session, seconds: float) -> None:
         trace = session.trace
--- a/hyssopshelf/gateway/tests/test_client_connections.py
+++ b/hyssopshelf/gateway/tests/test_client_connections.py
@@ -97,6 +97,30 @@
     return clients, connection, connection._transport
 
 
+# LOST: a message beyond the limit cut off the request before it.
+def test_a_message_that_is_too_long_does_not_cut_the_request_before_it():
+    async def scenario():
+        _, connection, transport = connect()
+        connection.data_received(b"1\r\n" + b"x" * 2000)
+        await asyncio.sleep(0.03)
+        assert transport.written == b"done "
+        assert transport.ended == "close"
+
+    asyncio.run(scenario())
+
+
+# LOST: a close after the first of several errors left the other requests unanswered.
+def test_requests_behind_one_without_a_route_are_answered():
+    async def scenario():
+        _, connection, transport = connect(outcomes=[_KIND.NOT_FOUND] * 2)
+        connection.data_received(b"1\r\n2\r\n")
+        await asyncio.sleep(0.05)
+        assert transport.written == b"not_found not_found "
+        assert transport.ended == "close"
+
+    asyncio.run(scenario())
+
+
 # LOST: requests whose session failed unexpectedly waited for ever.
 def test_a_session_that_fails_to_start_is_closed_and_logged(monkeypatch):
     async def scenario():
