Answer clients that have ended their sending side

Callers saw: a client that sends its requests and then ends its sending side (half-closed) was closed without an answer, at any time; the requests ran. Cause: the event loop closes a transport at the end of the stream unless its protocol asks to keep it, which the client's connection did not. Change: the connection stays until the requests that were read are answered; its session, with an open transaction, ends with the last answer. Both new tests failed before: no handler of the end of stream, and a transaction that stayed open.

--- a/hyssopshelf/gateway/client_connections.py
+++ b/hyssopshelf/gateway/client_connections.py
@@ -93,6 +93,17 @@
         if not self.working and self._ending:
             self.close()
 
+    def eof_received(self) -> bool:
+        """Keep the connection of a client that only sends no more requests.
+
+        Returns
+        -------
+        bool
+            Whether requests are left to answer; else the connection is closed.
+        """
+        self._ending = True
+        return self.working and not self._closed
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Close the session, after its running statement if there is one."""
         if not self._closed:
@@ -112,6 +123,8 @@
     def close(self) -> None:
         """Close the connection once the answers already written are sent."""
         self._closed = True
+        if not self.working and self.session is not None:
+            self.session.close()
         self._transport.close()
 
     def abort(self, reason: str) -> None:
--- a/hyssopshelf/gateway/tests/test_client_connections.py
+++ b/hyssopshelf/gateway/tests/test_client_connections.py
@@ -12,7 +12,9 @@
     server,
     sessions,
     statements,
+    transactions,
 )
+from hyssopshelf.gateway.tests import test_session_start
 
 _KIND = exceptions.ErrorKind
 
@@ -97,6 +99,27 @@
     return clients, connection, connection._transport
 
 
+# LOST: a client that ended its sending side got no answer to what it had sent.
+def test_a_half_closed_client_gets_all_its_answers():
+    async def scenario():
+        _, connection, transport = connect()
+        connection.data_received(b"1\r\n2\r\n")
+        assert connection.eof_received()
+        await asyncio.sleep(0.05)
+        assert transport.written == b"done done "
+        assert transport.ended == "close"
+
+    asyncio.run(scenario())
+
+
+def test_a_client_that_ends_between_requests_is_closed():
+    async def scenario():
+        _, connection, _ = connect()
+        assert not connection.eof_received()
+
+    asyncio.run(scenario())
+
+
 # LOST: a message beyond the limit cut off the request before it.
 def test_a_message_that_is_too_long_does_not_cut_the_request_before_it():
     async def scenario():
@@ -135,3 +158,21 @@
         assert events == [logs.LogEvent.REQUEST_CRASHED]
 
     asyncio.run(scenario())
+
+
+ROUTE = test_session_start.make_configuration("orders").routes["orders"]
+
+
+# Transactions of clients that had gone kept their connections until the close.
+def test_the_transaction_of_a_half_closed_client_ends_with_its_last_answer():
+    async def scenario():
+        _, connection, _ = connect()
+        connection.session.transaction = transactions.Transaction(
+            read_only=False, route=ROUTE
+        )
+        connection.data_received(b"1\r\n")
+        connection.eof_received()
+        await asyncio.sleep(0.05)
+        assert connection.session.transaction is None
+
+    asyncio.run(scenario())
