Read what has arrived before a session is closed

Change: sessions are closed eight at a time, and the loop receives in between; only those that had no request for 50 ms are. A close ends the sending side after the last answer and reads on until the client closes, for 1 s at most.

--- a/hyssopshelf/gateway/client_connections.py
+++ b/hyssopshelf/gateway/client_connections.py
@@ -24,6 +24,9 @@
 MAXIMUM_UNSENT_BYTES = 256 * 1024
 """Unsent answers of a client, in bytes, above which its connection is closed."""
 
+LINGER_SECONDS = 1.0
+"""Time for which a session that was ended waits for the client to close, too."""
+
 UNKNOWN_RANK = -1
 """Rank under which requests without a route are counted."""
 
@@ -44,6 +47,14 @@
     started_at: float
 
 
+async def receive_pending() -> None:
+    """Let the event loop receive what has arrived before this call."""
+    # The loop polls its sockets after the first pause and reads them before the second
+    # one ends.
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+
+
 class ClientConnection(asyncio.Protocol):
     """Connection of one client; answers its requests in order.
 
@@ -51,6 +62,11 @@
     ----------
     server : ClientServer
         The listener that accepted it.
+
+    Attributes
+    ----------
+    busy_at : float
+        Clock time of the last answer, in seconds.
     """
 
     def __init__(self, *, server) -> None:
@@ -58,6 +74,7 @@
         self.session: sessions.Session | None = None
         self.open_request: OpenRequest | None = None
         self.working = False
+        self.busy_at = clocks.read_clock()
         self._transport: asyncio.Transport | None = None
         self._buffer = b""
         self._pending: collections.deque[bytes] = collections.deque()
@@ -65,6 +82,7 @@
         self._task: asyncio.Task | None = None
         self._closed = False
         self._ending = False
+        self._input_ended = False
         self._paused = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -101,7 +119,7 @@
         bool
             Whether requests are left to answer; else the connection is closed.
         """
-        self._ending = True
+        self._ending = self._input_ended = True
         return self.working and not self._closed
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -120,21 +138,53 @@
             return False
         return self.session is None or self.session.status == "I"
 
+    def measure_quiet(self) -> float:
+        """Return the time since the last answer, in seconds."""
+        return clocks.read_clock() - self.busy_at
+
     def close(self) -> None:
-        """Close the connection once the answers already written are sent."""
+        """End the session once the answers already written are sent.
+
+        What the client still sends is read and dropped for a time: the kernel would
+        answer a close with unread bytes by a reset, which discards the answers.
+        """
+        if self._closed:
+            return
         self._closed = True
+        self._discard_input()
         if not self.working and self.session is not None:
             self.session.close()
-        self._transport.close()
+        if self._input_ended:
+            self._transport.close()
+            return
+        if self._paused:
+            self._transport.resume_reading()
+        try:
+            self._transport.write_eof()
+        except OSError as error:
+            self.abort(f"cannot end the session: {error!r}")
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(LINGER_SECONDS, self._transport.close)
+
+    def drop(self) -> None:
+        """Close the connection at once."""
+        self._closed = True
+        self._transport.abort()
 
     def abort(self, reason: str) -> None:
         """Close the connection at once and drop its buffers."""
         self._log_refusal(reason)
         self.record_cut("gateway", reason)
         self._closed = True
+        self._discard_input()
+        self._transport.abort()
+
+    def _discard_input(self) -> None:
         self._buffer = b""
         self._pending.clear()
-        self._transport.abort()
+        self._pending_bytes = 0
+        self.server.budget.release(self)
 
     def record_cut(self, decided_by: str, reason: str) -> None:
         """Count and log the open request, whose client will get no answer."""
@@ -201,6 +251,7 @@
 
     def _finish_processing(self) -> None:
         """Close the connection if the last answer was also the last of the session."""
+        self.busy_at = clocks.read_clock()
         if self._closed:
             if self.session is not None:
                 self.session.close()
--- a/hyssopshelf/gateway/server.py
+++ b/hyssopshelf/gateway/server.py
@@ -5,6 +5,14 @@
 from hyssopshelf import logs
 from hyssopshelf.gateway import client_connections, memory
 
+QUIET_SECONDS = 0.05
+"""Time without a request after which a session may be closed. Longer than a round trip,
+so that the next request of a client that sends it at once is not on its way."""
+
+CLOSE_BATCH = 8
+"""Sessions that are closed before the loop receives again; their closes take less time
+than a request needs to arrive and be noticed."""
+
 
 class ClientServer:
     """Accepts clients and closes their sessions at a graceful stop.
@@ -51,7 +59,7 @@
     def abort(self) -> None:
         """Close all sessions at once."""
         for connection in list(self.connections):
-            connection.close()
+            connection.drop()
 
     def abort_idle_transactions(self, now: float) -> None:
         """Roll back transactions that are idle for longer than the operator allows."""
@@ -91,9 +99,19 @@
         for connection in self.connections:
             connection.record_cut("exit", "the process ends")
 
-    def close_idle(self) -> int:
-        """Close sessions without work; return how many are left."""
-        for connection in list(self.connections):
-            if connection.is_idle():
+    async def close_quiet(self, seconds: float = QUIET_SECONDS) -> int:
+        """Close sessions that have had no work for a time.
+
+        Requests that arrive meanwhile are received first.
+
+        Returns
+        -------
+        int
+            Number of connections that are left.
+        """
+        for number, connection in enumerate(list(self.connections)):
+            if number % CLOSE_BATCH == 0:
+                await client_connections.receive_pending()
+            if connection.is_idle() and connection.measure_quiet() >= seconds:
                 connection.close()
         return len(self.connections)
