Answer every request that was read before a stopping process ends

Cause: a stopping node let in work as at any other time and closed a connection only if a poll found it idle. Clients that send their next request at once, or stay in a transaction, kept theirs up to the end of the grace period, where the exit of the process cut off whatever was open. Nobody decided that a request could no longer be answered. Change: a stop has a schedule (gateway.shutdown). No session is opened after the balancer has noticed.

--- a/hyssopshelf/gateway/autocommit.py
+++ b/hyssopshelf/gateway/autocommit.py
@@ -21,7 +21,7 @@
     route = session.find_route()
     if route is None:
         return execution.make_error(_KIND.NOT_FOUND, session.name)
-    deadline = clocks.read_clock() + route.statement_seconds
+    deadline = session.gateway.compute_deadline(route)
     if writes:
         return await _run_write(session, request, shape, route, deadline)
     return await _run_read(session, request, shape, route, deadline)
@@ -180,15 +180,17 @@
     usable = False
     if writes:
         gateway.start_write(database, reservation.version)
-    session.trace.sent_to = pool.endpoint.id
+    session.trace.record_sending(pool.endpoint.id, may_be_kept=writes)
     try:
         reply = await execution.exchange(
             gateway, pool, connection, session.state, shape, build_message, deadline
         )
+        session.trace.may_be_kept = False
         usable = reply.error is not _KIND.UNPREPARED
     except endpoint_connections.EndpointConnectionError as error:
         session.trace.add(pool.endpoint.id, error.reason)
         if not error.sent:
+            session.trace.may_be_kept = False
             return execution.make_error(_KIND.UNAVAILABLE, error.reason)
         kind = _KIND.OUTCOME_UNKNOWN if writes else _KIND.DEADLINE_PASSED
         return execution.make_error(kind, error.reason)
--- a/hyssopshelf/gateway/client_connections.py
+++ b/hyssopshelf/gateway/client_connections.py
@@ -27,6 +27,10 @@
 LINGER_SECONDS = 1.0
 """Time for which a session that was ended waits for the client to close, too."""
 
+MAXIMUM_STOP_REFUSALS = 3
+"""Requests of one session that a stopping node refuses before it closes the session;
+a client that still does not go elsewhere would only add load."""
+
 UNKNOWN_RANK = -1
 """Rank under which requests without a route are counted."""
 
@@ -80,8 +84,10 @@
         self._pending: collections.deque[bytes] = collections.deque()
         self._pending_bytes = 0
         self._task: asyncio.Task | None = None
+        self._time_limit: asyncio.Timeout | None = None
         self._closed = False
         self._ending = False
+        self._stop_refusals = 0
         self._input_ended = False
         self._paused = False
 
@@ -142,6 +148,11 @@
         """Return the time since the last answer, in seconds."""
         return clocks.read_clock() - self.busy_at
 
+    def interrupt(self) -> None:
+        """Cancel the processing of the open request, which is answered all the same."""
+        if self.open_request is not None and self._time_limit.when() is None:
+            self._time_limit.reschedule(asyncio.get_running_loop().time())
+
     def close(self) -> None:
         """End the session once the answers already written are sent.
 
@@ -236,6 +247,8 @@
                     await self._start_session(line)
                 else:
                     await self._answer_request(line)
+                if not self._pending and self.server.must_close():
+                    await receive_pending()
         except Exception as error:  # a defect of the gateway must reach the log
             logs.write(logs.LogEvent.REQUEST_CRASHED, {"id": "", "error": repr(error)})
             self.close()
@@ -255,7 +268,7 @@
         if self._closed:
             if self.session is not None:
                 self.session.close()
-        elif self._ending:
+        elif self._ending or (self.is_idle() and self.server.must_close()):
             self.close()
 
     async def _start_session(self, line: bytes) -> None:
@@ -268,6 +281,10 @@
             self.close()
             return
         session_name = name.decode(errors="replace")
+        if self.server.closing:
+            self._send(codec.format_refusal(_KIND.UNAVAILABLE, name))
+            self.close()
+            return
         gateway = self.server.gateway
         deadline = clocks.read_clock() + CONFIGURATION_WAIT_SECONDS
         while gateway.board.configuration is None and clocks.read_clock() < deadline:
@@ -309,20 +326,30 @@
             return
         started = clocks.read_clock()
         self.open_request = OpenRequest(request=request, started_at=started)
+        reply = await self._run_request(request)
+        self._send(codec.format_reply(reply, session.status))
+        self.open_request = None
+        self._log_request(request, reply, session, clocks.read_clock() - started)
+        if reply.error in (_KIND.NOT_FOUND, _KIND.UNKNOWN_KEY):
+            self._ending = True
+        elif reply.error is not None and not self.server.gateway.may_start_work():
+            self._stop_refusals += 1
+            self._ending = self._stop_refusals >= MAXIMUM_STOP_REFUSALS
+
+    async def _run_request(self, request: statements.Request) -> statements.Reply:
+        session = self.session
         try:
-            reply = await session.answer(request)
+            async with asyncio.timeout(None) as self._time_limit:
+                return await session.answer(request)
         except Exception as error:  # a defect of the gateway must reach the log
+            if self._time_limit.expired():
+                return session.give_up(request)
             logs.write(
                 logs.LogEvent.REQUEST_CRASHED,
                 {"id": request.id.decode(errors="replace"), "error": repr(error)},
             )
             session.close()
-            reply = execution.make_error(_KIND.INTERNAL, "internal error")
-        self._send(codec.format_reply(reply, session.status))
-        self.open_request = None
-        self._log_request(request, reply, session, clocks.read_clock() - started)
-        if reply.error in (_KIND.NOT_FOUND, _KIND.UNKNOWN_KEY):
-            self._ending = True
+            return execution.make_error(_KIND.INTERNAL, "internal error")
 
     def _log_request(self, request, reply, session, seconds: float) -> None:
         trace = session.trace
--- a/hyssopshelf/gateway/execution.py
+++ b/hyssopshelf/gateway/execution.py
@@ -75,6 +75,8 @@
         Endpoint that ran the statement, empty without one.
     sent_to : str
         Endpoint that the statement was last sent to, empty if to none.
+    may_be_kept : bool
+        Whether a write or commit was sent of which nothing has been heard yet.
     queued_seconds : float
         Time spent waiting for slots and connections.
     """
@@ -82,12 +84,18 @@
     attempts: list[str] = attrs.field(factory=list)
     endpoint: str = ""
     sent_to: str = ""
+    may_be_kept: bool = False
     queued_seconds: float = 0.0
 
     def add(self, endpoint: str, outcome: str) -> None:
         """Add the outcome of a failed attempt."""
         self.attempts.append(f"{endpoint}:{outcome}")
 
+    def record_sending(self, endpoint: str, *, may_be_kept: bool) -> None:
+        """Record that the statement is sent to an endpoint."""
+        self.sent_to = endpoint
+        self.may_be_kept = may_be_kept
+
 
 def make_retry_state(route: catalog.Route, *, reads: bool) -> retries.RetryState:
     """Return the retry state of a new unit of work.
--- a/hyssopshelf/gateway/gateway.py
+++ b/hyssopshelf/gateway/gateway.py
@@ -12,6 +12,7 @@
     hedging,
     metrics,
     remote_pools,
+    shutdown,
 )
 
 INITIAL_CONNECTIONS = 1
@@ -57,6 +58,8 @@
         Takes the tokens of customers' limits.
     request_configuration : callable or None
         Asks the coordinator for a newer configuration.
+    stop : StopSchedule or None
+        Schedule of the graceful stop of this node; None while it is not stopping.
     """
 
     def __init__(self, *, board: blackboard.GatewayBlackboard, endpoint_codec) -> None:
@@ -70,6 +73,7 @@
         self.open_writes: dict[tuple[str, int], int] = {}
         self.allowances = None
         self.request_configuration = None
+        self.stop: shutdown.StopSchedule | None = None
         self._requested_at = float("-inf")
         self._changed = asyncio.Event()
         self._primary_waits: dict[str, set[asyncio.Timeout]] = {}
@@ -169,6 +173,18 @@
             pool.view = self._make_view(pool.endpoint)
             pool.start_waiting()
 
+    def may_start_work(self) -> bool:
+        """Return whether work may start; not so late in a stop of this node."""
+        return self.stop is None or self.stop.may_start(clocks.read_clock())
+
+    def compute_deadline(self, route: catalog.Route) -> float:
+        """Return the deadline of a statement that arrives now.
+
+        A node that stops answers every request before its process ends.
+        """
+        deadline = clocks.read_clock() + route.statement_seconds
+        return deadline if self.stop is None else self.stop.cap(deadline)
+
     def notify(self) -> None:
         """Wake the requests that wait for a change of the blackboard."""
         self._changed.set()
--- a/hyssopshelf/gateway/server.py
+++ b/hyssopshelf/gateway/server.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from hyssopshelf import logs
-from hyssopshelf.gateway import client_connections, memory
+from hyssopshelf import clocks, logs
+from hyssopshelf.gateway import client_connections, memory, sessions
 
 QUIET_SECONDS = 0.05
 """Time without a request after which a session may be closed. Longer than a round trip,
@@ -30,6 +30,8 @@
     ----------
     stopping_since : float or None
         Clock time at which the process was told to stop, in seconds.
+    closing : bool
+        Whether no session is opened any more, and quiet ones are closed.
     """
 
     def __init__(self, *, gateway, codec, limit: int) -> None:
@@ -38,6 +40,7 @@
         self.budget = memory.BufferBudget(limit=limit)
         self.connections: set[client_connections.ClientConnection] = set()
         self.stopping_since: float | None = None
+        self.closing = False
         self._server: asyncio.Server | None = None
 
     async def listen(self, address: str) -> None:
@@ -56,11 +59,46 @@
         if self._server is not None:
             self._server.close()
 
+    async def start_closing(self) -> None:
+        """Accept no further clients and begin to close quiet sessions."""
+        self.closing = True
+        await client_connections.receive_pending()
+        self.stop_listening()
+
+    async def advance_stop(self, now: float) -> int:
+        """Close, roll back or answer what the schedule of the stop asks for.
+
+        Returns
+        -------
+        int
+            Number of connections that are left.
+        """
+        schedule = self.gateway.stop
+        if not schedule.may_start(now):
+            self._abort_transactions()
+        if now < schedule.answer_by:
+            return await self.close_quiet(QUIET_SECONDS)
+        for connection in self.connections:
+            connection.interrupt()
+        return await self.close_quiet(0.0)
+
+    def must_close(self) -> bool:
+        """Return whether sessions are closed right after an answer."""
+        schedule = self.gateway.stop
+        return schedule is not None and clocks.read_clock() >= schedule.answer_by
+
     def abort(self) -> None:
         """Close all sessions at once."""
         for connection in list(self.connections):
             connection.drop()
 
+    def _abort_transactions(self) -> None:
+        for connection in self.connections:
+            session = connection.session
+            if connection.working or session is None or session.transaction is None:
+                continue
+            session.abort(sessions.STOPPING_REASON)
+
     def abort_idle_transactions(self, now: float) -> None:
         """Roll back transactions that are idle for longer than the operator allows."""
         configuration = self.gateway.board.configuration
--- a/hyssopshelf/gateway/sessions.py
+++ b/hyssopshelf/gateway/sessions.py
@@ -16,6 +16,9 @@
 
 _KIND = exceptions.ErrorKind
 
+STOPPING_REASON = "this node is stopping"
+"""Explanation of the errors that a graceful stop of this node causes."""
+
 ROLLBACK_SECONDS = 1.0
 """Time limit of a rollback, after which the connection is closed instead."""
 
@@ -42,6 +45,9 @@
         Open transaction.
     failed : bool
         Whether a transaction failed and the client has not ended it yet.
+    abort_reason : str
+        Why the gateway rolled the transaction back, until the client is told; empty
+        if a statement of the client failed.
     """
 
     def __init__(self, *, gateway, name: str, key_digest: bytes | None = None) -> None:
@@ -53,6 +59,7 @@
         self.last_write_position: statements.LogPosition | None = None
         self.transaction: transactions.Transaction | None = None
         self.failed = False
+        self.abort_reason = ""
         self.trace = execution.RequestTrace()
         self._cleanups: set[asyncio.Task] = set()
 
@@ -79,8 +86,27 @@
         if request.statement is None:
             self.close()
             return execution.make_error(_KIND.BAD_REQUEST, "malformed statement")
+        if self.transaction is not None and not self.gateway.may_start_work():
+            self.abort(STOPPING_REASON)
         return await run(request.statement, self, request)
 
+    def give_up(self, request: statements.Request) -> statements.Reply:
+        """Return what is known of a request whose processing was cancelled."""
+        if self.transaction is not None:
+            self.abort()
+        in_transaction = self.failed
+        if isinstance(request.statement, statements.Commit):
+            self.end_failed()
+        if self.trace.may_be_kept:
+            kind = _KIND.OUTCOME_UNKNOWN
+        elif in_transaction:
+            kind = _KIND.ABORTED
+        elif self.trace.sent_to:
+            kind = _KIND.DEADLINE_PASSED
+        else:
+            kind = _KIND.UNAVAILABLE
+        return execution.make_error(kind, STOPPING_REASON)
+
     async def start_operation(self, route: catalog.Route) -> statements.Reply | None:
         """Check key and limit before a unit of work: a statement or a transaction.
 
@@ -90,6 +116,8 @@
             The refusal, None if the unit may start.
         """
         gateway = self.gateway
+        if not gateway.may_start_work():
+            return execution.make_error(_KIND.UNAVAILABLE, STOPPING_REASON)
         if not gateway.has_customers():
             self.customer = ""
             return None
@@ -103,7 +131,7 @@
             self.customer = ""
             return None
         self.customer = customer.name
-        deadline = clocks.read_clock() + route.statement_seconds
+        deadline = gateway.compute_deadline(route)
         order = gateway.board.configuration.orders[route.rank]
         refused = await gateway.allowances.take(customer, order, deadline)
         if refused is None:
@@ -114,16 +142,28 @@
         self.trace.add(customer.name, reason)
         return execution.make_error(refused, reason)
 
-    def abort(self) -> None:
+    def abort(self, reason: str = "") -> None:
         """Roll back the open transaction; the client still has to end it.
 
         The rollback at the endpoint runs in the background.
+
+        Parameters
+        ----------
+        reason : str
+            What the client's next statement is told; empty if the statement that
+            failed is told.
         """
         transaction, self.transaction = self.transaction, None
         self.failed = True
+        self.abort_reason = reason
         if transaction is not None and transaction.connection is not None:
             self._clean_up(transaction)
 
+    def end_failed(self) -> None:
+        """Forget a failed transaction that the client has ended."""
+        self.failed = False
+        self.abort_reason = ""
+
     def close(self) -> None:
         """Roll back the open transaction, if there is one."""
         if self.transaction is not None:
@@ -185,6 +225,9 @@
     async def handle_unless_failed(
         statement, session: Session, request
     ) -> statements.Reply:
+        if session.abort_reason:
+            reason, session.abort_reason = session.abort_reason, ""
+            return execution.make_error(_KIND.ABORTED, reason)
         if session.failed:
             return execution.make_error(_KIND.BAD_REQUEST, "the transaction has failed")
         return await handler(statement, session, request)
@@ -212,22 +255,23 @@
 @run.register
 async def _run_rollback(statement: statements.Rollback, session, request):
     session.close()
-    session.failed = False
+    session.end_failed()
     return statements.Reply()
 
 
 @run.register
 async def _run_commit(statement: statements.Commit, session, request):
     if session.failed:
-        session.failed = False
-        return execution.make_error(_KIND.ABORTED, "the transaction had failed")
+        reason = session.abort_reason or "the transaction had failed"
+        session.end_failed()
+        return execution.make_error(_KIND.ABORTED, reason)
     transaction = session.transaction
     if transaction is None:
         return execution.make_error(_KIND.BAD_REQUEST, "no transaction is open")
     reply = await transactions.run(session, request, None, commit=True)
     if session.failed:
         # COMMIT ends the client's transaction even if it fails.
-        session.failed = False
+        session.end_failed()
         return reply
     session.finish()
     if transaction.wrote:
--- a/hyssopshelf/gateway/tests/test_client_connections.py
+++ b/hyssopshelf/gateway/tests/test_client_connections.py
@@ -3,7 +3,9 @@
 import asyncio
 import itertools
 
-from hyssopshelf import exceptions, logs
+import pytest
+
+from hyssopshelf import clocks, exceptions, logs
 from hyssopshelf.gateway import (
     blackboard,
     client_connections,
@@ -11,6 +13,7 @@
     gateway,
     server,
     sessions,
+    shutdown,
     statements,
     transactions,
 )
@@ -160,20 +163,25 @@
     asyncio.run(scenario())
 
 
-ROUTE = test_session_start.make_configuration("orders").routes["orders"]
+def stop(clients, *, elapsed: float, grace_seconds: float = 6.0) -> float:
+    """Let a stop have begun some seconds ago; return the time now."""
+    now = clocks.read_clock()
+    clients.gateway.stop = shutdown.plan_stop(now - elapsed, grace_seconds)
+    clients.closing = True
+    return now
 
 
-# Transactions of clients that had gone kept their connections until the close.
-def test_the_transaction_of_a_half_closed_client_ends_with_its_last_answer():
+# LOST: the exit of the process cut off what was still open.
+def test_a_request_that_is_open_near_the_exit_is_answered():
     async def scenario():
-        _, connection, _ = connect()
-        connection.session.transaction = transactions.Transaction(
-            read_only=False, route=ROUTE
-        )
+        clients, connection, transport = connect(seconds=10.0)
         connection.data_received(b"1\r\n")
-        connection.eof_received()
-        await asyncio.sleep(0.05)
-        assert connection.session.transaction is None
+        await asyncio.sleep(0)
+        now = stop(clients, elapsed=5.1)
+        for _ in range(3):
+            await clients.advance_stop(now)
+        assert transport.written == b"unavailable "
+        assert transport.ended == "end of stream"
 
     asyncio.run(scenario())
 
@@ -213,3 +221,116 @@
         assert all(connection._transport.ended == "" for connection in late)
 
     asyncio.run(scenario())
+
+
+def test_a_client_that_goes_on_after_refusals_is_closed():
+    async def scenario():
+        clients, connection, transport = connect(
+            seconds=0.0, outcomes=[_KIND.UNAVAILABLE] * 5
+        )
+        stop(clients, elapsed=3.5)
+        for number in range(5):
+            connection.data_received(b"%d\r\n" % number)
+            await asyncio.sleep(0.001)
+        refusals = transport.written.split()
+        assert refusals == [b"unavailable"] * client_connections.MAXIMUM_STOP_REFUSALS
+        assert transport.ended == "end of stream"
+
+    asyncio.run(scenario())
+
+
+def test_a_stopping_node_opens_no_session():
+    async def scenario():
+        clients, connection, transport = connect()
+        connection.session = None
+        stop(clients, elapsed=2.5)
+        connection.data_received(b"START orders\r\n")
+        await asyncio.sleep(0.01)
+        assert transport.written == b"unavailable"
+        assert transport.ended == "end of stream"
+
+    asyncio.run(scenario())
+
+
+ROUTE = test_session_start.make_configuration("orders").routes["orders"]
+
+
+@pytest.mark.parametrize(
+    ("statement", "in_transaction", "sent", "may_be_kept", "expected"),
+    [
+        (statements.Access(writes=False), False, False, False, _KIND.UNAVAILABLE),
+        (statements.Access(writes=False), False, True, False, _KIND.DEADLINE_PASSED),
+        (statements.Access(writes=True), False, False, False, _KIND.UNAVAILABLE),
+        (statements.Access(writes=True), False, True, True, _KIND.OUTCOME_UNKNOWN),
+        (statements.Access(writes=True), True, True, False, _KIND.ABORTED),
+        (statements.Commit(), True, False, False, _KIND.ABORTED),
+        (statements.Commit(), True, True, True, _KIND.OUTCOME_UNKNOWN),
+    ],
+)
+def test_a_cancelled_request_is_answered_with_what_is_known(
+    statement, in_transaction, sent, may_be_kept, expected
+):
+    session = sessions.Session(gateway=make_gateway(), name="orders")
+    if in_transaction:
+        session.transaction = transactions.Transaction(read_only=False, route=ROUTE)
+    if sent:
+        session.trace.record_sending("e1", may_be_kept=may_be_kept)
+    request = statements.Request(id=b"1", text=b"", statement=statement)
+    assert session.give_up(request).error is expected
+    ended = isinstance(statement, statements.Commit) or not in_transaction
+    assert session.status == ("I" if ended else "E")
+
+
+def test_a_transaction_that_a_stop_ends_is_told_to_the_next_statement():
+    """COMMIT and other statements get the promise that nothing is kept."""
+
+    async def scenario():
+        session = sessions.Session(gateway=make_gateway(), name="orders")
+        for statement in (statements.Access(writes=True), statements.Commit()):
+            session.transaction = transactions.Transaction(read_only=False, route=ROUTE)
+            now = clocks.read_clock()
+            session.gateway.stop = shutdown.plan_stop(now - 3.1, 6.0)
+            request = statements.Request(id=b"1", text=b"", statement=statement)
+            assert (await session.answer(request)).error is _KIND.ABORTED
+            rollback = statements.Request(
+                id=b"2", text=b"", statement=statements.Rollback()
+            )
+            assert (await session.answer(rollback)).error is None
+            assert session.status == "I"
+
+    asyncio.run(scenario())
+
+
+def test_no_work_starts_late_in_a_stop():
+    async def scenario():
+        node_gateway = make_gateway()
+        configuration = test_session_start.make_configuration("orders")
+        node_gateway.apply_configuration(configuration)
+        node_gateway.stop = shutdown.plan_stop(clocks.read_clock() - 3.1, 6.0)
+        session = sessions.Session(gateway=node_gateway, name="orders")
+        for statement in (
+            statements.Access(writes=True),
+            statements.Access(writes=False),
+            statements.Begin(read_only=False),
+        ):
+            request = statements.Request(id=b"1", text=b"", statement=statement)
+            reply = await session.answer(request)
+            assert reply.error is _KIND.UNAVAILABLE
+            assert session.status == "I"
+
+    asyncio.run(scenario())
+
+
+# Transactions of clients that had gone kept their connections until the close.
+def test_the_transaction_of_a_half_closed_client_ends_with_its_last_answer():
+    async def scenario():
+        _, connection, _ = connect()
+        connection.session.transaction = transactions.Transaction(
+            read_only=False, route=ROUTE
+        )
+        connection.data_received(b"1\r\n")
+        connection.eof_received()
+        await asyncio.sleep(0.05)
+        assert connection.session.transaction is None
+
+    asyncio.run(scenario())
--- a/hyssopshelf/gateway/transactions.py
+++ b/hyssopshelf/gateway/transactions.py
@@ -48,7 +48,7 @@
     failure than an unknown outcome the client may repeat the whole transaction.
     """
     transaction = session.transaction
-    deadline = clocks.read_clock() + transaction.route.statement_seconds
+    deadline = session.gateway.compute_deadline(transaction.route)
     checkout = None
     if transaction.connection is None:
         checkout = await _start(session, transaction, deadline)
@@ -111,7 +111,7 @@
         gateway.start_write(pool.endpoint.database, transaction.grant_version)
     sent_at = clocks.read_clock()
     build_message = execution.make_message_builder(session, request, None)
-    session.trace.sent_to = pool.endpoint.id
+    session.trace.record_sending(pool.endpoint.id, may_be_kept=commits_writes)
     try:
         reply = await execution.exchange(
             gateway, pool, connection, session.state, shape, build_message, deadline
@@ -123,6 +123,7 @@
         if commits_writes:
             gateway.end_write(pool.endpoint.database, transaction.grant_version)
         pool.release_slot(checkout)
+    session.trace.may_be_kept = False
     transaction.idle_since = clocks.read_clock()
     if reply.error is not None:
         session.trace.add(pool.endpoint.id, reply.error.value)
