Let a process wait until its messages to peers are delivered

A message that a dialer had handed to its socket was written by another thread, and the end of the process dropped what was not written yet: the answer to a request that another node's client waits for.

PeerTransport.flush waits, up to a deadline, until no message is queued and the socket accepts the next one, which it does only after the one before was written. It returns the number of peers that may miss a message.

--- a/hyssopshelf/runtime/peers.py
+++ b/hyssopshelf/runtime/peers.py
@@ -8,11 +8,12 @@
 
 import asyncio
 import collections
+import select
 
 import attrs
 import pynng
 
-from hyssopshelf import envelopes, exceptions, peer_events
+from hyssopshelf import clocks, envelopes, exceptions, peer_events
 
 MAXIMUM_DIALERS = 512
 """Maximum number of open dialers; beyond it the least recently used is closed."""
@@ -36,6 +37,9 @@
 MAXIMUM_RECONNECT_MILLISECONDS = 1000
 """Maximum delay between connection attempts to a peer, in milliseconds."""
 
+FLUSH_POLL_SECONDS = 0.005
+"""Interval at which a flush looks for unfinished messages, in seconds."""
+
 
 class PeerTransport:
     """Sends messages to peers and receives messages from them.
@@ -98,6 +102,25 @@
         del self._dialers[address]
         dialer.close()
 
+    async def flush(self, deadline: float) -> int:
+        """Wait until the kernel has all messages, as a process ends after this.
+
+        Parameters
+        ----------
+        deadline : float
+            Clock time until which to wait, in seconds.
+
+        Returns
+        -------
+        int
+            Number of peers that may miss a message.
+        """
+        while True:
+            unfinished = sum(not d.is_flushed() for d in self._dialers.values())
+            if not unfinished or clocks.read_clock() >= deadline:
+                return unfinished
+            await asyncio.sleep(FLUSH_POLL_SECONDS)
+
     def close(self) -> None:
         """Close the inbox and all dialers."""
         if self._inbox is not None:
@@ -173,6 +196,7 @@
         self._socket: pynng.Push0 | None = None
         self._unsent: collections.deque[Unsent] = collections.deque()
         self._scheduled = False
+        self._writing = False
         self._timer: asyncio.TimerHandle | None = None
         self.opened_at = 0.0
 
@@ -200,6 +224,19 @@
             self._scheduled = True
             loop.call_soon(self._flush)
 
+    def is_flushed(self) -> bool:
+        """Return whether the kernel has all messages, so that a close loses none.
+
+        The socket accepts a message only after the one before it was written.
+        """
+        if self._unsent:
+            return False
+        if self._writing:
+            poll = select.poll()
+            poll.register(self._socket.send_fd, select.POLLIN)
+            self._writing = not poll.poll(0)
+        return not self._writing
+
     def close(self) -> None:
         """Send what can be sent, report the rest as unsent and close the socket."""
         if self._socket is None:
@@ -222,6 +259,7 @@
             except pynng.TryAgain:
                 self._start_waiting()
                 return
+            self._writing = True
             for _ in batch:
                 self._unsent.popleft()
         self._stop_waiting()
--- a/hyssopshelf/runtime/tests/test_peers.py
+++ b/hyssopshelf/runtime/tests/test_peers.py
@@ -1,11 +1,13 @@
 """Tests of the peer transport over real sockets."""
 
 import asyncio
+import contextlib
 
+import pynng
 import pytest
 import tornado.netutil
 
-from hyssopshelf import envelopes, exceptions, messages, peer_events
+from hyssopshelf import clocks, envelopes, exceptions, messages, peer_events
 from hyssopshelf.runtime import peers
 
 
@@ -48,6 +50,48 @@
     asyncio.run(scenario())
 
 
+# LOST: answers to other nodes' requests were dropped by the exit of their process.
+def test_a_peer_that_is_slow_to_read_gets_all_messages_that_were_flushed():
+    async def scenario():
+        first, second = find_addresses(2)
+        sender = peers.PeerTransport(host="h1", address=first, emit=lambda _: None)
+        inbox = pynng.Pull0(
+            listen=f"tcp://{second}",
+            recv_max_size=envelopes.MAXIMUM_MESSAGE_BYTES,
+            recv_buffer_size=0,
+            recv_timeout=500,
+        )
+        flushed = 0
+        while flushed < 100:
+            sender.send("h2", second, make_message("x" * 900_000))
+            if await sender.flush(clocks.read_clock() + 0.3):
+                break
+            flushed += 1
+        sender.close()
+        received = 0
+        with contextlib.suppress(pynng.Timeout):
+            while await inbox.arecv():
+                received += 1
+        inbox.close()
+        assert 0 < flushed < 100
+        assert received >= flushed
+
+    asyncio.run(scenario())
+
+
+def test_a_flush_does_not_wait_for_an_unreachable_peer_beyond_its_deadline():
+    async def scenario():
+        first, second = find_addresses(2)
+        sender = peers.PeerTransport(host="h1", address=first, emit=lambda _: None)
+        sender.send("h2", second, make_message(1))
+        deadline = clocks.read_clock() + 0.1
+        assert await sender.flush(deadline) == 1
+        assert clocks.read_clock() < deadline + 0.5
+        sender.close()
+
+    asyncio.run(scenario())
+
+
 def test_message_to_an_unreachable_peer_is_reported_as_unsent():
     """Guards against an unknown outcome for a statement that was never sent."""
 
