Answer forwarded work before its holder ends

A holder that stopped ran the work of other nodes up to its exit. What was open then had no answer: the entry nodes waited for the whole time limit of the statement, and told their clients INDOUBT or ABORTED only then.

A holder whose stop lets no more work start refuses new units at once, as not sent. The entry node sends them to another holder, without the pause and the exclusion that follow a failed endpoint. Open transactions end, and their entry nodes are told: the answer to the last statement is repeated as a failure, so a COMMIT on its way is known not to have run. Waiting work is handed back then, running work is answered at answer_by, to which deadlines are capped as well.

--- a/hyssopshelf/gateway/forwarding.py
+++ b/hyssopshelf/gateway/forwarding.py
@@ -6,17 +6,15 @@
 """
 
 import asyncio
-import functools
 import itertools
 
-import attrs
-
 from hyssopshelf import background, clocks, exceptions, logs, numbering
 from hyssopshelf.balancing import holders as customer_holders
 from hyssopshelf.gateway import (
     connection_pools,
     endpoint_connections,
     forward_messages,
+    forwarded_steps,
     remote_pools,
     session_state,
     statements,
@@ -25,21 +23,16 @@
 AVOIDANCE_SECONDS = 1.0
 """Time for which other holders are preferred after one did not answer."""
 
+STOPPING_SECONDS = 3.0
+"""Time for which other holders are preferred after one refused work because it stops:
+about as long as its process still lives, until the coordinator has replaced it."""
+
 FAILED_REASON = "the holder failed"
 """Failure that a holder reports after an unexpected error."""
 
 _KIND = exceptions.ErrorKind
 
 
-@attrs.define(kw_only=True)
-class PinnedUnit:
-    """Unit with an open transaction at its holder, with the connection it keeps."""
-
-    pool: connection_pools.ConnectionPool
-    connection: endpoint_connections.EndpointConnection
-    used_at: float
-
-
 class Forwarder:
     """Forwards units of work to holders and runs those that other nodes forward.
 
@@ -63,9 +56,10 @@
         self._counter = numbering.start_count()
         self._turns = itertools.count()
         self._avoided: dict[str, float] = {}
+        self._stopping: dict[str, float] = {}
         self._assigned: dict[str, tuple] = {}
-        self._pinned: dict[tuple[str, int], PinnedUnit] = {}
-        self._tasks: dict[tuple[str, int], asyncio.Task] = {}
+        self._pinned: dict[tuple[str, int], forwarded_steps.PinnedUnit] = {}
+        self._running: dict[tuple[str, int], forwarded_steps.RunningStep] = {}
         self._latest_units: dict[str, int] = {}
 
     def is_forwarded(self, endpoint: str) -> bool:
@@ -81,9 +75,14 @@
         """Return whether a host did not answer just now."""
         return self._avoided.get(host, 0.0) > clocks.read_clock()
 
+    def is_usable(self, host: str) -> bool:
+        """Return whether another host answers, and starts work, as far as is known."""
+        stopping = self._stopping.get(host, 0.0) > clocks.read_clock()
+        return host != self.host and not stopping and not self.is_avoided(host)
+
     def is_working(self) -> bool:
         """Return whether this node runs work or keeps transactions for others."""
-        return bool(self._tasks or self._pinned)
+        return bool(self._running or self._pinned)
 
     def choose_holder(
         self, endpoint: str, customer: str = ""
@@ -100,7 +99,7 @@
     def list_choices(self, endpoint: str, customer: str = "") -> list[tuple[str, str]]:
         """Return the holders among which work at an endpoint is spread."""
         holders = self.holders.get(endpoint, [])
-        usable = [h for h in holders if not self.is_avoided(h[0])]
+        usable = [h for h in holders if self.is_usable(h[0])]
         candidates = usable or holders
         if candidates and customer and self.gateway.has_customers():
             order, count = self._list_customer_holders(endpoint, holders, customer)
@@ -133,6 +132,10 @@
         self._avoided[host] = clocks.read_clock() + AVOIDANCE_SECONDS
         logs.write_request(logs.LogEvent.HOLDER_AVOIDED, {"holder": host})
 
+    def avoid_stopping(self, host: str) -> None:
+        """Prefer other holders to one that starts no more work."""
+        self._stopping[host] = clocks.read_clock() + STOPPING_SECONDS
+
     def start_unit(self, remote: remote_pools.RemoteConnection) -> int:
         """Register a unit of work; return its number."""
         number = next(self._counter)
@@ -146,43 +149,70 @@
     def receive_forwarded(self, message: forward_messages.Forwarded) -> None:
         """Pass an answer to the unit that waits for it."""
         remote = self._units.get(message.unit)
-        if remote is None or remote.step != message.step or remote.waiter is None:
-            return
-        if not remote.waiter.done():
-            remote.waiter.set_result(message)
+        if remote is not None:
+            remote.receive(message)
 
     def receive_unsent(self, message) -> None:
         """Fail a unit whose message could not be sent."""
         if isinstance(message, forward_messages.Forward):
             self.receive_forwarded(
-                forward_messages.Forwarded(
-                    unit=message.unit,
-                    step=message.step,
-                    failure="holder is not reached",
-                    sent=False,
+                forwarded_steps.make_failure(
+                    message.unit, message.step, "holder is not reached", sent=False
                 )
             )
 
     def receive_forward(
         self, message: forward_messages.Forward, host: str, address: str
     ) -> None:
-        """Start the work that an entry node forwards."""
+        """Start the work that an entry node forwards, unless it is too late for it."""
         self._end_former_units(host, message.unit)
         key = (host, message.unit)
-        task = asyncio.get_running_loop().create_task(
-            self._serve(message, key, address)
-        )
-        self._tasks[key] = task
-        task.add_done_callback(lambda _: self._forget_task(key, task))
+        if not self.gateway.may_start_work():
+            self._discard_pinned(key)
+            self._refuse(key, message.step, message.endpoint, address)
+            return
+        running = forwarded_steps.RunningStep(message=message, address=address)
+        running.task = asyncio.get_running_loop().create_task(self._serve(running, key))
+        self._running[key] = running
+        running.task.add_done_callback(lambda _: self._forget_step(key, running))
 
     def receive_cancel(self, message: forward_messages.Cancel, host: str) -> None:
         """Stop the work of a unit; its connection is closed."""
         self._end_unit((host, message.unit))
 
+    def advance_stop(self, now: float) -> None:
+        """Give up the work of other nodes as the schedule of a stop asks for.
+
+        Their clients get an answer that says what became of it.
+        """
+        schedule = self.gateway.stop
+        if schedule.may_start(now):
+            return
+        for running in self._running.values():
+            if not running.sent or now >= schedule.answer_by:
+                running.interrupt()
+        for key, pinned in list(self._pinned.items()):
+            if key not in self._running:
+                self._discard_pinned(key)
+                endpoint = pinned.pool.endpoint.id
+                self._refuse(key, pinned.step, endpoint, pinned.address)
+
+    def _refuse(self, key, step: int, endpoint: str, address: str) -> None:
+        """Tell an entry node that this holder runs no more of a unit."""
+        host, unit = key
+        answer = forwarded_steps.make_failure(
+            unit, step, remote_pools.STOPPING_REASON, sent=False
+        )
+        forwarded_steps.log_failure(answer, endpoint, host)
+        self.send(host, address, answer)
+
     def _end_unit(self, key: tuple[str, int]) -> None:
-        task = self._tasks.get(key)
-        if task is not None:
-            task.cancel()
+        running = self._running.get(key)
+        if running is not None:
+            running.task.cancel()
+        self._discard_pinned(key)
+
+    def _discard_pinned(self, key: tuple[str, int]) -> None:
         pinned = self._pinned.pop(key, None)
         if pinned is not None:
             pinned.pool.discard_connection(pinned.connection)
@@ -197,7 +227,7 @@
         self._latest_units[host] = max(latest, unit)
         if not latest or not numbering.is_earlier_process(latest, unit):
             return
-        for key in {*self._pinned, *self._tasks}:
+        for key in {*self._pinned, *self._running}:
             if key[0] == host and numbering.is_earlier_process(key[1], unit):
                 self._end_unit(key)
 
@@ -206,57 +236,46 @@
         for key, pinned in list(self._pinned.items()):
             if (
                 now - pinned.used_at > remote_pools.PINNED_SECONDS
-                and key not in self._tasks
+                and key not in self._running
             ):
-                del self._pinned[key]
-                pinned.pool.discard_connection(pinned.connection)
+                self._discard_pinned(key)
 
-    def _forget_task(self, key, task) -> None:
-        if self._tasks.get(key) is task:
-            del self._tasks[key]
+    def _forget_step(self, key, running: forwarded_steps.RunningStep) -> None:
+        if self._running.get(key) is running:
+            del self._running[key]
 
-    async def _serve(
-        self, message: forward_messages.Forward, key, address: str
-    ) -> None:
+    async def _serve(self, running: forwarded_steps.RunningStep, key) -> None:
+        message = running.message
         try:
-            answer = await self._run(message, key)
+            async with asyncio.timeout(None) as running.time_limit:
+                answer = await self._run(running, key)
         except connection_pools.RefusalError as refusal:
             answer = self._make_answer(
                 message, 0.0, error=refusal.kind.value, reason=refusal.reason
             )
         except endpoint_connections.EndpointConnectionError as error:
-            answer = forward_messages.Forwarded(
-                unit=message.unit,
-                step=message.step,
-                failure=error.reason,
-                sent=error.sent,
+            answer = forwarded_steps.make_failure(
+                message.unit, message.step, error.reason, sent=error.sent
             )
         except Exception as error:
-            background.log_failure(self._run, error)
-            answer = forward_messages.Forwarded(
-                unit=message.unit, step=message.step, failure=FAILED_REASON
+            failure, sent = remote_pools.STOPPING_REASON, running.sent
+            if not running.is_interrupted():
+                background.log_failure(self._run, error)
+                failure, sent = FAILED_REASON, True
+            answer = forwarded_steps.make_failure(
+                message.unit, message.step, failure, sent=sent
             )
         if answer.failure or answer.reason:
-            logs.write_request(
-                logs.LogEvent.FORWARD_FAILED,
-                {
-                    "entry": key[0],
-                    "unit": message.unit,
-                    "step": message.step,
-                    "endpoint": message.endpoint,
-                    "reason": answer.failure or answer.reason,
-                    "sent": answer.sent,
-                },
-            )
-        self.send(key[0], address, answer)
+            forwarded_steps.log_failure(answer, message.endpoint, key[0])
+        self.send(key[0], running.address, answer)
 
     async def _run(
-        self, message: forward_messages.Forward, key
+        self, running: forwarded_steps.RunningStep, key
     ) -> forward_messages.Forwarded:
         """Send the message to the endpoint and return the answer."""
-        gateway = self.gateway
+        gateway, message = self.gateway, running.message
         started_at = clocks.read_clock()
-        deadline = clocks.read_clock() + message.remaining
+        deadline = self._cap(started_at + message.remaining)
         state = session_state.SessionState(values=dict(message.values or ()))
         pinned = self._pinned.pop(key, None)
         if pinned is not None:
@@ -276,7 +295,7 @@
                     deadline,
                     state,
                     version=message.version,
-                    customer=find_customer(message),
+                    customer=forwarded_steps.find_customer(message),
                 )
             else:
                 checkout = await pool.acquire(
@@ -284,7 +303,7 @@
                     deadline,
                     state,
                     connection,
-                    customer=find_customer(message),
+                    customer=forwarded_steps.find_customer(message),
                 )
         except BaseException as error:
             if connection is not None:
@@ -305,6 +324,7 @@
         reply = valid_reply = None
         try:
             self._check_primary(message, sent=False)
+            running.sent = True
             reply = await self._send_to_endpoint(message, connection, state, deadline)
             self._check_primary(message, sent=True)
             valid_reply = reply
@@ -313,7 +333,9 @@
             in_transaction = pinned is not None
             if reply is not None:
                 in_transaction = reply.state != b"I"
-            self._finish_step(key, pool, connection, valid_reply, in_transaction)
+            self._finish_step(
+                key, running, pool, connection, valid_reply, in_transaction
+            )
         return self._make_answer(
             message,
             queued,
@@ -325,6 +347,11 @@
             position=tuple(reply.position) if reply.position is not None else None,
         )
 
+    def _cap(self, deadline: float) -> float:
+        """Return a deadline that leaves time to answer before this node stops."""
+        stop = self.gateway.stop
+        return deadline if stop is None else stop.cap(deadline)
+
     def _make_answer(
         self, message: forward_messages.Forward, queued: float, **fields
     ) -> forward_messages.Forwarded:
@@ -352,7 +379,9 @@
             if message.version:
                 self.gateway.end_write(message.database, message.version)
 
-    def _finish_step(self, key, pool, connection, reply, in_transaction: bool) -> None:
+    def _finish_step(
+        self, key, running, pool, connection, reply, in_transaction: bool
+    ) -> None:
         """Pin, release or close the connection after a message of a unit."""
         if reply is None:
             if in_transaction or connection.closed:
@@ -364,8 +393,12 @@
         elif reply.state == b"I":
             pool.release_connection(connection)
         else:
-            self._pinned[key] = PinnedUnit(
-                pool=pool, connection=connection, used_at=clocks.read_clock()
+            self._pinned[key] = forwarded_steps.PinnedUnit(
+                pool=pool,
+                connection=connection,
+                step=running.message.step,
+                address=running.address,
+                used_at=clocks.read_clock(),
             )
 
     def _check_primary(self, message: forward_messages.Forward, sent: bool) -> None:
@@ -386,14 +419,3 @@
             raise endpoint_connections.EndpointConnectionError(
                 remote_pools.NOT_PRIMARY_REASON, sent=sent
             )
-
-
-@functools.singledispatch
-def find_customer(message: forward_messages.Forward) -> str:
-    """Return the customer that forwarded work belongs to, empty without one."""
-    return ""
-
-
-@find_customer.register
-def _find_named_customer(message: forward_messages.CustomerForward) -> str:
-    return message.customer
--- a/hyssopshelf/gateway/remote_pools.py
+++ b/hyssopshelf/gateway/remote_pools.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import functools
+import typing
 
 from hyssopshelf import clocks, exceptions
 from hyssopshelf.balancing import spillover
@@ -27,6 +28,13 @@
 NOT_PRIMARY_REASON = "no longer the valid primary"
 """Failure that a holder reports instead of sending work to a former primary."""
 
+STOPPING_REASON = "the holder is stopping"
+"""Failure that a holder reports of work that it does not run, or gives up, because its
+process is about to end."""
+
+NODE_FAULTS = frozenset({NOT_PRIMARY_REASON, STOPPING_REASON})
+"""Failures for which the endpoint is not at fault."""
+
 _NAME_PLACEHOLDER = b"\0"
 """Stands for the prepared statement's name on the connection in a message; no
 message of a line protocol contains it."""
@@ -51,6 +59,11 @@
         Version of the primary grant that it needs, 0 for none.
     customer : str
         Customer that it belongs to, empty without customers.
+
+    Attributes
+    ----------
+    ended : str
+        Why the holder has ended the unit between two messages, empty if it has not.
     """
 
     def __init__(
@@ -74,6 +87,7 @@
         self.closed = False
         self.direct = False
         self.pinned = False
+        self.ended = ""
         self.queued_seconds = 0.0
         self.step = 0
         self.waiter: asyncio.Future | None = None
@@ -99,6 +113,18 @@
         )
         return [reply]
 
+    def receive(self, answer: forward_messages.Forwarded) -> None:
+        """Take an answer of the holder.
+
+        A failure may come without a message that waits for it, or as the answer to an
+        earlier one: then the holder has ended the unit and runs no more of it.
+        """
+        waiting = self.waiter is not None and not self.waiter.done()
+        if waiting and (answer.step == self.step or answer.failure):
+            self.waiter.set_result(answer)
+        elif answer.failure:
+            self.ended = answer.failure
+
     def close(self) -> None:
         """End the unit, also at the holder if it is open there."""
         if self.closed:
@@ -116,17 +142,46 @@
             self.closed = True
             self.forwarder.end_unit(self)
 
-    async def _send(self, *, values, shape, head, tail, deadline: float):
+    async def _send(self, *, deadline: float, **content) -> statements.Reply:
         if self.closed:
             raise endpoint_connections.EndpointConnectionError("already closed")
+        if self.ended:
+            self._fail(self.ended, sent=False)
         self.step += 1
+        answer = await self._ask(deadline, content)
+        while answer.failure == STOPPING_REASON and not answer.sent:
+            if self.step > 1 or not self._move():
+                break
+            answer = await self._ask(deadline, content)
+        if answer.failure:
+            self._fail(answer.failure, sent=answer.sent)
+        self.pinned = answer.state != b"I"
+        self.queued_seconds = record_load(answer, self.endpoint.id, self.forwarder)
+        return statements.Reply(
+            rows=answer.rows,
+            signature=answer.signature,
+            error=_KIND(answer.error) if answer.error else None,
+            detail=(
+                self._name_holder(answer.reason).encode()
+                if answer.reason
+                else answer.detail
+            ),
+            state=answer.state,
+            position=(
+                statements.LogPosition(*answer.position)
+                if answer.position is not None
+                else None
+            ),
+        )
+
+    async def _ask(self, deadline: float, content: dict) -> forward_messages.Forwarded:
+        """Send a message to the holder and return its answer."""
         self.waiter = asyncio.get_running_loop().create_future()
         remaining = deadline - clocks.read_clock()
         message_class = forward_messages.Forward
-        fields = {}
         if self.customer:
             message_class = forward_messages.CustomerForward
-            fields["customer"] = self.customer
+            content = {**content, "customer": self.customer}
         message = message_class(
             unit=self.unit,
             step=self.step,
@@ -135,16 +190,12 @@
             rank=self.rank,
             version=self.version,
             remaining=max(0.0, remaining - ANSWER_MARGIN_SECONDS),
-            values=values,
-            shape=shape,
-            head=head,
-            tail=tail,
-            **fields,
+            **content,
         )
         self.forwarder.send(*self.holder, message)
         try:
             async with asyncio.timeout(max(0.0, remaining)):
-                answer = await self.waiter
+                return await self.waiter
         except TimeoutError as error:
             self.forwarder.avoid(*self.holder)
             self.close()
@@ -156,31 +207,26 @@
             raise
         finally:
             self.waiter = None
-        if answer.failure:
-            self.pinned = False
-            self.close()
-            raise endpoint_connections.EndpointConnectionError(
-                self._name_holder(answer.failure),
-                sent=answer.sent,
-                endpoint_fault=answer.failure != NOT_PRIMARY_REASON,
-            )
-        self.pinned = answer.state != b"I"
-        self.queued_seconds = record_load(answer, self.endpoint.id, self.forwarder)
-        return statements.Reply(
-            rows=answer.rows,
-            signature=answer.signature,
-            error=_KIND(answer.error) if answer.error else None,
-            detail=(
-                self._name_holder(answer.reason).encode()
-                if answer.reason
-                else answer.detail
-            ),
-            state=answer.state,
-            position=(
-                statements.LogPosition(*answer.position)
-                if answer.position is not None
-                else None
-            ),
+
+    def _move(self) -> bool:
+        """Turn to a holder that is not stopping; return whether there is one."""
+        self.forwarder.avoid_stopping(self.holder[0])
+        holder = self.forwarder.choose_holder(self.endpoint.id, self.customer)
+        if holder is None or not self.forwarder.is_usable(holder[0]):
+            return False
+        self.forwarder.end_unit(self)
+        self.holder = holder
+        self.unit = self.forwarder.start_unit(self)
+        return True
+
+    def _fail(self, failure: str, *, sent: bool) -> typing.NoReturn:
+        """End the unit, of which the holder keeps nothing, and raise an error."""
+        self.pinned = False
+        self.close()
+        raise endpoint_connections.EndpointConnectionError(
+            self._name_holder(failure),
+            sent=sent,
+            endpoint_fault=failure not in NODE_FAULTS,
         )
 
     def _name_holder(self, reason: str) -> str:
