Let a node that stops end its units at their holders

A holder kept the transactions of an entry node that had ended for eight seconds, with their connections, while other work waited for these.

--- a/hyssopshelf/gateway/forwarding.py
+++ b/hyssopshelf/gateway/forwarding.py
@@ -197,6 +197,11 @@
                 endpoint = pinned.pool.endpoint.id
                 self._refuse(key, pinned.step, endpoint, pinned.address)
 
+    def cancel_units(self) -> None:
+        """Tell the holders to end what this node has open there."""
+        for remote in list(self._units.values()):
+            remote.close()
+
     def _refuse(self, key, step: int, endpoint: str, address: str) -> None:
         """Tell an entry node that this holder runs no more of a unit."""
         host, unit = key
--- a/hyssopshelf/gateway/tests/test_stopping_holder.py
+++ b/hyssopshelf/gateway/tests/test_stopping_holder.py
@@ -232,3 +232,19 @@
         assert answer.sent and clocks.read_clock() < schedule.answer_by + 0.2
 
     asyncio.run(scenario())
+
+
+# Holders kept the transactions of an entry node that had stopped for eight seconds.
+def test_an_entry_node_that_stops_ends_its_units_at_their_holders(monkeypatch):
+    async def scenario():
+        holder, _, opened = test_restarted_entry.make_holder(monkeypatch)
+        entry = test_restarted_entry.EntryNode(holder.gateway)
+        connect(entry, ("holder", holder))
+        remote = start_unit(entry)
+        await run_step(remote)
+        assert not opened[0].closed
+        entry.forwarder.cancel_units()
+        assert opened[0].closed and not holder._pinned
+        assert not entry.forwarder._units
+
+    asyncio.run(scenario())
