Let a stopping holder wait for forwarded work that is on its way

A holder without sessions ended in the first moment in which it had no work. A message that an entry node had sent just before was lost, and its client waited for the whole time limit.

is_working holds for 0.2 s after the last forwarded message. The holder ends at the end of its grace period at the latest, as before.

--- a/hyssopshelf/gateway/forwarding.py
+++ b/hyssopshelf/gateway/forwarding.py
@@ -27,6 +27,10 @@
 """Time for which other holders are preferred after one refused work because it stops:
 about as long as its process still lives, until the coordinator has replaced it."""
 
+QUIET_SECONDS = 0.2
+"""Time without forwarded work after which a stopping holder may end; the entry nodes
+have learned of other holders by then."""
+
 FAILED_REASON = "the holder failed"
 """Failure that a holder reports after an unexpected error."""
 
@@ -61,6 +65,7 @@
         self._pinned: dict[tuple[str, int], forwarded_steps.PinnedUnit] = {}
         self._running: dict[tuple[str, int], forwarded_steps.RunningStep] = {}
         self._latest_units: dict[str, int] = {}
+        self._received_at = float("-inf")
 
     def is_forwarded(self, endpoint: str) -> bool:
         """Return whether other hosts hold the endpoint's connections."""
@@ -81,8 +86,13 @@
         return host != self.host and not stopping and not self.is_avoided(host)
 
     def is_working(self) -> bool:
-        """Return whether this node runs work or keeps transactions for others."""
-        return bool(self._running or self._pinned)
+        """Return whether this node runs work or keeps transactions for others.
+
+        Others that have sent work just now may still send more.
+        """
+        if self._running or self._pinned:
+            return True
+        return clocks.read_clock() < self._received_at + QUIET_SECONDS
 
     def choose_holder(
         self, endpoint: str, customer: str = ""
@@ -166,6 +176,7 @@
     ) -> None:
         """Start the work that an entry node forwards, unless it is too late for it."""
         self._end_former_units(host, message.unit)
+        self._received_at = clocks.read_clock()
         key = (host, message.unit)
         if not self.gateway.may_start_work():
             self._discard_pinned(key)
--- a/hyssopshelf/gateway/tests/test_stopping_holder.py
+++ b/hyssopshelf/gateway/tests/test_stopping_holder.py
@@ -234,6 +234,23 @@
     asyncio.run(scenario())
 
 
+# A holder without work ended while a message of an entry node was on its way.
+def test_a_holder_that_got_work_just_now_expects_more(monkeypatch):
+    async def scenario():
+        holder, answers = test_forwarding.make_holder(monkeypatch, 0.0)
+        test_forwarding.test_retries.grant_primary(holder.gateway, "one", 1)
+        assert not holder.is_working()
+        holder.receive_forward(test_forwarding.make_write(), "entry", "entry:1")
+        await test_forwarding.wait_for_answer(answers)
+        await asyncio.sleep(0.01)
+        assert not holder._running and holder.is_working()
+        later = clocks.read_clock() + 1.0
+        monkeypatch.setattr(clocks, "read_clock", lambda: later)
+        assert not holder.is_working()
+
+    asyncio.run(scenario())
+
+
 # Holders kept the transactions of an entry node that had stopped for eight seconds.
 def test_an_entry_node_that_stops_ends_its_units_at_their_holders(monkeypatch):
     async def scenario():
