Let an operation wait for a token no longer than it may

An operation that joined others in their wait for a customer's token waited up to the deadline of the one that had asked, 1.5 s in the test instead of 0.1 s: beyond its own, which a stop of the node may have brought forward. One whose request was given up used up a token that another one waited for. A token that came after the time at which a stop lets no more work start started some all the same.

The three tests fail before and pass now.

--- a/hyssopshelf/gateway/allowances.py
+++ b/hyssopshelf/gateway/allowances.py
@@ -134,7 +134,17 @@
         if not state.asking:
             state.asking = True
             self._tasks.start(self._ask(key, state, deadline))
-        kind = await waiter
+        try:
+            async with asyncio.timeout(max(0.0, deadline - now)):
+                kind = await waiter
+        except TimeoutError:
+            kind = _KIND.UNAVAILABLE
+        finally:
+            if waiter.cancelled() and waiter in state.waiters:
+                # A token for it would be lost.
+                state.waiters.remove(waiter)
+        if kind is None and not self.gateway.may_start_work():
+            return _KIND.UNAVAILABLE
         if kind is _KIND.LIMIT_REACHED:
             self._record_refusal(customer, state, clocks.read_clock())
         return kind
