Send the last messages to peers even if a flush has no time left

A stop that took all of its time flushed at a deadline that had passed, and returned before the queue of the last moment was given to the sockets. The test fails without the change.

--- a/hyssopshelf/runtime/peers.py
+++ b/hyssopshelf/runtime/peers.py
@@ -115,6 +115,8 @@
         int
             Number of peers that may miss a message.
         """
+        # What was queued just now is on its way to the sockets after this.
+        await asyncio.sleep(0)
         while True:
             unfinished = sum(not d.is_flushed() for d in self._dialers.values())
             if not unfinished or clocks.read_clock() >= deadline:
--- a/hyssopshelf/runtime/tests/test_peers.py
+++ b/hyssopshelf/runtime/tests/test_peers.py
@@ -79,6 +79,27 @@
     asyncio.run(scenario())
 
 
+# A process whose stop took all of its time left its last messages in its own queue.
+def test_a_flush_after_its_deadline_still_sends_what_can_be_sent_at_once():
+    async def scenario():
+        first, second = find_addresses(2)
+        events = []
+        receiver = peers.PeerTransport(host="h2", address=second, emit=events.append)
+        sender = peers.PeerTransport(host="h1", address=first, emit=lambda _: None)
+        receiver.listen()
+        sender.send("h2", second, make_message(1))
+        await wait_for(events, 1)
+        sender.send("h2", second, make_message(2))
+        await sender.flush(clocks.read_clock())
+        assert not sender._dialers[second]._unsent
+        await wait_for(events, 2)
+        sender.close()
+        receiver.close()
+        assert len(events) == 2
+
+    asyncio.run(scenario())
+
+
 def test_a_flush_does_not_wait_for_an_unreachable_peer_beyond_its_deadline():
     async def scenario():
         first, second = find_addresses(2)
