--- a/hyssopshelf/gateway/tests/test_stopping_holder.py
+++ b/hyssopshelf/gateway/tests/test_stopping_holder.py
@@ -15,12 +15,12 @@
 from hyssopshelf.gateway.tests import test_forwarding, test_restarted_entry
 
 LATE = shutdown.StopSchedule(
-    close_idle_at=0.0, last_start_at=0.0, answer_by=float("inf"), exit_at=float("inf")
+    close_quiet_at=0.0, last_start_at=0.0, answer_by=float("inf"), exit_at=float("inf")
 )
 """A stop so far advanced that no work starts any more."""
 
 PAST = shutdown.StopSchedule(
-    close_idle_at=0.0, last_start_at=0.0, answer_by=0.0, exit_at=float("inf")
+    close_quiet_at=0.0, last_start_at=0.0, answer_by=0.0, exit_at=float("inf")
 )
 """A stop so far advanced that all work has to be answered."""
 
@@ -29,7 +29,7 @@
     """Return a stop whose answers are due in a number of seconds."""
     now = clocks.read_clock()
     return shutdown.StopSchedule(
-        close_idle_at=now,
+        close_quiet_at=now,
         last_start_at=now + seconds,
         answer_by=now + seconds,
         exit_at=now + seconds,
