Reset the connection to a member that is removed

Cause: as for a restarted member, on the other path: a member that was silent is removed, and its next ping finds the connection to its former process in a pause between attempts. Change: the connection is reset when the member is removed. The test failed before, without a reset.

--- a/hyssopshelf/authority/registration.py
+++ b/hyssopshelf/authority/registration.py
@@ -147,6 +147,9 @@
         for state in silent:
             if self.coordinator.grant_table.members.get(state.host) is state:
                 del self.coordinator.grant_table.members[state.host]
+                # If the host returns, its first answer must not wait for an attempt of
+                # the connection to the process that has ended.
+                self.coordinator.local_member.reset(state.address)
             logs.write(
                 logs.LogEvent.MEMBER_REMOVED,
                 {"member": state.host, "silent": round(now - state.heard_at, 2)},
--- a/hyssopshelf/authority/tests/test_restarted_member.py
+++ b/hyssopshelf/authority/tests/test_restarted_member.py
@@ -5,7 +5,14 @@
 import attrs
 
 from hyssopshelf import clocks
-from hyssopshelf.authority import assignments, dispatch, exchange, grants, recovery
+from hyssopshelf.authority import (
+    assignments,
+    dispatch,
+    exchange,
+    grants,
+    recovery,
+    timing,
+)
 from hyssopshelf.authority.tests import restorable_fleet, test_participant
 
 COORDINATOR = assignments.CoordinatorRecord(
@@ -78,6 +85,28 @@
     restorable_fleet.run_fleet(scenario)
 
 
+# A node that was away for some seconds waited up to a second for the first answer.
+def test_a_member_that_was_removed_is_answered_over_a_new_connection():
+    async def scenario(store, fleet):
+        node = fleet.add("a")
+        node.start_coordinating(COORDINATOR, 1, None, "test")
+        resets = []
+        node.member.reset = resets.append
+        silent = fleet.add("m")
+        node.coordinator.registry.add(silent.identity)
+        state = node.coordinator.grant_table.members["m"]
+        state.heard_at -= 2 * timing.MEMBER_TIMEOUT_SECONDS
+        fleet.remove("m")
+        node.coordinator.may_change = lambda now: True
+        # The store has no record of the coordinator.
+        node.coordinator.revision = 0
+        await node.coordinator.registry.remove_silent()
+        assert "m" not in node.coordinator.grant_table.members
+        assert resets == ["m:1"]
+
+    restorable_fleet.run_fleet(scenario)
+
+
 # ONE: a primary was replaced although the successor of a process that had released it
 # could still use it.
 def test_a_release_by_a_former_process_does_not_hold_for_its_successor():
