Answer a restarted entry node over a new connection

Cause: a holder's connection to the former process of the entry node pauses between its attempts. Change: the holder resets it when it notices the new process by the number of a unit. Evidence: the test failed before, without a reset.

--- a/hyssopshelf/gateway/forwarding.py
+++ b/hyssopshelf/gateway/forwarding.py
@@ -175,7 +175,7 @@
         self, message: forward_messages.Forward, host: str, address: str
     ) -> None:
         """Start the work that an entry node forwards, unless it is too late for it."""
-        self._end_former_units(host, message.unit)
+        self._end_former_units(host, address, message.unit)
         self._received_at = clocks.read_clock()
         key = (host, message.unit)
         if not self.gateway.may_start_work():
@@ -233,16 +233,17 @@
         if pinned is not None:
             pinned.pool.discard_connection(pinned.connection)
 
-    def _end_former_units(self, host: str, unit: int) -> None:
+    def _end_former_units(self, host: str, address: str, unit: int) -> None:
         """End the units of an earlier process of an entry node.
 
         It does not matter for consistency, as their numbers are not used again; their
-        connections are scarce.
+        connections are scarce. The connection to that process is not used any more.
         """
         latest = self._latest_units.get(host, 0)
         self._latest_units[host] = max(latest, unit)
         if not latest or not numbering.is_earlier_process(latest, unit):
             return
+        self.reset(address)
         for key in {*self._pinned, *self._running}:
             if key[0] == host and numbering.is_earlier_process(key[1], unit):
                 self._end_unit(key)
--- a/hyssopshelf/gateway/tests/test_restarted_entry.py
+++ b/hyssopshelf/gateway/tests/test_restarted_entry.py
@@ -109,6 +109,31 @@
     asyncio.run(scenario())
 
 
+# The first answers to a restarted entry node waited for an attempt of the
+# connection to its former process.
+def test_a_restarted_entry_node_is_answered_over_a_new_connection(monkeypatch):
+    async def scenario():
+        holder, _, _ = make_holder(monkeypatch)
+        resets = []
+        holder.reset = resets.append
+        entry = EntryNode(holder.gateway)
+        for _ in range(2):
+            task = entry.start_statement()
+            await asyncio.sleep(0)
+            holder.receive_forward(transmit(entry.sent[-1]), "entry", "entry:1")
+            task.cancel()
+        assert resets == []
+        await asyncio.sleep(0.15)
+        successor = EntryNode(holder.gateway)
+        task = successor.start_statement()
+        await asyncio.sleep(0)
+        holder.receive_forward(transmit(successor.sent[0]), "entry", "entry:1")
+        task.cancel()
+        assert resets == ["entry:1"]
+
+    asyncio.run(scenario())
+
+
 # MIXED: an answer to a killed process reached a client of its successor (review/4).
 def test_an_answer_to_a_former_process_is_no_answer(monkeypatch):
     async def scenario():
