Receive nothing more once a stop has ended

Cause: while the tasks of the process are cancelled after its last line, the loop still runs and would read requests of sessions that are open. No work starts any more so late, but their clients would get an answer or none by chance. Change: the drain closes the sessions that are left before it ends; those of open requests are logged as before. Measured: the tests of the stops and of the gateway pass.

--- a/hyssopshelf/gateway/server.py
+++ b/hyssopshelf/gateway/server.py
@@ -132,10 +132,11 @@
             "requests": sum(c.open_request is not None for c in self.connections),
         }
 
-    def record_exit(self) -> None:
-        """Log the requests that the exit of the process cuts off."""
-        for connection in self.connections:
+    def end_all(self) -> None:
+        """Receive nothing more, as the process ends; log the requests that are open."""
+        for connection in list(self.connections):
             connection.record_cut("exit", "the process ends")
+            connection.close()
 
     async def close_quiet(self, seconds: float = QUIET_SECONDS) -> int:
         """Close sessions that have had no work for a time.
