Refuse forwarded work that could not start before its entry node gives up

A write that had waited in a holder's queue up to its deadline was answered INDOUBT, with no line at the holder, although it was never sent: the queue looks for expired work every 50 ms, and the entry node waits only 20 ms longer than the holder.

The wait for a slot and a connection now ends at the deadline itself. The test fails before: the holder does not answer.

--- a/hyssopshelf/gateway/forwarding.py
+++ b/hyssopshelf/gateway/forwarding.py
@@ -305,23 +305,7 @@
                 )
             pool, connection = gateway.get_local_pool(endpoint), None
         try:
-            if connection is None:
-                checkout = await gateway.acquire_from(
-                    pool,
-                    message.rank,
-                    deadline,
-                    state,
-                    version=message.version,
-                    customer=forwarded_steps.find_customer(message),
-                )
-            else:
-                checkout = await pool.acquire(
-                    message.rank,
-                    deadline,
-                    state,
-                    connection,
-                    customer=forwarded_steps.find_customer(message),
-                )
+            checkout = await self._acquire(message, pool, connection, state, deadline)
         except BaseException as error:
             if connection is not None:
                 pool.discard_connection(connection)
@@ -364,6 +348,36 @@
             position=tuple(reply.position) if reply.position is not None else None,
         )
 
+    async def _acquire(
+        self, message: forward_messages.Forward, pool, connection, state, deadline
+    ) -> connection_pools.Checkout:
+        """Wait for a slot and a connection, no longer than the entry node waits.
+
+        The queue removes work a little after its deadline; the entry node would not
+        learn that it was not sent.
+        """
+        customer = forwarded_steps.find_customer(message)
+        if connection is None:
+            work = self.gateway.acquire_from(
+                pool,
+                message.rank,
+                deadline,
+                state,
+                version=message.version,
+                customer=customer,
+            )
+        else:
+            work = pool.acquire(
+                message.rank, deadline, state, connection, customer=customer
+            )
+        try:
+            async with asyncio.timeout(max(0.0, deadline - clocks.read_clock())):
+                return await work
+        except TimeoutError as error:
+            raise connection_pools.RefusalError(
+                _KIND.REFUSED, "cannot start before its deadline"
+            ) from error
+
     def _cap(self, deadline: float) -> float:
         """Return a deadline that leaves time to answer before this node stops."""
         stop = self.gateway.stop
--- a/hyssopshelf/gateway/tests/test_forwarding.py
+++ b/hyssopshelf/gateway/tests/test_forwarding.py
@@ -154,3 +154,28 @@
         assert answer.failure and answer.sent
 
     asyncio.run(scenario())
+
+
+# A write that had waited at its holder up to its deadline, and was never sent, was
+# answered as one that may have run.
+def test_work_that_did_not_start_in_time_is_refused_before_the_entry_gives_up(
+    monkeypatch,
+):
+    monkeypatch.setattr(connection_pools, "EXPIRY_INTERVAL_SECONDS", 60.0)
+
+    async def scenario():
+        forwarder, answers = make_holder(monkeypatch, 3.0)
+        test_retries.grant_primary(forwarder.gateway, "one", 1)
+        forwarder.receive_forward(
+            attrs.evolve(make_write(unit=1), remaining=4.0), "entry", "entry:1"
+        )
+        await asyncio.sleep(0.05)
+        message = attrs.evolve(make_write(unit=2), remaining=0.2)
+        forwarder.receive_forward(message, "entry", "entry:1")
+        answer = await wait_for_answer(answers)
+        assert (answer.unit, answer.error) == (2, exceptions.ErrorKind.REFUSED.value)
+        assert answer.reason == "cannot start before its deadline"
+        pool = forwarder.gateway.connection_pools["one"]
+        assert pool.queue.waiting == 0 and pool.pending_checkouts == 0
+
+    asyncio.run(scenario())
