Add failing tests of faults in graceful stops

A forwarded step that ends in the turn of the loop in which the stop advances raises an error that ends the drain. The late answer to an earlier read makes a COMMIT that was sent look as if it was not. A refusal during a stop forgets that the input of the connection has ended.

--- /dev/null
+++ b/hyssopshelf/gateway/tests/test_stop_review.py
@@ -0,0 +1,103 @@
+"""Tests of faults that the review of graceful stops found."""
+
+import asyncio
+
+import attrs
+import pytest
+
+from hyssopshelf import clocks, exceptions
+from hyssopshelf.gateway import endpoint_connections, sessions, statements
+from hyssopshelf.gateway.tests import (
+    test_client_connections,
+    test_forwarding,
+    test_restarted_entry,
+    test_retries,
+    test_stopping_holder,
+)
+
+_KIND = exceptions.ErrorKind
+
+
+# LOST: a step that ended as its interruption was due failed the whole stop of the node,
+# whose exit cut off all that was open.
+def test_a_forwarded_step_that_just_ended_does_not_fail_the_stop(monkeypatch):
+    async def scenario():
+        holder, answers, _ = test_restarted_entry.make_holder(monkeypatch)
+        holder.receive_forward(test_forwarding.make_write(), "entry", "entry:1")
+        while not answers:
+            await asyncio.sleep(0)
+        holder.gateway.stop = test_stopping_holder.PAST
+        holder.advance_stop(clocks.read_clock())
+
+    asyncio.run(scenario())
+
+
+class ScriptedConnection(test_retries.FakeConnection):
+    """Answers each message after the next of its times, in seconds."""
+
+    def __init__(self, *, endpoint, times) -> None:
+        super().__init__(endpoint=endpoint, answer_after=0.0)
+        self.times = iter(times)
+
+    async def run(self, state, shape, build_message, deadline):
+        self.answer_after = next(self.times)
+        return await super().run(state, shape, build_message, deadline)
+
+
+# REFUSED: an attempt of an earlier read, which a hedge had overtaken, ended while a
+# COMMIT was at its endpoint; the client was told that nothing is kept.
+def test_a_late_read_does_not_hide_that_a_commit_was_sent(monkeypatch):
+    async def scenario():
+        # The first read is late; its hedge, BEGIN and WRITE are fast, COMMIT is late.
+        times = iter([[0.4], [0.0, 0.0, 0.0, 5.0]])
+
+        async def open_connection(endpoint, codec, seconds, customer=""):
+            return ScriptedConnection(endpoint=endpoint, times=next(times))
+
+        monkeypatch.setattr(endpoint_connections, "open_connection", open_connection)
+        node_gateway = test_retries.make_gateway()
+        test_retries.grant_primary(node_gateway, "one", 1)
+        pool = node_gateway.get_local_pool(node_gateway.board.endpoints["one"])
+        pool.view = attrs.evolve(pool.view, slots=4)
+        session = sessions.Session(gateway=node_gateway, name="db")
+
+        async def answer(statement):
+            request = statements.Request(id=b"1", text=b"", statement=statement)
+            try:
+                async with asyncio.timeout(0.7):
+                    return await session.answer(request)
+            except TimeoutError:
+                # As ClientConnection does with the request that a stop interrupts.
+                return session.give_up(request)
+
+        for statement in (
+            statements.Access(writes=False),
+            statements.Begin(read_only=False),
+            statements.Access(writes=True),
+        ):
+            assert (await answer(statement)).error is None
+        reply = await answer(statements.Commit())
+        assert reply.error is _KIND.OUTCOME_UNKNOWN
+
+    asyncio.run(scenario())
+
+
+# A refusal during a stop forgot that the client had ended its sending side, or that
+# the rest of a message that is too long is no message.
+@pytest.mark.parametrize("input_ends", ["end of stream", "too long"])
+def test_a_refused_client_whose_input_has_ended_is_closed(input_ends):
+    async def scenario():
+        clients, connection, transport = test_client_connections.connect(
+            seconds=0.01, outcomes=[_KIND.ABORTED]
+        )
+        connection.session.failed = True
+        test_client_connections.stop(clients, elapsed=3.5)
+        connection.data_received(b"1\r\n")
+        if input_ends == "end of stream":
+            connection.eof_received()
+        else:
+            connection.data_received(b"x" * 2000)
+        await asyncio.sleep(0.05)
+        assert transport.ended != ""
+
+    asyncio.run(scenario())
