Interrupt no forwarded step that has just ended

Cause: a step that has left its time limit stays among the running ones until the next turn of the loop; rescheduling an ended limit raises an error, which ended the drain. Change: the step forgets its limit when its work has ended.

--- a/hyssopshelf/gateway/forwarding.py
+++ b/hyssopshelf/gateway/forwarding.py
@@ -282,6 +282,9 @@
             answer = forwarded_steps.make_failure(
                 message.unit, message.step, failure, sent=sent
             )
+        finally:
+            # An interruption comes too late from here on.
+            running.time_limit = None
         if answer.failure or answer.reason:
             forwarded_steps.log_failure(answer, message.endpoint, key[0])
         self.send(key[0], running.address, answer)
