Record an attempt in the trace of its own request

Cause: a read attempt that its hedge has overtaken ends during a later request and wrote to that request's trace that nothing was unsettled; also its outcome into the wrong line of the log. Change: an attempt keeps the trace of the request that it belongs to.

--- a/hyssopshelf/gateway/autocommit.py
+++ b/hyssopshelf/gateway/autocommit.py
@@ -171,6 +171,8 @@
     Afterwards the slot is free and the connection back in its pool, or closed.
     """
     gateway = session.gateway
+    # A read that a hedge has overtaken ends during a later request of the session.
+    trace = session.trace
     pool, connection = reservation.pool, reservation.checkout.connection
     database = pool.endpoint.database
     sent_at = clocks.read_clock()
@@ -180,17 +182,17 @@
     usable = False
     if writes:
         gateway.start_write(database, reservation.version)
-    session.trace.record_sending(pool.endpoint.id, may_be_kept=writes)
+    trace.record_sending(pool.endpoint.id, may_be_kept=writes)
     try:
         reply = await execution.exchange(
             gateway, pool, connection, session.state, shape, build_message, deadline
         )
-        session.trace.may_be_kept = False
+        trace.may_be_kept = False
         usable = reply.error is not _KIND.UNPREPARED
     except endpoint_connections.EndpointConnectionError as error:
-        session.trace.add(pool.endpoint.id, error.reason)
+        trace.add(pool.endpoint.id, error.reason)
         if not error.sent:
-            session.trace.may_be_kept = False
+            trace.may_be_kept = False
             return execution.make_error(_KIND.UNAVAILABLE, error.reason)
         kind = _KIND.OUTCOME_UNKNOWN if writes else _KIND.DEADLINE_PASSED
         return execution.make_error(kind, error.reason)
@@ -204,12 +206,12 @@
         pool.release_slot(reservation.checkout)
     execution.record_freshness(gateway, reservation, reply)
     if reply.error is not None:
-        session.trace.add(
+        trace.add(
             pool.endpoint.id,
             execution.describe_error(reply, reservation.candidate.position),
         )
         return reply
-    session.trace.endpoint = pool.endpoint.id
+    trace.endpoint = pool.endpoint.id
     if reservation.candidate.primary:
         execution.record_observation(
             gateway, connection, reservation.version, reply, sent_at
