Close a refused client whose input has ended

Callers would see: a half-closed client that was refused during a stop was not closed until the exit; after a message that is too long its rest was read as messages. Cause: the count of refusals overwrote the mark that the input had ended. Change: it only sets the mark.

--- a/hyssopshelf/gateway/client_connections.py
+++ b/hyssopshelf/gateway/client_connections.py
@@ -334,7 +334,8 @@
             self._ending = True
         elif reply.error is not None and not self.server.gateway.may_start_work():
             self._stop_refusals += 1
-            self._ending = self._stop_refusals >= MAXIMUM_STOP_REFUSALS
+            if self._stop_refusals >= MAXIMUM_STOP_REFUSALS:
+                self._ending = True
 
     async def _run_request(self, request: statements.Request) -> statements.Reply:
         session = self.session
