Answer statements of a transaction whose node has left

Cause: a statement of a transaction that could not be sent to its serving node was parked and sent to the same node again until its deadline, as it can't run elsewhere. A COMMIT through another node after a stop waited 30 s, its whole deadline, and was then answered as unknown (3 of 3 runs with real processes).

Change: if that node had announced to leave or is dead, the statement is answered as not run.

--- a/hyssopshelf/statements/entry.py
+++ b/hyssopshelf/statements/entry.py
@@ -78,14 +78,24 @@
 def handle_unsent(event: peer_events.PeerUnsent, board, now) -> None:
     """Suspect the host and park the statement whose message was not sent.
 
-    The serving node cannot have received the statement, so it may run elsewhere.
+    The serving node cannot have received the statement, so it may run elsewhere. A
+    statement of a transaction can't; it is answered if its host has left or is dead.
     """
     hosts.request_probe(board, event.host, now)
     if not isinstance(event.message, messages.ForwardStatement):
         return
     board.avoided_hosts[event.host] = now + AVOID_SECONDS
     request = board.requests.pop(event.message.request_id, None)
-    if request is not None:
+    if request is None:
+        return
+    if request.statement.transaction and _is_host_gone(board, event.host):
+        answers.reply_failure(
+            board,
+            request,
+            exceptions.ErrorKind.NOT_RUN,
+            "the node of the transaction has stopped; it was rolled back",
+        )
+    else:
         park(board, request, "the serving node cannot be reached", now)
 
 
@@ -326,6 +336,13 @@
     return now >= request.sent_at + SEND_OUTCOME_SECONDS
 
 
+def _is_host_gone(board, host: str) -> bool:
+    """Return whether a host that can't be reached is dead or had announced to leave."""
+    record = board.hosts.get(host)
+    gone = (blackboard.HostState.DEAD, blackboard.HostState.LEAVING)
+    return record is not None and record.state in gone
+
+
 def _finish_dead_host(board, request, now: float) -> None:
     is_read = request.statement.operation is messages.Operation.GET
     if is_read and _may_run_elsewhere(request) and board.retry_budget.try_withdraw(now):
