Answer open statements at the drain deadline

Statements that ran, waited in a queue, were parked or were at another node ended without an answer, also those of a client that kept using a transaction. Entry nodes waited for the answers of a stopped serving node until their deadline.

Change: the core answers all of them before the connections are closed, as not run where that is known and as unknown otherwise, rolls transactions back and refuses everything that comes later. Statements of other entry nodes that did not run are routed again there.

--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -136,6 +136,7 @@
         endpoint_places: tuple[str, ...] = PLACES,
         log_level: str = "INFO",
         behind_proxies: bool = True,
+        drain_seconds: float = 10.0,
     ) -> None:
         self.folder = folder
         self.node_count = nodes
@@ -144,6 +145,7 @@
         self.endpoint_places = endpoint_places
         self.log_level = log_level
         self.behind_proxies = behind_proxies
+        self.drain_seconds = drain_seconds
         self.node_proxies: dict[str, faultproxy.FaultProxy] = {}
         self.replication_proxies: dict[str, faultproxy.FaultProxy] = {}
         self.endpoints: dict[str, Process] = {}
@@ -235,7 +237,7 @@
             f"--store-url=http://{ADDRESS}:{self.store_port}",
             f"--host-list-url=http://{ADDRESS}:{hosts_port}",
             f"--token-keys={TOKEN_KEYS}",
-            "--drain-seconds=10",
+            f"--drain-seconds={self.drain_seconds:g}",
             f"--log-level={self.log_level}",
             log=self.folder / f"{host}.log",
         )
--- a/hyssopshelf/base.py
+++ b/hyssopshelf/base.py
@@ -119,6 +119,11 @@
     """The process was asked to stop gracefully."""
 
 
+@attrs.frozen(kw_only=True)
+class StopRequested(Event):
+    """The process is about to end, whatever is still open."""
+
+
 @attrs.frozen(kw_only=True)
 class Action:
     """Base class of what the core asks an adapter to do."""
--- a/hyssopshelf/blackboard.py
+++ b/hyssopshelf/blackboard.py
@@ -323,6 +323,7 @@
     ticked_at: float | None = None
     pause_seconds: float = 0.0
     draining: bool = False
+    stopping: bool = False
     drained_at: float = float("-inf")
     forwarded_at: float = float("-inf")
     replied_at: float = float("-inf")
--- a/hyssopshelf/node.py
+++ b/hyssopshelf/node.py
@@ -18,6 +18,7 @@
     polling,
     replay,
     serving,
+    stop,
     transactions,
 )
 
@@ -211,6 +212,12 @@
         board.log(logs.LogEvent.PROCESS_DRAINING, host=board.identity.host)
 
 
+@base.handle.register
+def handle_stop(event: base.StopRequested, board, now) -> None:
+    """Answer all open statements and refuse new ones."""
+    stop.abandon(board, now)
+
+
 def prepare_stop(board, now: float) -> list[base.Action]:
     """Return the actions to carry out before the node stops."""
     billing.flush(board, now)
--- a/hyssopshelf/runtime/daemon.py
+++ b/hyssopshelf/runtime/daemon.py
@@ -90,8 +90,11 @@
     while not (stopping.is_set() or engine.core.board.draining or engine.failed):
         await asyncio.sleep(STOP_CHECK_INTERVAL_SECONDS)
     drained = await drain(engine, loop.time() + values.drain_seconds)
+    if not engine.failed:
+        engine.emit(base.StopRequested())
     if engine.failed:
         return EXIT_INVARIANT_VIOLATED
+    await asyncio.sleep(STOP_CHECK_INTERVAL_SECONDS)
     http.stop()
     engine.stop()
     await http.close_all_connections()
--- a/hyssopshelf/statements/checks.py
+++ b/hyssopshelf/statements/checks.py
@@ -23,8 +23,12 @@
 def check_statement(board, statement: messages.Statement) -> Problem | None:
     """Validate a statement and return the first problem found, or None.
 
-    A draining node accepts only statements of open transactions.
+    A draining node accepts only statements of open transactions, a stopping one none.
     """
+    if board.stopping:
+        return Problem(
+            kind=exceptions.ErrorKind.UNAVAILABLE, message="this node is stopping"
+        )
     if board.draining and not statement.transaction:
         return Problem(
             kind=exceptions.ErrorKind.UNAVAILABLE, message="this node is draining"
--- a/hyssopshelf/statements/entry.py
+++ b/hyssopshelf/statements/entry.py
@@ -142,6 +142,9 @@
     The statement is parked if there is no target. Each attempt has a new request
     id, so that a late answer to an earlier attempt is dropped.
     """
+    if board.stopping:
+        park(board, request, "this node is stopping", now)
+        return
     target = _choose_target(board, request, now)
     if target is None:
         database = board.databases[
@@ -176,7 +179,13 @@
 
 
 def park(board, request, reason: str, now: float, term: int = 0) -> None:
-    """Keep a statement that did not run until it can be routed again."""
+    """Keep a statement that did not run until it can be routed again.
+
+    A stopping node answers it instead.
+    """
+    if board.stopping:
+        answers.reply_failure(board, request, exceptions.ErrorKind.NOT_RUN, reason)
+        return
     request.id = board.next_id()
     request.endpoint = request.host = ""
     request.parked = True
--- a/hyssopshelf/statements/serving.py
+++ b/hyssopshelf/statements/serving.py
@@ -87,6 +87,8 @@
     draining = board.draining and now >= board.drained_at + DRAIN_GRACE_SECONDS
     if (leaving or draining) and not statement.transaction:
         return None
+    if board.stopping:
+        return None
     item = work.Work(
         id=message.request_id,
         partner=statement.partner,
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -4,11 +4,18 @@
 import signal
 
 import pytest
+import tornado.httpclient
+import tornado.websocket
 
 from benchmarks import processes
 from hyssopshelf import exceptions, messages
 
 UNKNOWN = exceptions.ErrorKind.OUTCOME_UNKNOWN
+NOT_RUN_KINDS = {
+    kind
+    for kind, disposition in exceptions.DISPOSITIONS.items()
+    if disposition.ran is exceptions.Ran.NO
+}
 LEAVING_BOUND_SECONDS = 3.0
 FAILOVER_BOUND_SECONDS = 17.0
 
@@ -27,9 +34,51 @@
     asyncio.run(main())
 
 
-async def read_values(fleet, key: str) -> list[str]:
+def make_statement(operation: messages.Operation, **fields) -> messages.Statement:
+    """Return a statement with a time limit above the drain time of any test."""
+    defaults = {"id": "1", "kind": "scan", "remaining_seconds": 30.0}
+    return messages.Statement(
+        pool=processes.POOL,
+        database=processes.DATABASE,
+        partner=processes.PARTNER,
+        operation=operation,
+        **(defaults | fields),
+    )
+
+
+async def post_statement(fleet, host: str, statement) -> messages.Answer:
+    """Send a statement over plain HTTP and return its answer."""
+    fetched = await tornado.httpclient.AsyncHTTPClient().fetch(
+        f"http://{fleet.addresses[host]}/v1/statements",
+        method="POST",
+        body=messages.to_json(statement),
+        raise_error=False,
+        request_timeout=40.0,
+    )
+    if fetched.code == 599:
+        raise ConnectionError("no answer from the proxy")
+    return messages.from_json(fetched.body, messages.Answer)
+
+
+async def open_websocket(fleet, host: str):
+    """Return a websocket session with a node, without the client library."""
+    return await tornado.websocket.websocket_connect(
+        f"ws://{fleet.addresses[host]}/v1/session"
+    )
+
+
+async def exchange(websocket, statement) -> messages.Answer:
+    """Send a statement on a websocket and return the next answer."""
+    await websocket.write_message(messages.to_json(statement).decode())
+    data = await websocket.read_message()
+    if data is None:
+        raise ConnectionError("the connection ended without an answer")
+    return messages.from_json(data, messages.Answer)
+
+
+async def read_values(fleet, key: str, *hosts: str) -> list[str]:
     """Return the appended values of a key by a strong read."""
-    session = fleet.make_session(timeout_seconds=20.0)
+    session = fleet.make_session(*hosts, timeout_seconds=20.0)
     answer = await session.get(
         key, kind="scan", consistency=messages.Consistency.STRONG
     )
@@ -200,6 +249,73 @@
     run(scenario, tmp_path, nodes=3)
 
 
+def test_statements_open_at_the_drain_deadline_are_answered(tmp_path):
+    """Guards against connections closed under statements that still run."""
+
+    async def scenario(fleet):
+        websocket = await open_websocket(fleet, "h1")
+        for proxy in fleet.node_proxies.values():
+            proxy.faults.answers_dropped = True
+        append = messages.Operation.APPEND
+        write = make_statement(append, key="cut", value="w")
+        page = make_statement(append, key="cut", value="h")
+        tasks = [
+            asyncio.ensure_future(exchange(websocket, write)),
+            asyncio.ensure_future(post_statement(fleet, "h1", page)),
+        ]
+        await asyncio.sleep(0.5)
+        process = fleet.nodes["h1"]
+        process.send_signal(signal.SIGTERM)
+        status = await process.wait(5.0)
+        answers = await asyncio.gather(*tasks, return_exceptions=True)
+        assert [getattr(answer, "error", answer) for answer in answers] == [UNKNOWN] * 2
+        assert status == 3
+
+    run(scenario, tmp_path, drain_seconds=3.0)
+
+
+@pytest.mark.parametrize("stopped", ["serving", "entry"])
+def test_transaction_open_at_the_drain_deadline_is_answered(tmp_path, stopped):
+    """Guards against the cut of a client that keeps using its transaction."""
+
+    async def scenario(fleet):
+        begin = make_statement(messages.Operation.BEGIN)
+        transaction = (await post_statement(fleet, "h1", begin)).transaction
+        serving = transaction.partition("|")[0]
+        entry = next(host for host in fleet.nodes if host != serving)
+        host, other = (serving, entry) if stopped == "serving" else (entry, serving)
+        websocket = await open_websocket(fleet, host)
+        process = fleet.nodes[host]
+        process.send_signal(signal.SIGTERM)
+        kinds = []
+        while not kinds or kinds[-1] is None:
+            number = str(len(kinds))
+            statement = make_statement(
+                messages.Operation.APPEND,
+                id=number,
+                key="kept",
+                value=number,
+                transaction=transaction,
+            )
+            kinds.append((await exchange(websocket, statement)).error)
+        assert len(kinds) > 10
+        assert await process.wait(5.0) == 3
+        commit = make_statement(messages.Operation.COMMIT, transaction=transaction)
+        committed = await post_statement(fleet, other, commit)
+        values = await read_values(fleet, "kept", other)
+        if stopped == "serving":
+            assert kinds[-1] in NOT_RUN_KINDS
+            assert committed.error in NOT_RUN_KINDS
+            assert values == []
+        else:
+            assert kinds[-1] in NOT_RUN_KINDS | {UNKNOWN}
+            assert committed.error is None
+            done = [str(number) for number in range(len(kinds) - 1)]
+            assert values in (done, [*done, str(len(done))])
+
+    run(scenario, tmp_path, drain_seconds=3.0)
+
+
 def test_leaving_endpoint_gets_no_new_requests(tmp_path):
     """Guards against requests to an endpoint long after it was marked as leaving."""
 
