Close connections of clients after their last answers were sent

Cause: at a stop the node closed its sockets, so answers that were not yet written to the network were discarded, and unread bytes of a client reset its connection.

Open statements are answered a second before that time. Plain HTTP answers of a draining node ask to close the connection.

--- a/hyssopshelf/demo.py
+++ b/hyssopshelf/demo.py
@@ -11,9 +11,9 @@
 
 from hyssopshelf import blackboard, client, exceptions, kvstore, logs, node
 from hyssopshelf.configuration import requests, resources
+from hyssopshelf.runtime import closing, server
 from hyssopshelf.runtime import engine as engines
 from hyssopshelf.runtime import hostlist as hostlist_adapter
-from hyssopshelf.runtime import server
 from hyssopshelf.runtime import store as store_adapter
 from hyssopshelf.standins import database, endpoint, hostlist, keyvalue, store
 
@@ -131,7 +131,9 @@
             store=store_adapter.StoreAdapter(url=urls["store"]),
             host_list=hostlist_adapter.HostListAdapter(url=urls["hosts"]),
         )
-        http = tornado.httpserver.HTTPServer(server.make_application(engine))
+        http = tornado.httpserver.HTTPServer(
+            server.make_application(engine, closing.ClientConnections())
+        )
         sockets = tornado.netutil.bind_sockets(0, "127.0.0.1")
         http.add_sockets(sockets)
         addresses[host] = f"127.0.0.1:{sockets[0].getsockname()[1]}"
--- a/hyssopshelf/messages.py
+++ b/hyssopshelf/messages.py
@@ -10,6 +10,10 @@
 
 T = TypeVar("T")
 
+STOPPING_CLOSE_CODE = 4001
+"""Code with which a stopping node closes the websocket of a client. It has answered all
+statements that it read before, and those without an answer do not run."""
+
 
 @functools.cache
 def _make_converter(name: str):
--- a/hyssopshelf/runtime/daemon.py
+++ b/hyssopshelf/runtime/daemon.py
@@ -9,14 +9,15 @@
 import tornado.httpserver
 
 from hyssopshelf import base, blackboard, exceptions, logs, node
+from hyssopshelf.runtime import closing, hostlist, resources, server, settings, store
 from hyssopshelf.runtime import engine as engines
-from hyssopshelf.runtime import hostlist, resources, server, settings, store
 
 EXIT_SETTINGS = 2
 """Exit status for an invalid setting."""
 
 EXIT_DRAIN_TIMEOUT = 3
-"""Exit status when statements or transactions were left at the drain deadline."""
+"""Exit status when statements, transactions or answers that were not sent were left at
+the drain deadline."""
 
 EXIT_INVARIANT_VIOLATED = 4
 """Exit status after a violated invariant."""
@@ -25,6 +26,11 @@
 """Interval between checks for a stop request and for a finished drain, in seconds."""
 
 
+CLOSE_SECONDS = 1.0
+"""Time before the end of a graceful stop at which statements that are still open are
+answered, and longest wait for clients to close their connections, in seconds."""
+
+
 def main() -> None:
     """Run the node with the settings of the command line and environment."""
     try:
@@ -76,8 +82,9 @@
     violated invariant.
     """
     engine = make_engine(values)
+    connections = closing.ClientConnections()
     application = server.make_application(
-        engine, tuple(resources.make_handlers(engine.submit))
+        engine, connections, tuple(resources.make_handlers(engine.submit))
     )
     http = tornado.httpserver.HTTPServer(application)
     address, _, port = values.listen.rpartition(":")
@@ -89,16 +96,19 @@
         loop.add_signal_handler(number, stopping.set)
     while not (stopping.is_set() or engine.core.board.draining or engine.failed):
         await asyncio.sleep(STOP_CHECK_INTERVAL_SECONDS)
-    drained = await drain(engine, loop.time() + values.drain_seconds)
+    stop_by = loop.time() + values.drain_seconds
+    reserve = min(CLOSE_SECONDS, values.drain_seconds / 2)
+    drained = await drain(engine, stop_by - reserve)
     if not engine.failed:
         engine.emit(base.StopRequested())
     if engine.failed:
         return EXIT_INVARIANT_VIOLATED
-    await asyncio.sleep(STOP_CHECK_INTERVAL_SECONDS)
     http.stop()
+    flushed = await connections.flush(stop_by - reserve / 2)
+    await connections.close(min(stop_by, loop.time() + CLOSE_SECONDS))
     engine.stop()
     await http.close_all_connections()
-    return 0 if drained else EXIT_DRAIN_TIMEOUT
+    return 0 if drained and flushed else EXIT_DRAIN_TIMEOUT
 
 
 async def drain(engine: engines.Engine, deadline: float) -> bool:
--- a/hyssopshelf/runtime/server.py
+++ b/hyssopshelf/runtime/server.py
@@ -3,12 +3,13 @@
 import asyncio
 import itertools
 
+import tornado.iostream
 import tornado.web
 import tornado.websocket
 
 from hyssopshelf import base, exceptions, messages
+from hyssopshelf.runtime import closing, metrics
 from hyssopshelf.runtime import engine as engines
-from hyssopshelf.runtime import metrics
 
 MAXIMUM_FRAME_BYTES = 1024 * 1024
 """Maximum size of a websocket message from a client, in bytes."""
@@ -23,9 +24,12 @@
 class SessionHandler(tornado.websocket.WebSocketHandler):
     """Websocket of one client, whose statements are multiplexed by their ids."""
 
-    def initialize(self, engine: engines.Engine) -> None:
-        """Store the engine."""
+    def initialize(
+        self, engine: engines.Engine, connections: closing.ClientConnections
+    ) -> None:
+        """Store the engine and the registry of connections."""
         self.engine = engine
+        self.connections = connections
         self.caller = f"session-{next(_CALLER_NUMBERS)}"
 
     def check_origin(self, origin: str) -> bool:
@@ -35,6 +39,7 @@
     def open(self) -> None:
         """Register for the answers to this client."""
         self.set_nodelay(True)
+        self.connections.sessions.add(self)
         self.engine.register_caller(self.caller, self._send)
 
     def on_message(self, data: str | bytes) -> None:
@@ -53,6 +58,7 @@
 
     def on_close(self) -> None:
         """Cancel the client's open statements."""
+        self.connections.sessions.discard(self)
         self.engine.remove_caller(self.caller)
 
     def _send(self, answer: messages.Answer) -> None:
@@ -62,22 +68,26 @@
             future = self.write_message(messages.to_json(answer).decode())
         except tornado.websocket.WebSocketClosedError:
             return
-        future.add_done_callback(lambda done: done.exception())
+        self.connections.add_answer(future)
 
 
 class StatementHandler(tornado.web.RequestHandler):
     """Runs one statement for each HTTP request."""
 
-    def initialize(self, engine: engines.Engine) -> None:
-        """Store the engine."""
+    def initialize(
+        self, engine: engines.Engine, connections: closing.ClientConnections
+    ) -> None:
+        """Store the engine and the registry of connections."""
         self.engine = engine
+        self.connections = connections
 
     async def post(self) -> None:
         """Run a statement and write its answer as JSON with the matching status."""
+        self.connections.add_answer(asyncio.current_task())
         try:
             statement = messages.from_json(self.request.body, messages.Statement)
         except exceptions.CodecError as error:
-            self._finish(
+            await self._finish(
                 messages.Answer(
                     id="", error=exceptions.ErrorKind.BAD_REQUEST, message=str(error)
                 )
@@ -96,13 +106,19 @@
             )
         finally:
             self.engine.remove_caller(caller)
-        self._finish(answer)
+        await self._finish(answer)
 
-    def _finish(self, answer: messages.Answer) -> None:
+    async def _finish(self, answer: messages.Answer) -> None:
         if answer.error is not None:
             self.set_status(exceptions.DISPOSITIONS[answer.error].http_status)
         self.set_header("Content-Type", "application/json")
-        self.finish(messages.to_json(answer))
+        if self.engine.core.board.draining:
+            self.set_header("Connection", "close")
+        try:
+            await self.finish(messages.to_json(answer))
+        except tornado.iostream.StreamClosedError:
+            # The client has gone and was removed as a caller.
+            return
 
 
 class HealthHandler(tornado.web.RequestHandler):
@@ -148,7 +164,9 @@
 
 
 def make_application(
-    engine: engines.Engine, extra_handlers: tuple = ()
+    engine: engines.Engine,
+    connections: closing.ClientConnections,
+    extra_handlers: tuple = (),
 ) -> tornado.web.Application:
     """Return the web application of a node.
 
@@ -156,14 +174,17 @@
     ----------
     engine : Engine
         The engine that runs the node.
+    connections : ClientConnections
+        Registry of the connections to close at a stop.
     extra_handlers : tuple
         Further routes, such as those of the resource API.
     """
     arguments = {"engine": engine}
+    client_arguments = arguments | {"connections": connections}
     return tornado.web.Application(
         [
-            (r"/v1/session", SessionHandler, arguments),
-            (r"/v1/statements", StatementHandler, arguments),
+            (r"/v1/session", SessionHandler, client_arguments),
+            (r"/v1/statements", StatementHandler, client_arguments),
             (r"/healthz", HealthHandler),
             (r"/readyz", ReadyHandler, arguments),
             (r"/metrics", MetricsHandler, arguments),
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,7 +1,10 @@
 """Integration tests with real processes, real sockets and faults between them."""
 
 import asyncio
+import contextlib
 import signal
+import socket
+import struct
 
 import pytest
 import tornado.httpclient
@@ -76,6 +79,30 @@
     return messages.from_json(data, messages.Answer)
 
 
+async def open_slow_websocket(fleet, host: str):
+    """Return the streams of a websocket whose small buffers are read by the caller."""
+    address, _, port = fleet.addresses[host].rpartition(":")
+    client = socket.socket()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    client.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(client, (address, int(port)))
+    reader, writer = await asyncio.open_connection(sock=client, limit=4096)
+    writer.write(
+        b"GET /v1/session HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\n"
+        b"Connection: Upgrade\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n"
+        b"Sec-WebSocket-Version: 13\r\n\r\n"
+    )
+    await reader.readuntil(b"\r\n\r\n")
+    return reader, writer
+
+
+def make_client_frame(text: bytes) -> bytes:
+    """Return a websocket text frame with a mask of zeros."""
+    return (
+        b"\x81" + bytes([0x80 | 126]) + struct.pack(">H", len(text)) + bytes(4) + text
+    )
+
+
 async def read_values(fleet, key: str, *hosts: str) -> list[str]:
     """Return the appended values of a key by a strong read."""
     session = fleet.make_session(*hosts, timeout_seconds=20.0)
@@ -316,6 +343,64 @@
     run(scenario, tmp_path, drain_seconds=3.0)
 
 
+def test_large_answer_to_a_slow_reader_survives_a_stop(tmp_path):
+    """Guards against an answer that is cut because it was not sent before the exit."""
+
+    async def scenario(fleet):
+        session = fleet.make_session()
+        value = "v" * 200_000
+        for number in range(20):
+            await session.put(f"k{number}", value, kind="relabel")
+        await session.close()
+        reader, writer = await open_slow_websocket(fleet, "h1")
+        for number in range(20):
+            statement = make_statement(
+                messages.Operation.GET, id=str(number), key=f"k{number}"
+            )
+            writer.write(make_client_frame(messages.to_json(statement)))
+        await asyncio.sleep(1.0)
+        process = fleet.nodes["h1"]
+        process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(2.0)
+        received = b""
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(65536):
+                received += data
+        writer.close()
+        assert received.count(value.encode()) == 20
+        assert await process.wait(15.0) == 0
+
+    run(scenario, tmp_path)
+
+
+def test_session_that_loses_no_statement_while_its_node_exits(tmp_path):
+    """Guards against a statement that is lost because it meets the exit of a node."""
+
+    async def scenario(fleet):
+        sessions = [fleet.make_session("h1", seed=number) for number in range(40)]
+        for session in sessions:
+            await session.get("x", kind="scan")
+            session.proxies = (fleet.addresses["h2"],)
+        process = fleet.nodes["h1"]
+        process.send_signal(signal.SIGTERM)
+
+        async def write(number, session):
+            await asyncio.sleep(1.0 + number * 0.005)
+            await session.append("late", str(number), kind="relabel")
+
+        outcomes = await asyncio.gather(
+            *(write(n, s) for n, s in enumerate(sessions)), return_exceptions=True
+        )
+        assert await process.wait(15.0) == 0
+        assert [outcome for outcome in outcomes if outcome is not None] == []
+        values = await read_values(fleet, "late", "h2")
+        assert sorted(values, key=int) == [str(n) for n in range(40)]
+        for session in sessions:
+            await session.close()
+
+    run(scenario, tmp_path)
+
+
 def test_leaving_endpoint_gets_no_new_requests(tmp_path):
     """Guards against requests to an endpoint long after it was marked as leaving."""
 
