Tell a request that a stopping proxy did not read from an unknown one

Cause: a request that was sent while its proxy closed the connection was reported as outcome_unknown, so a write without an idempotency key failed although it had not run. So was a request on a connection that was closed before it was written.

Change: the session reads the close code of a stopping proxy, which has answered all that it read, and reports such requests as not run, so they are repeated.

Result: the new test fails before and passes after; other ends of a connection still leave a write unknown (3 cases, pass before and after).

--- a/hyssopshelf/client/session.py
+++ b/hyssopshelf/client/session.py
@@ -301,7 +301,14 @@
         try:
             data = messages.to_json(statement).decode()
             try:
-                await self._socket.write_message(data)
+                written = self._socket.write_message(data)
+            except tornado.websocket.WebSocketClosedError as error:
+                raise exceptions.AnswerError(
+                    exceptions.ErrorKind.NOT_RUN,
+                    "the connection closed before the request was sent",
+                ) from error
+            try:
+                await written
             except tornado.websocket.WebSocketClosedError as error:
                 raise ConnectionError("connection to the proxy closed") from error
             return await future
@@ -323,7 +330,16 @@
         self.close()
         for future in self._pending_answers.values():
             if not future.done():
-                future.set_exception(ConnectionError("connection to the proxy closed"))
+                future.set_exception(self._make_error(socket.close_code))
+
+    def _make_error(self, close_code: int | None) -> Exception:
+        """Return the error of requests whose connection closed with a code."""
+        if close_code == messages.STOPPING_CLOSE_CODE:
+            return exceptions.AnswerError(
+                exceptions.ErrorKind.NOT_RUN,
+                f"the proxy {self.proxy} stopped before it read the request",
+            )
+        return ConnectionError("connection to the proxy closed")
 
 
 async def _connect(proxy: str) -> _ProxyConnection:
