Let other requests of a session finish when it changes the proxy

Cause: a session closed its connection when a request was refused by a draining proxy or timed out. Other requests on that connection lost their answers: they were reported as unknown, and the proxy cancelled them.

Change: the session uses another connection from then on and closes the old one when no request waits on it.

--- a/hyssopshelf/client/session.py
+++ b/hyssopshelf/client/session.py
@@ -247,14 +247,14 @@
             timeout = deadline - time.monotonic() + ANSWER_MARGIN_SECONDS
             answer = await asyncio.wait_for(connection.exchange(statement), timeout)
         except (TimeoutError, OSError) as error:
-            await self._disconnect()
+            self._replace_connection(connection)
             raise exceptions.AnswerError(
                 exceptions.ErrorKind.OUTCOME_UNKNOWN,
                 f"no answer from the proxy: {error!r}",
             ) from error
         if answer.error is not None:
             if answer.error is exceptions.ErrorKind.UNAVAILABLE:
-                await self._disconnect()
+                self._replace_connection(connection)
             raise exceptions.AnswerError(
                 answer.error, answer.message, answer.retry_after_seconds
             )
@@ -276,6 +276,12 @@
             exceptions.ErrorKind.UNAVAILABLE, "no proxy is reachable"
         )
 
+    def _replace_connection(self, connection: "_ProxyConnection") -> None:
+        """Use another connection from now on; the old one closes after its answers."""
+        if self._connection is connection:
+            self._connection = None
+        connection.retire()
+
     async def _disconnect(self) -> None:
         if self._connection is not None:
             self._connection.close()
@@ -289,6 +295,7 @@
         self.proxy = proxy
         self._socket = socket
         self._pending_answers: dict[str, asyncio.Future] = {}
+        self._retired = False
         self._reader = asyncio.ensure_future(self._read())
 
     @property
@@ -314,6 +321,14 @@
             return await future
         finally:
             self._pending_answers.pop(statement.id, None)
+            if self._retired and not self._pending_answers:
+                self.close()
+
+    def retire(self) -> None:
+        """Close the connection as soon as no request waits for its answer."""
+        self._retired = True
+        if not self._pending_answers:
+            self.close()
 
     def close(self) -> None:
         socket, self._socket = self._socket, None
--- a/hyssopshelf/client/tests/test_session.py
+++ b/hyssopshelf/client/tests/test_session.py
@@ -88,3 +88,45 @@
 
     run(receive, scenario)
     assert len(received) == 1
+
+
+def test_refusal_by_a_draining_proxy_leaves_other_answers():
+    """Guards against a lost answer because another request had to change the proxy."""
+    open_statements = []
+
+    def receive(handler, statement):
+        if not open_statements:
+            open_statements.append(statement)
+        elif len(open_statements) == 1:
+            open_statements.append(statement)
+            handler.answer(statement, error=exceptions.ErrorKind.UNAVAILABLE)
+            asyncio.get_running_loop().call_later(
+                0.2, handler.answer, open_statements[0]
+            )
+        else:
+            handler.answer(statement)
+
+    async def scenario(session):
+        first = asyncio.ensure_future(session.append("k", "1", kind="scan"))
+        await asyncio.sleep(0.1)
+        await session.append("k", "2", kind="scan")
+        await first
+
+    run(receive, scenario)
+
+
+def test_timeout_of_a_request_leaves_other_answers():
+    """Guards against a lost answer because another request timed out."""
+
+    def receive(handler, statement):
+        if statement.key == "slow":
+            asyncio.get_running_loop().call_later(1.5, handler.answer, statement)
+
+    async def scenario(session):
+        slow = asyncio.ensure_future(session.append("slow", "1", kind="scan"))
+        await asyncio.sleep(0.1)
+        with pytest.raises(exceptions.AnswerError):
+            await session.append("lost", "2", kind="scan", timeout_seconds=0.1)
+        await slow
+
+    run(receive, scenario)
