Answer requests of operators at a stop

Cause: a drain waited for statements only. Watches, changes and reads of a bill that waited for the store were cut when the node exited.

Change: a drain also waits for changes, status requests and reads of bills. What is left is answered before the connections are closed: a watch as at its deadline, a change as unknown if it may have been made, others as unavailable.

The tests of the API pass, among them 5 new cases.

--- a/hyssopshelf/configuration/api.py
+++ b/hyssopshelf/configuration/api.py
@@ -418,6 +418,34 @@
     answer(board, operation.caller, body)
 
 
+def has_open_requests(board) -> bool:
+    """Return whether a request of an operator waits, other than a watch."""
+    state = board.configuration
+    return bool(state.bill_reads) or any(
+        not isinstance(operation.request, requests.Watch)
+        for operation in state.operations.values()
+    )
+
+
+def abandon(board) -> None:
+    """Answer all open requests of a node that must stop.
+
+    A watch is answered as at its deadline, so that the client repeats it elsewhere.
+    """
+    state = board.configuration
+    for operation in list(state.operations.values()):
+        if isinstance(operation.request, requests.Watch):
+            _answer_watch(board, operation, operation.deadline)
+        elif isinstance(operation.request, requests.Status):
+            del state.operations[operation.id]
+            refuse(board, operation.caller, ErrorKind.UNAVAILABLE, "the node stopped")
+        else:
+            _close_expired(board, operation)
+    for caller, _ in state.bill_reads.values():
+        refuse(board, caller, ErrorKind.UNAVAILABLE, "the node stopped")
+    state.bill_reads.clear()
+
+
 def step(board, now: float) -> None:
     """Advance requests that wait for the store, a version or a deadline."""
     for operation in list(board.configuration.operations.values()):
--- a/hyssopshelf/configuration/tests/test_api.py
+++ b/hyssopshelf/configuration/tests/test_api.py
@@ -6,7 +6,7 @@
 import pytest
 
 from hyssopshelf import base, exceptions, logs
-from hyssopshelf.configuration import declarations, requests, resources
+from hyssopshelf.configuration import api, declarations, requests, resources
 from hyssopshelf.configuration.tests import fleet
 
 ErrorKind = exceptions.ErrorKind
@@ -278,3 +278,23 @@
     board = nodes.members["h000"].board
     event = base.StoreAnswered(call_id="other", result=None)
     assert not fleet.controller.take_store_answer(event, board, nodes.now)
+
+
+@pytest.mark.parametrize("seconds", [0.0, 0.1, 0.3, 0.5, 0.8])
+def test_change_that_a_stop_ends_is_answered(nodes, seconds):
+    """Guards against a change that is cut by a stop or reported as not made."""
+    nodes.store.delay_seconds = 0.4
+    caller = nodes.request("h001", apply_request("a", [make_split(0.7, 1)]))
+    nodes.run(seconds)
+    board = nodes.members["h001"].board
+    assert api.has_open_requests(board) is (caller not in nodes.answers)
+    api.abandon(board)
+    replies = [a for a in board.actions if isinstance(a, base.Reply)]
+    answer = nodes.answers.get(caller) or replies[0].answer
+    nodes.members["h001"].alive = False
+    nodes.run(2.0)
+    made = stored(nodes).version > 1
+    assert answer.error in (ErrorKind.UNAVAILABLE, ErrorKind.OUTCOME_UNKNOWN, None)
+    assert not (made and answer.error is ErrorKind.UNAVAILABLE)
+    assert made or answer.error is not None
+    assert not api.has_open_requests(board)
--- a/hyssopshelf/node.py
+++ b/hyssopshelf/node.py
@@ -7,7 +7,7 @@
 import random
 
 from hyssopshelf import base, blackboard, logs, peer_events
-from hyssopshelf.configuration import controller
+from hyssopshelf.configuration import api, controller
 from hyssopshelf.connections import pool
 from hyssopshelf.failover import confirmation, detection, leases, promotion
 from hyssopshelf.membership import balancing, hosts, placement
@@ -214,8 +214,9 @@
 
 @base.handle.register
 def handle_stop(event: base.StopRequested, board, now) -> None:
-    """Answer all open statements and refuse new ones."""
+    """Answer all open statements and requests of operators; refuse new statements."""
     stop.abandon(board, now)
+    api.abandon(board)
 
 
 def prepare_stop(board, now: float) -> list[base.Action]:
@@ -235,6 +236,8 @@
         return False
     if board.served or board.transactions:
         return False
+    if api.has_open_requests(board):
+        return False
     if now - max(board.replied_at, board.late_tick_at) < REPLY_GRACE_SECONDS:
         return False
     return now - max(board.drained_at, board.forwarded_at) >= FORWARD_QUIET_SECONDS
--- a/hyssopshelf/runtime/daemon.py
+++ b/hyssopshelf/runtime/daemon.py
@@ -83,8 +83,13 @@
     """
     engine = make_engine(values)
     connections = closing.ClientConnections()
+
+    async def submit(request):
+        connections.add_answer(asyncio.current_task())
+        return await engine.submit(request)
+
     application = server.make_application(
-        engine, connections, tuple(resources.make_handlers(engine.submit))
+        engine, connections, tuple(resources.make_handlers(submit))
     )
     http = tornado.httpserver.HTTPServer(application)
     address, _, port = values.listen.rpartition(":")
--- a/hyssopshelf/runtime/resources.py
+++ b/hyssopshelf/runtime/resources.py
@@ -5,9 +5,11 @@
 on the engine nor on the core.
 """
 
+import asyncio
 import collections
 from collections.abc import Awaitable, Callable
 
+import tornado.iostream
 import tornado.web
 
 from hyssopshelf import exceptions
@@ -66,14 +68,19 @@
         if not isinstance(value, exceptions.ValidationError):
             super().log_exception(typ, value, tb)
 
-    def answer(self, answer: requests.ApiAnswer) -> None:
-        """Write an answer and its HTTP status."""
+    def answer(self, answer: requests.ApiAnswer) -> asyncio.Future:
+        """Write an answer and its HTTP status; return a future of the write."""
         self.set_status(get_http_status(answer))
-        self.finish(make_body(answer))
+        return self.finish(make_body(answer))
 
     async def submit_request(self, request: requests.ApiRequest) -> None:
         """Pass a request to the node and write its answer."""
-        self.answer(await self.submit(request))
+        written = self.answer(await self.submit(request))
+        try:
+            await written
+        except tornado.iostream.StreamClosedError:
+            # The client has gone; nobody waits for the answer.
+            return
 
     def read_time_limit(self) -> float:
         """Return the time limit of the request, in seconds.
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -343,6 +343,35 @@
     run(scenario, tmp_path, drain_seconds=3.0)
 
 
+def test_requests_of_operators_are_answered_at_a_stop(tmp_path):
+    """Guards against a request of an operator that is cut by a stop."""
+
+    async def scenario(fleet):
+        store, _ = fleet.platform_processes
+        store.send_signal(signal.SIGSTOP)
+        version = await fleet.read_version("h1")
+        paths = (
+            f"v1/watch?pool={processes.POOL}&afterVersion={version}&seconds=30",
+            f"v1/bill?pool={processes.POOL}",
+        )
+        tasks = [
+            asyncio.ensure_future(
+                tornado.httpclient.AsyncHTTPClient().fetch(
+                    f"http://{fleet.addresses['h1']}/{path}", raise_error=False
+                )
+            )
+            for path in paths
+        ]
+        await asyncio.sleep(0.3)
+        process = fleet.nodes["h1"]
+        process.send_signal(signal.SIGTERM)
+        answers = await asyncio.gather(*tasks)
+        assert [answer.code for answer in answers] == [200, 503]
+        assert await process.wait(5.0) == 0
+
+    run(scenario, tmp_path)
+
+
 def test_large_answer_to_a_slow_reader_survives_a_stop(tmp_path):
     """Guards against an answer that is cut because it was not sent before the exit."""
 
