Answer a read that waits for its confirmation at a stop as not run

Cause: it was answered as unknown, so its entry node did not route it again.

Change: such a read is handled like one whose endpoint does not satisfy it.

Result: the test of a read in confirmation fails before and passes after; that of a running read passes in both.

--- a/hyssopshelf/statements/stop.py
+++ b/hyssopshelf/statements/stop.py
@@ -31,6 +31,12 @@
         connection = served.connection
         board.act(base.CloseConnection(connection=connection))
         completion.receive_closed(board, connection, now)
+    elif (
+        served.state is blackboard.ServedState.CONFIRMING
+        and served.statement.operation is messages.Operation.GET
+    ):
+        board.pending_confirmations.pop(served.id, None)
+        completion.finish_behind(board, served)
     elif served.state is blackboard.ServedState.CONFIRMING:
         completion.expire_request(board, served, now)
     else:
--- a/hyssopshelf/statements/tests/test_stop.py
+++ b/hyssopshelf/statements/tests/test_stop.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from hyssopshelf import base, exceptions, messages
+from hyssopshelf import base, blackboard, exceptions, messages
 from tests import test_node
 
 NOT_RUN = exceptions.ErrorKind.NOT_RUN
@@ -77,6 +77,27 @@
     assert fleet.answers[caller].error is UNKNOWN
 
 
+@pytest.mark.parametrize(
+    "state", [blackboard.ServedState.RUNNING, blackboard.ServedState.CONFIRMING]
+)
+def test_read_is_not_run(fleet, state):
+    """Guards against a read that is not repeated although it has no effect."""
+    serving, _ = find_hosts(fleet)
+    fleet.send_statement(serving, operation=APPEND, value="warm")
+    caller = send(
+        fleet,
+        serving,
+        operation=messages.Operation.GET,
+        consistency=messages.Consistency.STRONG,
+    )
+    (served,) = fleet.nodes[serving].board.served.values()
+    while served.state is not state:
+        fleet.now, _, call = heapq.heappop(fleet.queue)
+        call()
+    stop(fleet, serving)
+    assert fleet.answers[caller].error is NOT_RUN
+
+
 def test_statement_at_another_node_is_unknown_and_cancelled(fleet):
     """Guards against a forwarded statement without an answer at its entry node."""
     serving, entry = find_hosts(fleet)
