Install the signal handlers of a node before it listens

Cause: a signal between listening and the installation of the handlers ended the process at once, with connections of clients waiting to be accepted. No test brings this about; the interval has no other work in it.

Change: the handlers come first. A case of the deadline test sends further signals during the drain; it passes with the order before too.

--- a/hyssopshelf/runtime/daemon.py
+++ b/hyssopshelf/runtime/daemon.py
@@ -81,6 +81,10 @@
     A node stops on SIGTERM, on SIGINT, on an operator's drain request or after a
     violated invariant.
     """
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
     engine = make_engine(values)
     connections = closing.ClientConnections()
 
@@ -95,10 +99,6 @@
     address, _, port = values.listen.rpartition(":")
     http.listen(int(port), address.strip("[]"))
     engine.start()
-    stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
     while not (stopping.is_set() or engine.core.board.draining or engine.failed):
         await asyncio.sleep(STOP_CHECK_INTERVAL_SECONDS)
     stop_by = loop.time() + values.drain_seconds
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -276,7 +276,8 @@
     run(scenario, tmp_path, nodes=3)
 
 
-def test_statements_open_at_the_drain_deadline_are_answered(tmp_path):
+@pytest.mark.parametrize("repeated", [(), (signal.SIGTERM, signal.SIGINT)])
+def test_statements_open_at_the_drain_deadline_are_answered(tmp_path, repeated):
     """Guards against connections closed under statements that still run."""
 
     async def scenario(fleet):
@@ -293,6 +294,9 @@
         await asyncio.sleep(0.5)
         process = fleet.nodes["h1"]
         process.send_signal(signal.SIGTERM)
+        for number in repeated:
+            await asyncio.sleep(0.3)
+            process.send_signal(number)
         status = await process.wait(5.0)
         answers = await asyncio.gather(*tasks, return_exceptions=True)
         assert [getattr(answer, "error", answer) for answer in answers] == [UNKNOWN] * 2
