--- a/hyssopshelf/client/session.py
+++ b/hyssopshelf/client/session.py
@@ -247,14 +247,14 @@
             timeout = deadline - time.monotonic() + ANSWER_MARGIN_SECONDS
             answer = await asyncio.wait_for(connection.exchange(statement), timeout)
         except (TimeoutError, OSError) as error:
-            await self._disconnect()
+            self._replace_connection(connection)
             raise exceptions.AnswerError(
                 exceptions.ErrorKind.OUTCOME_UNKNOWN,
                 f"no answer from the proxy: {error!r}",
             ) from error
         if answer.error is not None:
             if answer.error is exceptions.ErrorKind.UNAVAILABLE:
-                await self._disconnect()
+                self._replace_connection(connection)
             raise exceptions.AnswerError(
                 answer.error, answer.message, answer.retry_after_seconds
             )
@@ -276,6 +276,12 @@
             exceptions.ErrorKind.UNAVAILABLE, "no proxy is reachable"
         )
 
+    def _replace_connection(self, connection: "_ProxyConnection") -> None:
+        """Use another connection from now on; the old one closes after its answers."""
+        if self._connection is connection:
+            self._connection = None
+        connection.retire()
+
     async def _disconnect(self) -> None:
         if self._connection is not None:
             self._connection.close()
@@ -289,6 +295,7 @@
         self.proxy = proxy
         self._socket = socket
         self._pending_answers: dict[str, asyncio.Future] = {}
+        self._retired = False
         self._reader = asyncio.ensure_future(self._read())
 
     @property
@@ -301,12 +308,27 @@
         try:
             data = messages.to_json(statement).decode()
             try:
-                await self._socket.write_message(data)
+                written = self._socket.write_message(data)
+            except tornado.websocket.WebSocketClosedError as error:
+                raise exceptions.AnswerError(
+                    exceptions.ErrorKind.NOT_RUN,
+                    "the connection closed before the request was sent",
+                ) from error
+            try:
+                await written
             except tornado.websocket.WebSocketClosedError as error:
                 raise ConnectionError("connection to the proxy closed") from error
             return await future
         finally:
             self._pending_answers.pop(statement.id, None)
+            if self._retired and not self._pending_answers:
+                self.close()
+
+    def retire(self) -> None:
+        """Close the connection as soon as no request waits for its answer."""
+        self._retired = True
+        if not self._pending_answers:
+            self.close()
 
     def close(self) -> None:
         socket, self._socket = self._socket, None
@@ -323,7 +345,16 @@
         self.close()
         for future in self._pending_answers.values():
             if not future.done():
-                future.set_exception(ConnectionError("connection to the proxy closed"))
+                future.set_exception(self._make_error(socket.close_code))
+
+    def _make_error(self, close_code: int | None) -> Exception:
+        """Return the error of requests whose connection closed with a code."""
+        if close_code == messages.STOPPING_CLOSE_CODE:
+            return exceptions.AnswerError(
+                exceptions.ErrorKind.NOT_RUN,
+                f"the proxy {self.proxy} stopped before it read the request",
+            )
+        return ConnectionError("connection to the proxy closed")
 
 
 async def _connect(proxy: str) -> _ProxyConnection:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -27,9 +27,9 @@
     asyncio.run(main())
 
 
-async def read_values(fleet, key: str) -> list[str]:
+async def read_values(fleet, key: str, *hosts: str) -> list[str]:
     """Return the appended values of a key by a strong read."""
-    session = fleet.make_session(timeout_seconds=20.0)
+    session = fleet.make_session(*hosts, timeout_seconds=20.0)
     answer = await session.get(
         key, kind="scan", consistency=messages.Consistency.STRONG
     )
