Add a failing test of a client that connects as listening stops

asyncio creates the transport of an accepted socket one turn of the loop later, and fails if the server is closed by then; nobody closes the socket. The client waits without READY or an end.

--- a/hyssopshelf/gateway/tests/test_stop_review.py
+++ b/hyssopshelf/gateway/tests/test_stop_review.py
@@ -1,12 +1,13 @@
 """Tests of faults that the review of graceful stops found."""
 
 import asyncio
+import socket
 
 import attrs
 import pytest
 
 from hyssopshelf import clocks, exceptions
-from hyssopshelf.gateway import endpoint_connections, sessions, statements
+from hyssopshelf.gateway import endpoint_connections, server, sessions, statements
 from hyssopshelf.gateway.tests import (
     test_client_connections,
     test_forwarding,
@@ -101,3 +102,25 @@
         assert transport.ended != ""
 
     asyncio.run(scenario())
+
+
+# A client that connected as the node stopped listening got neither an answer nor a
+# close; its socket was accepted and then kept by nobody.
+def test_a_client_that_connects_as_listening_stops_is_refused():
+    async def scenario():
+        clients = server.ClientServer(
+            gateway=test_client_connections.make_gateway(),
+            codec=test_client_connections.FakeCodec(),
+            limit=1_000_000,
+        )
+        await clients.listen("127.0.0.1:0")
+        address = clients._server.sockets[0].getsockname()
+        with socket.create_connection(address) as client:
+            client.sendall(b"START orders\r\n")
+            client.setblocking(False)
+            await clients.start_closing()
+            async with asyncio.timeout(1.0):
+                received = await asyncio.get_running_loop().sock_recv(client, 100)
+        assert received == b"unavailable"
+
+    asyncio.run(scenario())
