Add a failing test of a write that a stopping holder gives up once it is sent

The interruption takes effect one turn of the loop after it was decided; a slot that is free in between lets the work be sent.

--- a/hyssopshelf/gateway/tests/test_stop_review.py
+++ b/hyssopshelf/gateway/tests/test_stop_review.py
@@ -124,3 +124,45 @@
         assert received == b"unavailable"
 
     asyncio.run(scenario())
+
+
+class GatedConnection(test_retries.FakeConnection):
+    """Answers the first message of a holder when it is told to."""
+
+    def __init__(self, *, endpoint, gate: asyncio.Event) -> None:
+        super().__init__(endpoint=endpoint, answer_after=0.0)
+        self.gate = gate
+
+    async def run(self, state, shape, build_message, deadline):
+        if self.gate.is_set():
+            self.answer_after = 0.02
+        await self.gate.wait()
+        return await super().run(state, shape, build_message, deadline)
+
+
+# A stopping holder gave up a waiting write just after it had been sent: its client got
+# INDOUBT, long before an answer was due.
+@pytest.mark.parametrize("turns", range(6))
+def test_work_that_a_stop_hands_back_is_not_sent(monkeypatch, turns):
+    async def scenario():
+        holder, answers = test_forwarding.make_holder(monkeypatch, 0.0)
+        gate = asyncio.Event()
+
+        async def open_connection(endpoint, codec, seconds, customer=""):
+            return GatedConnection(endpoint=endpoint, gate=gate)
+
+        monkeypatch.setattr(endpoint_connections, "open_connection", open_connection)
+        test_retries.grant_primary(holder.gateway, "one", 1)
+        for unit in (1, 2):
+            holder.receive_forward(test_forwarding.make_write(unit), "entry", "entry:1")
+            await asyncio.sleep(0.01)
+        gate.set()
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        holder.gateway.stop = test_stopping_holder.LATE
+        holder.advance_stop(clocks.read_clock())
+        await asyncio.sleep(0.1)
+        assert len(answers) == 2
+        assert not [a for a in answers if a.failure and a.sent]
+
+    asyncio.run(scenario())
