Close listening sockets only after what they accepted is connected

Callers would see: a client that connects as a stopping node stops to listen got neither an answer nor a close. Cause: the event loop makes a connection of an accepted socket one turn later, which fails if the server was closed meanwhile; the socket was forgotten. Change: nothing is accepted any more for two turns before the sockets are closed.

--- a/hyssopshelf/gateway/server.py
+++ b/hyssopshelf/gateway/server.py
@@ -62,6 +62,13 @@
     async def start_closing(self) -> None:
         """Accept no further clients and begin to close quiet sessions."""
         self.closing = True
+        # Clients that have connected are accepted, and what was accepted becomes a
+        # connection, before the sockets are closed.
+        await client_connections.receive_pending()
+        if self._server is not None:
+            loop = asyncio.get_running_loop()
+            for listening in self._server.sockets:
+                loop.remove_reader(listening)
         await client_connections.receive_pending()
         self.stop_listening()
 
