Send no forwarded work that a stop is about to give up

Callers would see: INDOUBT for a write that was sent to its endpoint and given up one turn of the loop later. Cause: an interruption takes effect one turn later; work that got its slot in between was sent all the same. Change: the holder looks at the stop again right before it sends.

--- a/hyssopshelf/gateway/forwarding.py
+++ b/hyssopshelf/gateway/forwarding.py
@@ -327,6 +327,10 @@
             state.values.update(connection.state.values)
         reply = valid_reply = None
         try:
+            if not self.gateway.may_start_work():
+                raise endpoint_connections.EndpointConnectionError(
+                    remote_pools.STOPPING_REASON, sent=False
+                )
             self._check_primary(message, sent=False)
             running.sent = True
             reply = await self._send_to_endpoint(message, connection, state, deadline)
