--- a/hyssopshelf/gateway/forwarding.py
+++ b/hyssopshelf/gateway/forwarding.py
@@ -282,6 +282,9 @@
             answer = forwarded_steps.make_failure(
                 message.unit, message.step, failure, sent=sent
             )
+        finally:
+            # An interruption comes too late from here on.
+            running.time_limit = None
         if answer.failure or answer.reason:
             forwarded_steps.log_failure(answer, message.endpoint, key[0])
         self.send(key[0], running.address, answer)
@@ -292,7 +295,7 @@
         """Send the message to the endpoint and return the answer."""
         gateway, message = self.gateway, running.message
         started_at = clocks.read_clock()
-        deadline = self._cap(started_at + message.remaining)
+        deadline = self.gateway.cap_deadline(started_at + message.remaining)
         state = session_state.SessionState(values=dict(message.values or ()))
         pinned = self._pinned.pop(key, None)
         if pinned is not None:
@@ -305,23 +308,7 @@
                 )
             pool, connection = gateway.get_local_pool(endpoint), None
         try:
-            if connection is None:
-                checkout = await gateway.acquire_from(
-                    pool,
-                    message.rank,
-                    deadline,
-                    state,
-                    version=message.version,
-                    customer=forwarded_steps.find_customer(message),
-                )
-            else:
-                checkout = await pool.acquire(
-                    message.rank,
-                    deadline,
-                    state,
-                    connection,
-                    customer=forwarded_steps.find_customer(message),
-                )
+            checkout = await self._acquire(message, pool, connection, state, deadline)
         except BaseException as error:
             if connection is not None:
                 pool.discard_connection(connection)
@@ -340,6 +327,10 @@
             state.values.update(connection.state.values)
         reply = valid_reply = None
         try:
+            if not self.gateway.may_start_work():
+                raise endpoint_connections.EndpointConnectionError(
+                    remote_pools.STOPPING_REASON, sent=False
+                )
             self._check_primary(message, sent=False)
             running.sent = True
             reply = await self._send_to_endpoint(message, connection, state, deadline)
@@ -364,10 +355,35 @@
             position=tuple(reply.position) if reply.position is not None else None,
         )
 
-    def _cap(self, deadline: float) -> float:
-        """Return a deadline that leaves time to answer before this node stops."""
-        stop = self.gateway.stop
-        return deadline if stop is None else stop.cap(deadline)
+    async def _acquire(
+        self, message: forward_messages.Forward, pool, connection, state, deadline
+    ) -> connection_pools.Checkout:
+        """Wait for a slot and a connection, no longer than the entry node waits.
+
+        The queue removes work a little after its deadline; the entry node would not
+        learn that it was not sent.
+        """
+        customer = forwarded_steps.find_customer(message)
+        if connection is None:
+            work = self.gateway.acquire_from(
+                pool,
+                message.rank,
+                deadline,
+                state,
+                version=message.version,
+                customer=customer,
+            )
+        else:
+            work = pool.acquire(
+                message.rank, deadline, state, connection, customer=customer
+            )
+        try:
+            async with asyncio.timeout(max(0.0, deadline - clocks.read_clock())):
+                return await work
+        except TimeoutError as error:
+            raise connection_pools.RefusalError(
+                _KIND.REFUSED, "cannot start before its deadline"
+            ) from error
 
     def _make_answer(
         self, message: forward_messages.Forward, queued: float, **fields
