Add a failing test of a forwarded COMMIT that is not sent

A holder's queue refuses work as REFUSED, which counts as run in a transaction, so the client gets INDOUBT and must not repeat the transaction. No instance reports REFUSED.

--- a/hyssopshelf/gateway/tests/test_stop_review.py
+++ b/hyssopshelf/gateway/tests/test_stop_review.py
@@ -7,7 +7,15 @@
 import pytest
 
 from hyssopshelf import clocks, exceptions
-from hyssopshelf.gateway import endpoint_connections, server, sessions, statements
+from hyssopshelf.gateway import (
+    endpoint_connections,
+    remote_pools,
+    server,
+    session_state,
+    sessions,
+    statements,
+    transactions,
+)
 from hyssopshelf.gateway.tests import (
     test_client_connections,
     test_forwarding,
@@ -166,3 +174,38 @@
         assert not [a for a in answers if a.failure and a.sent]
 
     asyncio.run(scenario())
+
+
+# A COMMIT that waited in its holder's queue up to its deadline was not sent, but its
+# client was told that the outcome is unknown, so it could not repeat the transaction.
+def test_a_forwarded_commit_that_is_not_sent_has_a_known_outcome(monkeypatch):
+    async def scenario():
+        holder, _, opened = test_restarted_entry.make_holder(monkeypatch)
+        entry = test_restarted_entry.EntryNode(holder.gateway)
+        test_stopping_holder.connect(entry, ("holder", holder))
+        remote = test_stopping_holder.start_unit(entry)
+        await test_stopping_holder.run_step(remote)
+        pool = holder.gateway.connection_pools["one"]
+        pool.view = attrs.evolve(pool.view, slots=1)
+        await pool.acquire(0, clocks.read_clock() + 5.0, session_state.SessionState())
+        node_gateway = test_retries.make_gateway()
+        test_retries.grant_primary(node_gateway, "one", 1)
+        session = sessions.Session(gateway=node_gateway, name="db")
+        session.transaction = transactions.Transaction(
+            read_only=False,
+            route=session.find_route(),
+            pool=remote_pools.RemotePool(
+                endpoint=remote.endpoint, forwarder=entry.forwarder
+            ),
+            connection=remote,
+            grant_version=1,
+            wrote=True,
+        )
+        commit = statements.Request(
+            id=b"1", text=b"COMMIT", statement=statements.Commit()
+        )
+        reply = await session.answer(commit)
+        assert opened[0].closed
+        assert reply.error is _KIND.ABORTED
+
+    asyncio.run(scenario())
