Tell a COMMIT that its holder refused from one of unknown outcome

Callers saw: INDOUBT for a COMMIT that waited in the queue of a holder and was never sent, so the transaction could not be repeated; also without a stop. Cause: REFUSED, which only queues report, counted as run in a transaction. Change: it counts as not run; the holder has rolled the transaction back.

--- a/hyssopshelf/gateway/transactions.py
+++ b/hyssopshelf/gateway/transactions.py
@@ -13,6 +13,9 @@
 
 _KIND = exceptions.ErrorKind
 
+_NOT_COMMITTED = execution.NOT_RUN | {_KIND.REFUSED}
+"""Errors of a COMMIT that did not run; only the queue of a holder reports REFUSED."""
+
 
 @attrs.define(kw_only=True)
 class Transaction:
@@ -85,7 +88,7 @@
         session.trace.endpoint = transaction.pool.endpoint.id
         return reply
     session.abort()
-    if commits_writes and reply.error not in execution.NOT_RUN:
+    if commits_writes and reply.error not in _NOT_COMMITTED:
         return execution.make_error(_KIND.OUTCOME_UNKNOWN, reply.error.value)
     return execution.make_error(_KIND.ABORTED, reply.error.value)
 
