End the product's own node without the interpreter's finalization

Suspected cause: the close of connections that the HTTP server waits for without a limit, or the finalization of the interpreter with the transport's threads, which was shown to be slow for the node on the users' platform.

--- a/hyssopshelf/runtime/daemon.py
+++ b/hyssopshelf/runtime/daemon.py
@@ -8,7 +8,7 @@
 
 import tornado.httpserver
 
-from hyssopshelf import base, blackboard, exceptions, logs, node
+from hyssopshelf import background, base, blackboard, exceptions, logs, node
 from hyssopshelf.runtime import closing, hostlist, resources, server, settings, store
 from hyssopshelf.runtime import engine as engines
 
@@ -42,7 +42,10 @@
         print("settings are valid")
         return
     logs.configure(form=values.log_format, level=values.log_level)
-    sys.exit(asyncio.run(run_node(values)))
+    status = asyncio.run(run_node(values))
+    logs.flush()
+    # The finalization of the interpreter may take longer than the process has left.
+    os._exit(status)
 
 
 def make_engine(values: settings.Settings) -> engines.Engine:
@@ -112,7 +115,11 @@
     flushed = await connections.flush(stop_by - reserve / 2)
     await connections.close(min(stop_by, loop.time() + CLOSE_SECONDS))
     engine.stop()
-    await http.close_all_connections()
+    try:
+        async with asyncio.timeout_at(stop_by):
+            await http.close_all_connections()
+    except TimeoutError as error:
+        background.log_failure(http.close_all_connections, error)
     return 0 if drained and flushed else EXIT_DRAIN_TIMEOUT
 
 
