--- a/hyssopshelf/gateway/tests/test_stop_review.py
+++ b/hyssopshelf/gateway/tests/test_stop_races.py
@@ -1,4 +1,4 @@
-"""Tests of faults that the review of graceful stops found."""
+"""Tests of graceful stops that meet work as it starts or ends."""
 
 import asyncio
 import socket
