Log answers that could not be written as their client has gone

Cause: the new handlers of the product's own node dropped the errors of closed connections without a line, and so did the one of websocket answers before. Change: each writes event 801, bounded as lines about requests are.

--- a/hyssopshelf/runtime/closing.py
+++ b/hyssopshelf/runtime/closing.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from hyssopshelf import messages
+from hyssopshelf import logs, messages
 
 CHECK_INTERVAL_SECONDS = 0.01
 """Interval between checks whether all clients have closed, in seconds."""
@@ -63,6 +63,12 @@
 
     def _remove_answer(self, future: asyncio.Future) -> None:
         self._unsent.discard(future)
-        if not future.cancelled():
-            # A client that has gone receives no answer; that is no error here.
-            future.exception()
+        if not future.cancelled() and future.exception() is not None:
+            log_unread_answer(future.exception())
+
+
+def log_unread_answer(error: BaseException) -> None:
+    """Log an answer that could not be written, as its client has gone."""
+    logs.write_request(
+        logs.LogEvent.ANSWER_DROPPED, {"reason": f"the client has gone: {error!r}"}
+    )
--- a/hyssopshelf/runtime/resources.py
+++ b/hyssopshelf/runtime/resources.py
@@ -14,6 +14,7 @@
 
 from hyssopshelf import exceptions
 from hyssopshelf.configuration import declarations, documents, requests, resources
+from hyssopshelf.runtime import closing
 
 DEFAULT_TIME_LIMIT_SECONDS = 5.0
 """Default time limit of a request, in seconds."""
@@ -78,9 +79,8 @@
         written = self.answer(await self.submit(request))
         try:
             await written
-        except tornado.iostream.StreamClosedError:
-            # The client has gone; nobody waits for the answer.
-            return
+        except tornado.iostream.StreamClosedError as error:
+            closing.log_unread_answer(error)
 
     def read_time_limit(self) -> float:
         """Return the time limit of the request, in seconds.
--- a/hyssopshelf/runtime/server.py
+++ b/hyssopshelf/runtime/server.py
@@ -116,9 +116,8 @@
             self.set_header("Connection", "close")
         try:
             await self.finish(messages.to_json(answer))
-        except tornado.iostream.StreamClosedError:
-            # The client has gone and was removed as a caller.
-            return
+        except tornado.iostream.StreamClosedError as error:
+            closing.log_unread_answer(error)
 
 
 class HealthHandler(tornado.web.RequestHandler):
