Tell a statement that its transaction was idle for too long

Callers saw: after the operators' limit on idle transactions the next statement got MALFORMED, which promises nothing, although the last READY had said T; the client could not repeat a transaction of which nothing is kept. Cause: ClientServer.abort_idle_transactions gave no reason to Session.abort, so the session took it that a statement of the client had failed and been told. Change: the rollback has a reason, as the one of a stop has; its text is the one that COMMIT gave before. The next statement gets ABORTED in state E, those after it MALFORMED until COMMIT or ROLLBACK, as the protocol says.

--- a/hyssopshelf/gateway/server.py
+++ b/hyssopshelf/gateway/server.py
@@ -121,7 +121,7 @@
                     logs.LogEvent.TRANSACTION_TOO_IDLE,
                     {"name": session.name, "limit": limit},
                 )
-                session.abort()
+                session.abort(sessions.FAILED_REASON)
 
     def update_buffered(
         self, connection: client_connections.ClientConnection, count: int
--- a/hyssopshelf/gateway/sessions.py
+++ b/hyssopshelf/gateway/sessions.py
@@ -19,6 +19,9 @@
 STOPPING_REASON = "this node is stopping"
 """Explanation of the errors that a graceful stop of this node causes."""
 
+FAILED_REASON = "the transaction had failed"
+"""Explanation of the errors in a transaction that was rolled back before."""
+
 ROLLBACK_SECONDS = 1.0
 """Time limit of a rollback, after which the connection is closed instead."""
 
@@ -262,7 +265,7 @@
 @run.register
 async def _run_commit(statement: statements.Commit, session, request):
     if session.failed:
-        reason = session.abort_reason or "the transaction had failed"
+        reason = session.abort_reason or FAILED_REASON
         session.end_failed()
         return execution.make_error(_KIND.ABORTED, reason)
     transaction = session.transaction
--- a/hyssopshelf/gateway/tests/test_client_connections.py
+++ b/hyssopshelf/gateway/tests/test_client_connections.py
@@ -302,6 +302,40 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    ("statement", "expected", "status"),
+    [
+        (statements.Access(writes=True), _KIND.ABORTED, "E"),
+        (statements.SetValue(name=b"a", value=b"b"), _KIND.ABORTED, "E"),
+        (statements.Commit(), _KIND.ABORTED, "I"),
+        (statements.Rollback(), None, "I"),
+    ],
+)
+def test_a_transaction_that_was_idle_too_long_is_told_by_a_promise(
+    statement, expected, status
+):
+    """Guards against MALFORMED, after which a client may not repeat its writes."""
+
+    async def scenario():
+        clients, connection, _ = connect()
+        configuration = test_session_start.make_configuration("orders")
+        clients.gateway.apply_configuration(configuration)
+        session = sessions.Session(gateway=clients.gateway, name="orders")
+        connection.session = session
+        session.transaction = transactions.Transaction(read_only=False, route=ROUTE)
+        limit = configuration.limits.idle_transaction_seconds
+        clients.abort_idle_transactions(limit)
+        assert session.status == "T"
+        clients.abort_idle_transactions(limit + 1.0)
+        request = statements.Request(id=b"1", text=b"", statement=statement)
+        assert (await session.answer(request)).error is expected
+        assert session.status == status
+        if status == "E":
+            assert (await session.answer(request)).error is _KIND.BAD_REQUEST
+
+    asyncio.run(scenario())
+
+
 def test_no_work_starts_late_in_a_stop():
     async def scenario():
         node_gateway = make_gateway()
