Keep an error at one element of a stop from the others

Callers could lose: an unexpected error at one client or forwarded unit ended the step of the stop, in each step anew; the requests after it were neither interrupted nor answered, sessions not closed, and the exit cut them. Cause: ClientServer.advance_stop and Forwarder.advance_stop looped over their elements without a guard; only the whole step was guarded. Evidence: the new tests failed before, five cases, each in 5 of 5 runs; all elements after the failing one were left. The close of quiet sessions of an isolated node shares the guard.

--- a/hyssopshelf/gateway/forwarding.py
+++ b/hyssopshelf/gateway/forwarding.py
@@ -194,25 +194,29 @@
     def advance_stop(self, now: float) -> None:
         """Give up the work of other nodes as the schedule of a stop asks for.
 
-        Their clients get an answer that says what became of it.
+        Their clients get an answer that says what became of it. A unit for which that
+        fails does not keep it from the others.
         """
         schedule = self.gateway.stop
         if schedule.may_start(now):
             return
         for running in self._running.values():
             if not running.sent or now >= schedule.answer_by:
-                running.interrupt()
+                background.call_logged(running.interrupt)
         for key, pinned in list(self._pinned.items()):
             if key not in self._running:
-                self._discard_pinned(key)
-                endpoint = pinned.pool.endpoint.id
-                self._refuse(key, pinned.step, endpoint, pinned.address)
+                background.call_logged(self._hand_back, key, pinned)
 
     def cancel_units(self) -> None:
         """Tell the holders to end what this node has open there."""
         for remote in list(self._units.values()):
             remote.close()
 
+    def _hand_back(self, key, pinned: forwarded_steps.PinnedUnit) -> None:
+        """End a unit between two messages and tell its entry node."""
+        self._discard_pinned(key)
+        self._refuse(key, pinned.step, pinned.pool.endpoint.id, pinned.address)
+
     def _refuse(self, key, step: int, endpoint: str, address: str) -> None:
         """Tell an entry node that this holder runs no more of a unit."""
         host, unit = key
--- a/hyssopshelf/gateway/server.py
+++ b/hyssopshelf/gateway/server.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from hyssopshelf import clocks, logs
+from hyssopshelf import background, clocks, logs
 from hyssopshelf.gateway import client_connections, memory, sessions
 
 QUIET_SECONDS = 0.05
@@ -75,6 +75,8 @@
     async def advance_stop(self, now: float) -> int:
         """Close, roll back or answer what the schedule of the stop asks for.
 
+        A connection for which that fails does not keep it from the others.
+
         Returns
         -------
         int
@@ -86,7 +88,7 @@
         if now < schedule.answer_by:
             return await self.close_quiet(until=schedule.exit_at)
         for connection in self.connections:
-            connection.interrupt()
+            background.call_logged(connection.interrupt)
         return await self.close_quiet(0.0, until=schedule.exit_at)
 
     def must_close(self) -> bool:
@@ -104,7 +106,7 @@
             session = connection.session
             if connection.working or session is None or session.transaction is None:
                 continue
-            session.abort(sessions.STOPPING_REASON)
+            background.call_logged(session.abort, sessions.STOPPING_REASON)
 
     def abort_idle_transactions(self, now: float) -> None:
         """Roll back transactions that are idle for longer than the operator allows."""
@@ -171,5 +173,5 @@
                 if clocks.read_clock() >= until:
                     break
             if connection.is_quiet(seconds):
-                connection.close()
+                background.call_logged(connection.close)
         return len(self.connections)
--- a/hyssopshelf/gateway/tests/test_stop_races.py
+++ b/hyssopshelf/gateway/tests/test_stop_races.py
@@ -6,9 +6,10 @@
 import attrs
 import pytest
 
-from hyssopshelf import clocks, exceptions
+from hyssopshelf import background, clocks, exceptions
 from hyssopshelf.gateway import (
     endpoint_connections,
+    forwarded_steps,
     remote_pools,
     server,
     session_state,
@@ -209,3 +210,103 @@
         assert reply.error is _KIND.ABORTED
 
     asyncio.run(scenario())
+
+
+@pytest.fixture
+def failures(monkeypatch):
+    """Return the failures that are logged."""
+    found = []
+    monkeypatch.setattr(
+        background, "log_failure", lambda work, error: found.append(repr(error))
+    )
+    return found
+
+
+def fail(*_):
+    raise RuntimeError("defect")
+
+
+@pytest.mark.parametrize(
+    ("method", "elapsed", "is_done"),
+    [
+        ("interrupt", 5.1, lambda c: c._transport.written == b"unavailable "),
+        ("close", 5.1, lambda c: c._transport.ended == "end of stream"),
+        ("abort", 3.1, lambda c: c.session.status == "E"),
+    ],
+)
+def test_a_client_whose_step_fails_does_not_hold_up_others(
+    failures, method, elapsed, is_done
+):
+    """Guards against requests cut by the exit because of an error at another client."""
+
+    async def scenario():
+        clients, *_ = test_client_connections.connect()
+        clients.connections.clear()
+        for _ in range(5):
+            _, connection, _ = test_client_connections.connect(seconds=10.0)
+            connection.server = clients
+            clients.connections.add(connection)
+            if method == "interrupt":
+                connection.data_received(b"1\r\n")
+            if method == "abort":
+                connection.session.transaction = transactions.Transaction(
+                    read_only=False, route=test_client_connections.ROUTE
+                )
+        await asyncio.sleep(0)
+        first, *others = clients.connections
+        setattr(first.session if method == "abort" else first, method, fail)
+        now = test_client_connections.stop(clients, elapsed=elapsed)
+        await background.wait_logged(clients.advance_stop(now))
+        await asyncio.sleep(0.02)
+        assert failures == ["RuntimeError('defect')"]
+        assert [is_done(connection) for connection in others] == [True] * 4
+
+    asyncio.run(scenario())
+
+
+def test_a_forwarded_step_that_fails_in_a_stop_does_not_hold_up_others(
+    monkeypatch, failures
+):
+    """Guards against work cut by the exit because of an error at other work."""
+    interrupt = forwarded_steps.RunningStep.interrupt
+
+    def interrupt_second(running):
+        (fail if running.message.unit == 1 else interrupt)(running)
+
+    async def scenario():
+        holder, answers = test_forwarding.make_holder(monkeypatch, None)
+        test_retries.grant_primary(holder.gateway, "one", 1)
+        for unit in (1, 2):
+            holder.receive_forward(test_forwarding.make_write(unit), "entry", "entry:1")
+        await asyncio.sleep(0.02)
+        monkeypatch.setattr(forwarded_steps.RunningStep, "interrupt", interrupt_second)
+        holder.gateway.stop = test_stopping_holder.PAST
+        background.call_logged(holder.advance_stop, clocks.read_clock())
+        await asyncio.sleep(0.02)
+        assert failures == ["RuntimeError('defect')"]
+        assert [answer.unit for answer in answers] == [2]
+
+    asyncio.run(scenario())
+
+
+def test_a_transaction_that_fails_to_end_in_a_stop_does_not_hold_up_others(
+    monkeypatch, failures
+):
+    """Guards against an entry node that waits for an ended transaction."""
+
+    async def scenario():
+        holder, answers, opened = test_restarted_entry.make_holder(monkeypatch)
+        for unit in (1, 2):
+            holder.receive_forward(test_forwarding.make_write(unit), "entry", "entry:1")
+        await asyncio.sleep(0.02)
+        assert len(holder._pinned) == 2
+        opened[0].close = fail
+        holder.gateway.stop = test_stopping_holder.LATE
+        background.call_logged(holder.advance_stop, clocks.read_clock())
+        assert failures == ["RuntimeError('defect')"]
+        assert [(a.unit, a.failure) for a in answers[2:]] == [
+            (2, remote_pools.STOPPING_REASON)
+        ]
+        assert opened[1].closed
+
+    asyncio.run(scenario())
