Keep the start of a stop in its schedule alone

ClientServer.stopping_since repeated the time from which the schedule of the stop was planned. ClientServer.closing stays: it says that the listener has begun to close, which follows close_quiet_at by another clock and one turn of the loop later.

--- a/hyssopshelf/gateway/client_connections.py
+++ b/hyssopshelf/gateway/client_connections.py
@@ -201,12 +201,12 @@
         """Count and log the open request, whose client will get no answer."""
         if self.open_request is None:
             return
-        server = self.server
-        server.gateway.metrics.requests_cut[decided_by] += 1
+        gateway = self.server.gateway
+        gateway.metrics.requests_cut[decided_by] += 1
         now = clocks.read_clock()
         stop_ms = None
-        if server.stopping_since is not None:
-            stop_ms = round(1000 * (now - server.stopping_since))
+        if gateway.stop is not None:
+            stop_ms = round(1000 * (now - gateway.stop.started_at))
         request = self.open_request.request
         logs.write_request(
             logs.LogEvent.REQUEST_CUT,
--- a/hyssopshelf/gateway/server.py
+++ b/hyssopshelf/gateway/server.py
@@ -28,8 +28,6 @@
 
     Attributes
     ----------
-    stopping_since : float or None
-        Clock time at which the process was told to stop, in seconds.
     closing : bool
         Whether no session is opened any more, and quiet ones are closed.
     """
@@ -39,7 +37,6 @@
         self.codec = codec
         self.budget = memory.BufferBudget(limit=limit)
         self.connections: set[client_connections.ClientConnection] = set()
-        self.stopping_since: float | None = None
         self.closing = False
         self._server: asyncio.Server | None = None
 
--- a/hyssopshelf/gateway/shutdown.py
+++ b/hyssopshelf/gateway/shutdown.py
@@ -27,6 +27,8 @@
 
     Attributes
     ----------
+    started_at : float
+        Time at which the process was told to stop.
     close_quiet_at : float
         From when on sessions are closed that have had no work for a while.
     last_start_at : float
@@ -37,6 +39,7 @@
         Time at which the process ends at the latest.
     """
 
+    started_at: float
     close_quiet_at: float
     last_start_at: float
     answer_by: float
@@ -62,6 +65,7 @@
     answer_by = now + ANSWER_SHARE * grace_seconds
     close_quiet_at = min(now + OUT_OF_ROTATION_SECONDS, answer_by)
     return StopSchedule(
+        started_at=now,
         close_quiet_at=close_quiet_at,
         last_start_at=max(now + START_SHARE * grace_seconds, close_quiet_at),
         answer_by=answer_by,
--- a/hyssopshelf/gateway/tests/test_stopping_holder.py
+++ b/hyssopshelf/gateway/tests/test_stopping_holder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import attrs
 import pytest
 
 from hyssopshelf import clocks
@@ -15,13 +16,15 @@
 from hyssopshelf.gateway.tests import test_forwarding, test_restarted_entry
 
 LATE = shutdown.StopSchedule(
-    close_quiet_at=0.0, last_start_at=0.0, answer_by=float("inf"), exit_at=float("inf")
+    started_at=0.0,
+    close_quiet_at=0.0,
+    last_start_at=0.0,
+    answer_by=float("inf"),
+    exit_at=float("inf"),
 )
 """A stop so far advanced that no work starts any more."""
 
-PAST = shutdown.StopSchedule(
-    close_quiet_at=0.0, last_start_at=0.0, answer_by=0.0, exit_at=float("inf")
-)
+PAST = attrs.evolve(LATE, answer_by=0.0)
 """A stop so far advanced that all work has to be answered."""
 
 
@@ -29,6 +32,7 @@
     """Return a stop whose answers are due in a number of seconds."""
     now = clocks.read_clock()
     return shutdown.StopSchedule(
+        started_at=now,
         close_quiet_at=now,
         last_start_at=now + seconds,
         answer_by=now + seconds,
--- a/hyssopshelf/gateway/tests/test_waits_for_tokens.py
+++ b/hyssopshelf/gateway/tests/test_waits_for_tokens.py
@@ -74,7 +74,11 @@
         task = asyncio.create_task(host_allowances.take(MILL, 0, now + 1.0))
         await asyncio.sleep(0.01)
         host_allowances.gateway.stop = shutdown.StopSchedule(
-            close_quiet_at=now, last_start_at=now, answer_by=now + 1, exit_at=now + 1
+            started_at=now,
+            close_quiet_at=now,
+            last_start_at=now,
+            answer_by=now + 1,
+            exit_at=now + 1,
         )
         grant(host_allowances, asked[0], 5)
         assert await task is UNAVAILABLE
