End the attempts of a read that a stop interrupts

Callers saw: a write of another node waited at a holder for the slot of a read whose client had its answer already, until the stopping entry node ended, 0.6 s later with a grace period of 6 s. Only reads whose deadline is later than the last answers are concerned, so those that began before SIGTERM on a route whose timeoutMs is above five sixths of graceS; the others end by their own deadline. Cause: an interruption cancelled the request alone. The attempts of a read are tasks, and so is the reservation of its hedge; they went on, and the reservation was never released. Change: a read that is cancelled cancels its attempts, which closes their connections and sends the holder a Cancel, and releases the reservation; else that would take the slot that becomes free.

--- a/hyssopshelf/gateway/autocommit.py
+++ b/hyssopshelf/gateway/autocommit.py
@@ -45,11 +45,24 @@
 
 
 async def _run_read(session, request, shape, route, deadline: float):
-    """Run a read until an endpoint answers it, with a hedge for a late answer."""
+    """Run a read until an endpoint answers it, with a hedge for a late answer.
+
+    If it is cancelled, so are its attempts: other work waits for their slots.
+    """
+    attempts: set[asyncio.Task] = set()
+    try:
+        return await _run_attempts(session, request, shape, route, deadline, attempts)
+    except asyncio.CancelledError:
+        for attempt in attempts:
+            attempt.cancel()
+        raise
+
+
+async def _run_attempts(session, request, shape, route, deadline: float, attempts: set):
+    """Run a read as :func:`_run_read`; open attempts stay in ``attempts``."""
     gateway = session.gateway
     gateway.hedge_budget.deposit()
     retry = execution.make_retry_state(route, reads=True)
-    attempts: set[asyncio.Task] = set()
     reply = execution.make_error(_KIND.UNAVAILABLE)
     for _ in range(execution.MAXIMUM_ATTEMPTS):
         reservation = await _reserve_or_answer(
@@ -100,9 +113,13 @@
         return await reserve_coroutine
     reserving = asyncio.get_running_loop().create_task(reserve_coroutine)
     while not reserving.done():
-        done, _ = await asyncio.wait(
-            {reserving, *attempts}, return_when=asyncio.FIRST_COMPLETED
-        )
+        try:
+            done, _ = await asyncio.wait(
+                {reserving, *attempts}, return_when=asyncio.FIRST_COMPLETED
+            )
+        except asyncio.CancelledError:
+            await _cancel_reservation(reserving)
+            raise
         for attempt in done & attempts:
             attempts.discard(attempt)
             reply = attempt.result()
--- a/hyssopshelf/gateway/tests/test_stopping_holder.py
+++ b/hyssopshelf/gateway/tests/test_stopping_holder.py
@@ -11,9 +11,15 @@
     forward_messages,
     remote_pools,
     session_state,
+    sessions,
     shutdown,
+    statements,
+)
+from hyssopshelf.gateway.tests import (
+    test_forwarding,
+    test_restarted_entry,
+    test_retries,
 )
-from hyssopshelf.gateway.tests import test_forwarding, test_restarted_entry
 
 LATE = shutdown.StopSchedule(
     started_at=0.0,
@@ -269,3 +275,52 @@
         assert not entry.forwarder._units
 
     asyncio.run(scenario())
+
+
+class SilentConnection(test_retries.FakeConnection):
+    """Never answers, and closes when it is given up, as a real connection does."""
+
+    async def run(self, state, shape, build_message, deadline):
+        try:
+            await asyncio.Event().wait()
+        finally:
+            self.close()
+
+
+def test_a_read_that_a_stop_interrupts_frees_its_slot_at_the_holder(monkeypatch):
+    """Guards against other nodes' work that waits for a read nobody waits for."""
+
+    async def scenario():
+        holder, _, opened = test_restarted_entry.make_holder(monkeypatch)
+
+        async def open_connection(endpoint, codec, seconds, customer=""):
+            connection_class = (
+                test_retries.FakeConnection if opened else SilentConnection
+            )
+            opened.append(connection_class(endpoint=endpoint, answer_after=0.0))
+            return opened[-1]
+
+        monkeypatch.setattr(endpoint_connections, "open_connection", open_connection)
+        entry = test_restarted_entry.EntryNode(test_retries.make_gateway())
+        connect(entry, ("holder", holder))
+        node_gateway = entry.forwarder.gateway
+        node_gateway.forwarder = entry.forwarder
+        test_retries.grant_primary(node_gateway, "one", 1)
+        configuration = node_gateway.board.configuration
+        route = attrs.evolve(configuration.routes["db"], statement_seconds=5.0)
+        node_gateway.board.configuration = attrs.evolve(
+            configuration, routes={"db": route}
+        )
+        session = sessions.Session(gateway=node_gateway, name="db")
+        read = statements.Access(writes=False)
+        with pytest.raises(TimeoutError):
+            # As ClientConnection interrupts it; with an attempt and its hedge open.
+            async with asyncio.timeout(0.3):
+                await session.answer(
+                    statements.Request(id=b"1", text=b"", statement=read)
+                )
+        assert len(entry.sent) > 1
+        await asyncio.sleep(0.02)
+        assert (await run_step(start_unit(entry), 1.5)).error is None
+
+    asyncio.run(scenario())
