--- a/hyssopshelf/gateway/server.py
+++ b/hyssopshelf/gateway/server.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from hyssopshelf import clocks, logs
+from hyssopshelf import background, clocks, logs
 from hyssopshelf.gateway import client_connections, memory, sessions
 
 QUIET_SECONDS = 0.05
@@ -28,8 +28,6 @@
 
     Attributes
     ----------
-    stopping_since : float or None
-        Clock time at which the process was told to stop, in seconds.
     closing : bool
         Whether no session is opened any more, and quiet ones are closed.
     """
@@ -39,7 +37,6 @@
         self.codec = codec
         self.budget = memory.BufferBudget(limit=limit)
         self.connections: set[client_connections.ClientConnection] = set()
-        self.stopping_since: float | None = None
         self.closing = False
         self._server: asyncio.Server | None = None
 
@@ -75,6 +72,8 @@
     async def advance_stop(self, now: float) -> int:
         """Close, roll back or answer what the schedule of the stop asks for.
 
+        A connection for which that fails does not keep it from the others.
+
         Returns
         -------
         int
@@ -86,7 +85,7 @@
         if now < schedule.answer_by:
             return await self.close_quiet(until=schedule.exit_at)
         for connection in self.connections:
-            connection.interrupt()
+            background.call_logged(connection.interrupt)
         return await self.close_quiet(0.0, until=schedule.exit_at)
 
     def must_close(self) -> bool:
@@ -104,7 +103,7 @@
             session = connection.session
             if connection.working or session is None or session.transaction is None:
                 continue
-            session.abort(sessions.STOPPING_REASON)
+            background.call_logged(session.abort, sessions.STOPPING_REASON)
 
     def abort_idle_transactions(self, now: float) -> None:
         """Roll back transactions that are idle for longer than the operator allows."""
@@ -121,7 +120,7 @@
                     logs.LogEvent.TRANSACTION_TOO_IDLE,
                     {"name": session.name, "limit": limit},
                 )
-                session.abort()
+                session.abort(sessions.FAILED_REASON)
 
     def update_buffered(
         self, connection: client_connections.ClientConnection, count: int
@@ -171,5 +170,5 @@
                 if clocks.read_clock() >= until:
                     break
             if connection.is_quiet(seconds):
-                connection.close()
+                background.call_logged(connection.close)
         return len(self.connections)
