Keep an error at the end of a client from the rest of the exit

By reading, an error while one client's connection was ended kept the others from their end of stream, the holders from the cancellation of this node's units and the log from event 703. Cause: the loops of the exit had no guard for each element, unlike those of the steps before it. Change: each element is ended on its own and its failure logged (707).

--- a/hyssopshelf/gateway/forwarding.py
+++ b/hyssopshelf/gateway/forwarding.py
@@ -210,7 +210,7 @@
     def cancel_units(self) -> None:
         """Tell the holders to end what this node has open there."""
         for remote in list(self._units.values()):
-            remote.close()
+            background.call_logged(remote.close)
 
     def _hand_back(self, key, pinned: forwarded_steps.PinnedUnit) -> None:
         """End a unit between two messages and tell its entry node."""
--- a/hyssopshelf/gateway/server.py
+++ b/hyssopshelf/gateway/server.py
@@ -141,8 +141,8 @@
     def end_all(self) -> None:
         """Receive nothing more, as the process ends; log the requests that are open."""
         for connection in list(self.connections):
-            connection.record_cut("exit", "the process ends")
-            connection.close()
+            background.call_logged(connection.record_cut, "exit", "the process ends")
+            background.call_logged(connection.close)
 
     async def close_quiet(
         self, seconds: float = QUIET_SECONDS, *, until: float = float("inf")
--- a/hyssopshelf/gateway/tests/test_stop_races.py
+++ b/hyssopshelf/gateway/tests/test_stop_races.py
@@ -264,6 +264,26 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("method", ["record_cut", "close"])
+def test_a_client_that_fails_at_the_exit_does_not_hold_up_others(failures, method):
+    """Guards against units left open at their holders because of an error here."""
+
+    async def scenario():
+        clients, *_ = test_client_connections.connect()
+        clients.connections.clear()
+        for _ in range(3):
+            _, connection, _ = test_client_connections.connect(seconds=10.0)
+            connection.server = clients
+            clients.connections.add(connection)
+        first, *others = clients.connections
+        setattr(first, method, fail)
+        clients.end_all()
+        assert failures == ["RuntimeError('defect')"]
+        assert [c._transport.ended for c in others] == ["end of stream"] * 2
+
+    asyncio.run(scenario())
+
+
 def test_a_forwarded_step_that_fails_in_a_stop_does_not_hold_up_others(
     monkeypatch, failures
 ):
