Count the time of a forwarded write from when it may have arrived

Callers saw: a session read an older row than its last acknowledged write. An earlier write, answered INDOUBT while its holder was paused, ran when the holder resumed. Cause: a holder counted the remaining time of a message from its own reading, and the Cancel of the entry node did not help: it took a newer connection and was read first (11 of 11 traced late writes, pauses of 1.3 s), or was dropped after 1 s in the queue of the entry node (3 of 3, 2.2 s). Change: the transport looks into its inbox each 0.05 s and tells since when a message may have waited; after a standstill that is its start, until what other threads still read has arrived. A holder counts work at a primary from then, compares again just before it sends, answers what it refuses for that as not sent, and does not run a unit whose Cancel came first. No message has changed. Why it works: the entry node sent the message no earlier than that, so its own deadline is not before the holder's, whichever way Cancel goes.

--- a/hyssopshelf/gateway/forwarded_steps.py
+++ b/hyssopshelf/gateway/forwarded_steps.py
@@ -5,13 +5,31 @@
 
 import attrs
 
-from hyssopshelf import logs
+from hyssopshelf import clocks, exceptions, logs
 from hyssopshelf.gateway import (
     connection_pools,
     endpoint_connections,
     forward_messages,
 )
 
+CANCELLED_SECONDS = 10.0
+"""Time for which a unit that was cancelled before it arrived is remembered."""
+
+MAXIMUM_CANCELLED = 1000
+"""Number of such units that are remembered."""
+
+LONG_WAIT_SECONDS = 0.1
+"""Possible wait of a message above which its refusal does not mean an overload."""
+
+CANCELLED_REASON = "unit was cancelled"
+"""Failure that a holder reports of a unit whose Cancel came first."""
+
+STANDSTILL_REASON = "the holder stood still"
+"""Failure that a holder reports of work that may have waited for too long."""
+
+LATE_REASON = "cannot start before its deadline"
+"""Reason with which a holder refuses work that is too late."""
+
 
 @attrs.define(kw_only=True)
 class PinnedUnit:
@@ -42,6 +60,10 @@
     ----------
     address : str
         Address of the entry node.
+    received_at : float
+        Clock time at which it was read, in seconds.
+    deadline : float
+        Clock time at which the entry node gives up, in seconds.
     sent : bool
         Whether the message may have reached the endpoint.
     time_limit : Timeout or None
@@ -50,6 +72,8 @@
 
     message: forward_messages.Forward
     address: str
+    received_at: float
+    deadline: float
     sent: bool = False
     time_limit: asyncio.Timeout | None = None
     task: asyncio.Task | None = None
@@ -59,11 +83,67 @@
         if self.time_limit is not None and self.time_limit.when() is None:
             self.time_limit.reschedule(asyncio.get_running_loop().time())
 
+    def has_waited(self) -> bool:
+        """Return whether it may have waited so long that another try is worth it."""
+        waited = self.received_at + self.message.remaining - self.deadline
+        return waited > LONG_WAIT_SECONDS
+
     def is_interrupted(self) -> bool:
         """Return whether the work was ended early."""
         return self.time_limit is not None and self.time_limit.expired()
 
 
+class CancelledUnits:
+    """Units that were cancelled before they arrived.
+
+    A Cancel may overtake its unit, as the entry node reconnects to a silent holder.
+    """
+
+    def __init__(self) -> None:
+        self._forgotten_at: dict[tuple[str, int], float] = {}
+
+    def __contains__(self, key: tuple[str, int]) -> bool:
+        return key in self._forgotten_at
+
+    def add(self, key: tuple[str, int], now: float) -> None:
+        """Remember a unit for a time; forget those that are too old or too many."""
+        for old, forgotten_at in list(self._forgotten_at.items()):
+            if forgotten_at > now and len(self._forgotten_at) < MAXIMUM_CANCELLED:
+                break
+            del self._forgotten_at[old]
+        self._forgotten_at[key] = now + CANCELLED_SECONDS
+
+
+def find_deadline(
+    message: forward_messages.Forward, now: float, waited_since: float | None
+) -> float:
+    """Return the time at which the entry node gives up, in seconds.
+
+    Work at a primary must not run after that, as the client may have got an answer, so
+    it counts from the earliest time at which it can have arrived. A late read at a
+    replica does no harm.
+
+    Parameters
+    ----------
+    now : float
+        Clock time at which the message is read, in seconds.
+    waited_since : float or None
+        Earliest clock time at which it can have arrived, if that is known.
+    """
+    if message.version and waited_since is not None:
+        return waited_since + message.remaining
+    return now + message.remaining
+
+
+def check_deadline(deadline: float) -> None:
+    """Raise RefusalError if it is too late to send work.
+
+    A timeout in the past does not end a wait that is over at once.
+    """
+    if clocks.read_clock() >= deadline:
+        raise connection_pools.RefusalError(exceptions.ErrorKind.REFUSED, LATE_REASON)
+
+
 def make_failure(
     unit: int, step: int, failure: str, *, sent: bool
 ) -> forward_messages.Forwarded:
--- a/hyssopshelf/gateway/forwarding.py
+++ b/hyssopshelf/gateway/forwarding.py
@@ -64,6 +64,7 @@
         self._assigned: dict[str, tuple] = {}
         self._pinned: dict[tuple[str, int], forwarded_steps.PinnedUnit] = {}
         self._running: dict[tuple[str, int], forwarded_steps.RunningStep] = {}
+        self._cancelled = forwarded_steps.CancelledUnits()
         self._latest_units: dict[str, int] = {}
         self._received_at = float("-inf")
 
@@ -172,24 +173,44 @@
             )
 
     def receive_forward(
-        self, message: forward_messages.Forward, host: str, address: str
+        self,
+        message: forward_messages.Forward,
+        host: str,
+        address: str,
+        waited_since: float | None = None,
     ) -> None:
-        """Start the work that an entry node forwards, unless it is too late for it."""
+        """Start the work that an entry node forwards, unless it is too late for it.
+
+        Parameters
+        ----------
+        waited_since : float or None
+            Clock time since which the message may have waited to be read.
+        """
         self._end_former_units(host, address, message.unit)
-        self._received_at = clocks.read_clock()
+        now = self._received_at = clocks.read_clock()
         key = (host, message.unit)
         if not self.gateway.may_start_work():
             self._discard_pinned(key)
             self._refuse(key, message.step, message.endpoint, address)
             return
-        running = forwarded_steps.RunningStep(message=message, address=address)
+        if key in self._cancelled:
+            reason = forwarded_steps.CANCELLED_REASON
+            self._refuse(key, message.step, message.endpoint, address, reason)
+            return
+        deadline = forwarded_steps.find_deadline(message, now, waited_since)
+        running = forwarded_steps.RunningStep(
+            message=message, address=address, received_at=now, deadline=deadline
+        )
         running.task = asyncio.get_running_loop().create_task(self._serve(running, key))
         self._running[key] = running
         running.task.add_done_callback(lambda _: self._forget_step(key, running))
 
     def receive_cancel(self, message: forward_messages.Cancel, host: str) -> None:
         """Stop the work of a unit; its connection is closed."""
-        self._end_unit((host, message.unit))
+        key = (host, message.unit)
+        if key not in self._running and key not in self._pinned:
+            self._cancelled.add(key, clocks.read_clock())
+        self._end_unit(key)
 
     def advance_stop(self, now: float) -> None:
         """Give up the work of other nodes as the schedule of a stop asks for.
@@ -213,12 +234,17 @@
         for remote in list(self._units.values()):
             remote.close()
 
-    def _refuse(self, key, step: int, endpoint: str, address: str) -> None:
+    def _refuse(
+        self,
+        key,
+        step: int,
+        endpoint: str,
+        address: str,
+        reason: str = remote_pools.STOPPING_REASON,
+    ) -> None:
         """Tell an entry node that this holder runs no more of a unit."""
         host, unit = key
-        answer = forwarded_steps.make_failure(
-            unit, step, remote_pools.STOPPING_REASON, sent=False
-        )
+        answer = forwarded_steps.make_failure(unit, step, reason, sent=False)
         forwarded_steps.log_failure(answer, endpoint, host)
         self.send(host, address, answer)
 
@@ -267,9 +293,17 @@
             async with asyncio.timeout(None) as running.time_limit:
                 answer = await self._run(running, key)
         except connection_pools.RefusalError as refusal:
-            answer = self._make_answer(
-                message, 0.0, error=refusal.kind.value, reason=refusal.reason
-            )
+            if running.has_waited():
+                answer = forwarded_steps.make_failure(
+                    message.unit,
+                    message.step,
+                    forwarded_steps.STANDSTILL_REASON,
+                    sent=False,
+                )
+            else:
+                answer = self._make_answer(
+                    message, 0.0, error=refusal.kind.value, reason=refusal.reason
+                )
         except endpoint_connections.EndpointConnectionError as error:
             answer = forwarded_steps.make_failure(
                 message.unit, message.step, error.reason, sent=error.sent
@@ -295,7 +329,7 @@
         """Send the message to the endpoint and return the answer."""
         gateway, message = self.gateway, running.message
         started_at = clocks.read_clock()
-        deadline = self.gateway.cap_deadline(started_at + message.remaining)
+        deadline = self.gateway.cap_deadline(running.deadline)
         state = session_state.SessionState(values=dict(message.values or ()))
         pinned = self._pinned.pop(key, None)
         if pinned is not None:
@@ -332,6 +366,7 @@
                     remote_pools.STOPPING_REASON, sent=False
                 )
             self._check_primary(message, sent=False)
+            forwarded_steps.check_deadline(deadline)
             running.sent = True
             reply = await self._send_to_endpoint(message, connection, state, deadline)
             self._check_primary(message, sent=True)
@@ -382,7 +417,7 @@
                 return await work
         except TimeoutError as error:
             raise connection_pools.RefusalError(
-                _KIND.REFUSED, "cannot start before its deadline"
+                _KIND.REFUSED, forwarded_steps.LATE_REASON
             ) from error
 
     def _make_answer(
--- a/hyssopshelf/peer_events.py
+++ b/hyssopshelf/peer_events.py
@@ -7,11 +7,20 @@
 
 @attrs.frozen(kw_only=True)
 class PeerReceived:
-    """A message of another node arrived; ``address`` is where that node listens."""
+    """A message of another node arrived.
+
+    Attributes
+    ----------
+    address : str
+        Where that node listens.
+    waited_since : float or None
+        Clock time since which it may have waited to be read, in seconds.
+    """
 
     host: str
     message: Any
     address: str = ""
+    waited_since: float | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/hyssopshelf/runtime/peers.py
+++ b/hyssopshelf/runtime/peers.py
@@ -14,6 +14,7 @@
 import pynng
 
 from hyssopshelf import clocks, envelopes, exceptions, peer_events
+from hyssopshelf.runtime import standstill
 
 MAXIMUM_DIALERS = 512
 """Maximum number of open dialers; beyond it the least recently used is closed."""
@@ -61,6 +62,8 @@
         self.received_bytes = 0
         self.sent_bytes = 0
         self._inbox: pynng.Pull0 | None = None
+        self._inbox_clock: standstill.InboxClock | None = None
+        self._tick_timer: asyncio.TimerHandle | None = None
         self._dialers: collections.OrderedDict[str, Dialer] = collections.OrderedDict()
 
     def listen(self) -> None:
@@ -72,6 +75,8 @@
         )
         loop = asyncio.get_running_loop()
         loop.add_reader(self._inbox.recv_fd, self._receive)
+        self._inbox_clock = standstill.InboxClock(now=clocks.read_clock())
+        self._tick()
 
     def send(self, host: str, address: str, message) -> None:
         """Send a message; emit PeerUnsent if it cannot be sent."""
@@ -129,6 +134,7 @@
             asyncio.get_running_loop().remove_reader(self._inbox.recv_fd)
             self._inbox.close()
             self._inbox = None
+            self._tick_timer.cancel()
         for dialer in self._dialers.values():
             dialer.close()
         self._dialers.clear()
@@ -138,11 +144,18 @@
             _, dialer = self._dialers.popitem(last=False)
             dialer.close()
 
+    def _tick(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._tick_timer = loop.call_later(standstill.TICK_SECONDS, self._tick)
+        self._receive()
+
     def _receive(self) -> None:
+        waited_since = self._inbox_clock.find_wait_start(clocks.read_clock())
         while self._inbox is not None:
             try:
                 data = self._inbox.recv(block=False)
             except pynng.TryAgain:
+                self._inbox_clock.record_empty(clocks.read_clock())
                 return
             self.received_bytes += len(data)
             try:
@@ -151,9 +164,9 @@
                 self.emit(peer_events.MessageRefused(reason=str(error)))
                 continue
             for part in parts:
-                self._receive_part(part)
+                self._receive_part(part, waited_since)
 
-    def _receive_part(self, part: bytes) -> None:
+    def _receive_part(self, part: bytes, waited_since: float) -> None:
         try:
             envelope = envelopes.decode(part)
         except exceptions.CodecError as error:
@@ -164,6 +177,7 @@
                 host=envelope.host,
                 message=envelope.message,
                 address=envelope.address,
+                waited_since=waited_since,
             )
         )
 
--- a/hyssopshelf/runtime/tests/test_peers.py
+++ b/hyssopshelf/runtime/tests/test_peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 
 import pynng
 import pytest
@@ -50,6 +51,30 @@
     asyncio.run(scenario())
 
 
+# Guards against a message to a process that stood still which counts as sent just now.
+def test_a_message_tells_since_when_it_may_have_waited():
+    async def scenario():
+        first, second = find_addresses(2)
+        events = []
+        receiver = peers.PeerTransport(host="h2", address=second, emit=events.append)
+        sender = peers.PeerTransport(host="h1", address=first, emit=events.append)
+        receiver.listen()
+        sender.send("h2", second, make_message(1))
+        await wait_for(events, 1)
+        sender.send("h2", second, make_message(2))
+        sender._dialers[second]._flush()
+        stood_since = clocks.read_clock()
+        time.sleep(0.3)
+        await asyncio.sleep(0.02)
+        sender.send("h2", second, make_message(3))
+        await wait_for(events, 3)
+        sender.close()
+        receiver.close()
+        assert all(stood_since - 0.2 < e.waited_since < stood_since for e in events[1:])
+
+    asyncio.run(scenario())
+
+
 # LOST: answers to other nodes' requests were dropped by the exit of their process.
 def test_a_peer_that_is_slow_to_read_gets_all_messages_that_were_flushed():
     async def scenario():
--- /dev/null
+++ b/hyssopshelf/runtime/tests/test_standstill.py
@@ -0,0 +1,39 @@
+"""Tests of how long messages may have waited for a process that stood still."""
+
+import pytest
+
+from hyssopshelf.runtime import standstill
+
+
+def run_process(*spans: tuple[float, float]) -> standstill.InboxClock:
+    """Return the clock of a process that looks into its empty inbox in some spans."""
+    clock = standstill.InboxClock(now=0.0)
+    for start, end in spans:
+        for number in range(round((end - start) / standstill.TICK_SECONDS) + 1):
+            now = start + number * standstill.TICK_SECONDS
+            clock.find_wait_start(now)
+            clock.record_empty(now)
+    return clock
+
+
+# Guards against messages sent to a process that stood still which count as new.
+@pytest.mark.parametrize(
+    ("spans", "now", "waited_since"),
+    [
+        ([(0.0, 1.0)], 1.04, 1.0),
+        ([(0.0, 1.0)], 3.0, 1.0),
+        ([(0.0, 1.0), (3.0, 3.0)], 3.01, 1.0),
+        ([(0.0, 1.0), (3.0, 3.1)], 3.5, 1.0),
+        ([(0.0, 1.0), (3.0, 4.0)], 5.0, 4.0),
+        ([(0.0, 1.0), (3.0, 3.3)], 3.31, 3.3),
+    ],
+    ids=["runs", "resumes", "just resumed", "stalls again", "later stall", "settled"],
+)
+def test_messages_may_have_waited_since_the_standstill(spans, now, waited_since):
+    assert run_process(*spans).find_wait_start(now) == pytest.approx(waited_since)
+
+
+# Guards against a busy loop whose short delays use up the time of forwarded work.
+def test_a_short_delay_costs_only_itself():
+    clock = run_process((0.0, 1.0), (1.09, 1.09))
+    assert clock.find_wait_start(1.1) == 1.09
