Tell a busy loop from a process that stood still

Callers would have seen: a holder whose loop was busy for more than 0.1 s at a time refused forwarded writes for as long as that lasted. Cause: each long callback counted as a standstill and moved on the settling time of the one before, so messages counted as waiting since the first one. Change: processor time of the loop's thread is not part of a standstill, as the threads that read the sockets go on while the loop works.

--- a/hyssopshelf/runtime/peers.py
+++ b/hyssopshelf/runtime/peers.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 import select
+import time
 
 import attrs
 import pynng
@@ -75,7 +76,9 @@
         )
         loop = asyncio.get_running_loop()
         loop.add_reader(self._inbox.recv_fd, self._receive)
-        self._inbox_clock = standstill.InboxClock(now=clocks.read_clock())
+        self._inbox_clock = standstill.InboxClock(
+            now=clocks.read_clock(), worked=time.thread_time()
+        )
         self._tick()
 
     def send(self, host: str, address: str, message) -> None:
@@ -150,12 +153,13 @@
         self._receive()
 
     def _receive(self) -> None:
-        waited_since = self._inbox_clock.find_wait_start(clocks.read_clock())
+        clock = self._inbox_clock
+        waited_since = clock.find_wait_start(clocks.read_clock(), time.thread_time())
         while self._inbox is not None:
             try:
                 data = self._inbox.recv(block=False)
             except pynng.TryAgain:
-                self._inbox_clock.record_empty(clocks.read_clock())
+                clock.record_empty(clocks.read_clock(), time.thread_time())
                 return
             self.received_bytes += len(data)
             try:
--- a/hyssopshelf/runtime/tests/test_standstill.py
+++ b/hyssopshelf/runtime/tests/test_standstill.py
@@ -7,12 +7,12 @@
 
 def run_process(*spans: tuple[float, float]) -> standstill.InboxClock:
     """Return the clock of a process that looks into its empty inbox in some spans."""
-    clock = standstill.InboxClock(now=0.0)
+    clock = standstill.InboxClock(now=0.0, worked=0.0)
     for start, end in spans:
         for number in range(round((end - start) / standstill.TICK_SECONDS) + 1):
             now = start + number * standstill.TICK_SECONDS
-            clock.find_wait_start(now)
-            clock.record_empty(now)
+            clock.find_wait_start(now, 0.0)
+            clock.record_empty(now, 0.0)
     return clock
 
 
@@ -30,10 +30,38 @@
     ids=["runs", "resumes", "just resumed", "stalls again", "later stall", "settled"],
 )
 def test_messages_may_have_waited_since_the_standstill(spans, now, waited_since):
-    assert run_process(*spans).find_wait_start(now) == pytest.approx(waited_since)
+    found = run_process(*spans).find_wait_start(now, 0.0)
+    assert found == pytest.approx(waited_since)
 
 
 # Guards against a busy loop whose short delays use up the time of forwarded work.
 def test_a_short_delay_costs_only_itself():
     clock = run_process((0.0, 1.0), (1.09, 1.09))
-    assert clock.find_wait_start(1.1) == 1.09
+    assert clock.find_wait_start(1.1, 0.0) == 1.09
+
+
+# Guards against a busy holder that refuses all writes for as long as it is busy.
+@pytest.mark.parametrize(("busy", "running"), [(0.12, 0.01), (0.2, 0.15), (2.0, 0.0)])
+def test_a_busy_loop_costs_only_its_last_delay(busy, running):
+    clock = standstill.InboxClock(now=0.0, worked=0.0)
+    for number in range(20):
+        now, worked = number * (busy + running), number * busy
+        clock.record_empty(now, worked)
+        since = clock.find_wait_start(now + busy, worked + busy)
+        assert since == pytest.approx(now)
+
+
+# Guards against a first standstill from which later ones count for ever.
+def test_a_standstill_settles_between_later_ones():
+    stood, ran = 0.2, 0.15
+    longest = (standstill.SETTLE_SECONDS / ran + 1) * (stood + ran)
+    clock = standstill.InboxClock(now=0.0, worked=0.0)
+    now = 0.0
+    for _ in range(20):
+        now += stood
+        assert now - clock.find_wait_start(now, 0.0) <= longest
+        clock.record_empty(now, 0.0)
+        for _ in range(3):
+            now += ran / 3
+            clock.find_wait_start(now, 0.0)
+            clock.record_empty(now, 0.0)
