Tell an entry node of an overload whatever its work has waited

Cause: each refusal of work that may have waited was told as a standstill, which an entry node tries again. Change: only a refusal for lateness is told so. The reason has one copy. Evidence: the new test fails on the code before; tests of the gateway pass.

--- a/hyssopshelf/gateway/connection_pools.py
+++ b/hyssopshelf/gateway/connection_pools.py
@@ -33,6 +33,9 @@
 EXPIRY_INTERVAL_SECONDS = 0.05
 """Interval of the removal of work that cannot start before its deadline."""
 
+LATE_REASON = "cannot start before its deadline"
+"""Reason with which work that is too late is refused."""
+
 _ids = itertools.count(1)
 
 
@@ -52,6 +55,10 @@
         self.kind = kind
         self.reason = reason
 
+    def is_late(self) -> bool:
+        """Return whether the work had too little time left."""
+        return self.reason in (LATE_REASON, queues.DEADLINE_TOO_CLOSE)
+
 
 class PrimaryChangedError(Exception):
     """The wait ended because the endpoint is being replaced as the primary."""
@@ -451,7 +458,7 @@
     def _expire(self) -> None:
         self._expiry = None
         for item in self.queue.expire(clocks.read_clock()):
-            self._refuse(item, "cannot start before its deadline")
+            self._refuse(item, LATE_REASON)
         self.start_waiting()
         if self.queue.waiting:
             self._schedule_expiry()
--- a/hyssopshelf/gateway/forwarded_steps.py
+++ b/hyssopshelf/gateway/forwarded_steps.py
@@ -19,7 +19,8 @@
 """Number of such units that are remembered."""
 
 LONG_WAIT_SECONDS = 0.1
-"""Possible wait of a message above which its refusal does not mean an overload."""
+"""Possible wait of a message above which its lateness does not mean an overload, in
+seconds."""
 
 CANCELLED_REASON = "unit was cancelled"
 """Failure that a holder reports of a unit whose Cancel came first."""
@@ -27,9 +28,6 @@
 STANDSTILL_REASON = "the holder stood still"
 """Failure that a holder reports of work that may have waited for too long."""
 
-LATE_REASON = "cannot start before its deadline"
-"""Reason with which a holder refuses work that is too late."""
-
 
 @attrs.define(kw_only=True)
 class PinnedUnit:
@@ -141,7 +139,9 @@
     A timeout in the past does not end a wait that is over at once.
     """
     if clocks.read_clock() >= deadline:
-        raise connection_pools.RefusalError(exceptions.ErrorKind.REFUSED, LATE_REASON)
+        raise connection_pools.RefusalError(
+            exceptions.ErrorKind.REFUSED, connection_pools.LATE_REASON
+        )
 
 
 def make_failure(
--- a/hyssopshelf/gateway/forwarding.py
+++ b/hyssopshelf/gateway/forwarding.py
@@ -297,7 +297,7 @@
             async with asyncio.timeout(None) as running.time_limit:
                 answer = await self._run(running, key)
         except connection_pools.RefusalError as refusal:
-            if running.has_waited():
+            if refusal.is_late() and running.has_waited():
                 answer = forwarded_steps.make_failure(
                     message.unit,
                     message.step,
@@ -421,7 +421,7 @@
                 return await work
         except TimeoutError as error:
             raise connection_pools.RefusalError(
-                _KIND.REFUSED, forwarded_steps.LATE_REASON
+                _KIND.REFUSED, connection_pools.LATE_REASON
             ) from error
 
     def _make_answer(
--- a/hyssopshelf/gateway/tests/test_late_work.py
+++ b/hyssopshelf/gateway/tests/test_late_work.py
@@ -6,8 +6,8 @@
 import attrs
 import pytest
 
-from hyssopshelf import clocks
-from hyssopshelf.gateway import forward_messages, forwarded_steps
+from hyssopshelf import clocks, exceptions
+from hyssopshelf.gateway import connection_pools, forward_messages, forwarded_steps
 from hyssopshelf.gateway.tests import test_forwarding, test_restarted_entry
 
 
@@ -54,7 +54,7 @@
         holder.gateway.acquire_from = stand_still
         message = attrs.evolve(test_forwarding.make_write(), remaining=0.2)
         answer = await forward(holder, answers, message)
-        assert answer.reason == forwarded_steps.LATE_REASON
+        assert answer.reason == connection_pools.LATE_REASON
 
     asyncio.run(scenario())
 
@@ -71,6 +71,22 @@
     asyncio.run(scenario())
 
 
+# Guards against more messages to an overloaded holder, which a retry would cause.
+def test_an_overload_is_told_to_work_that_has_waited(monkeypatch):
+    async def scenario():
+        holder, answers, _ = test_restarted_entry.make_holder(monkeypatch)
+        kind = exceptions.ErrorKind.REFUSED
+
+        def refuse(*arguments, **options):
+            raise connection_pools.RefusalError(kind, "queue is full")
+
+        holder.gateway.acquire_from = refuse
+        answer = await forward(holder, answers, test_forwarding.make_write(), 0.3)
+        assert answer.error == kind.value and not answer.failure
+
+    asyncio.run(scenario())
+
+
 # Guards against a write in doubt that runs as its Cancel took a newer connection.
 def test_work_whose_cancel_came_first_does_not_run(monkeypatch):
     async def scenario():
