Free the transaction of a queued statement that is cancelled

Callers saw: COMMIT in a transaction got bad_request, 'a statement of this transaction is running', after its entry node had stopped; the transaction could never end and, as it counted as busy, never became idle, so its connection was lost. Cause: a statement of a transaction claims its connection when it is queued. An expired or refused one gives it back, a cancelled one did not. Change: one function gives the connection back in all three cases.

--- a/hyssopshelf/statements/completion.py
+++ b/hyssopshelf/statements/completion.py
@@ -129,12 +129,16 @@
     finish_error(board, served, exceptions.ErrorKind.OUTCOME_UNKNOWN, message)
 
 
+def release_transaction(board, served) -> None:
+    """Let the transaction of a statement that was not sent run other statements."""
+    connection = board.connections.get(served.connection)
+    if connection is not None and connection.work_id == served.id:
+        connection.work_id = ""
+
+
 def finish_refused(board, served, refusal: work.Refusal) -> None:
     """Finish a statement that was refused by a limit before it ran."""
-    if served.connection:
-        connection = board.connections.get(served.connection)
-        if connection is not None and connection.work_id == served.id:
-            connection.work_id = ""
+    release_transaction(board, served)
     board.log(
         logs.LogEvent.STATEMENT_REFUSED,
         request=served.id,
--- a/hyssopshelf/statements/serving.py
+++ b/hyssopshelf/statements/serving.py
@@ -70,6 +70,7 @@
     queue = board.endpoint_queues.get(served.endpoint)
     if queue is not None:
         queue.discard(served.id)
+    completion.release_transaction(board, served)
     del board.served[served.id]
 
 
@@ -390,10 +391,7 @@
     served = board.served.get(item.id)
     if served is None:
         return
-    if served.connection:
-        connection = board.connections.get(served.connection)
-        if connection is not None and connection.work_id == served.id:
-            connection.work_id = ""
+    completion.release_transaction(board, served)
     completion.finish_error(
         board,
         served,
--- a/hyssopshelf/statements/tests/test_stop.py
+++ b/hyssopshelf/statements/tests/test_stop.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from hyssopshelf import base, blackboard, exceptions, messages
+from hyssopshelf import base, blackboard, exceptions, messages, peer_events
 from tests import test_node
 
 NOT_RUN = exceptions.ErrorKind.NOT_RUN
@@ -137,6 +137,30 @@
         assert [r.parked for r in requests if r.statement.id == caller] == [True]
 
 
+def test_transaction_whose_queued_statement_is_cancelled_can_end(fleet):
+    """Guards against a transaction that is busy for ever with a cancelled statement."""
+    serving, entry = find_hosts(fleet)
+    begin = fleet.send_statement(serving, operation=messages.Operation.BEGIN)
+    # Other statements occupy the slots of the endpoint.
+    for number in range(4):
+        send(fleet, serving, operation=APPEND, value=str(number))
+    board = fleet.nodes[serving].board
+    send(fleet, entry, operation=APPEND, value="t", transaction=begin.transaction)
+    while not any(served.statement.transaction for served in board.served.values()):
+        fleet.now, _, call = heapq.heappop(fleet.queue)
+        call()
+    (served,) = (s for s in board.served.values() if s.statement.transaction)
+    assert served.state is blackboard.ServedState.QUEUED
+    cancel = messages.CancelStatement(request_id=served.id)
+    fleet.handle(serving, peer_events.PeerReceived(host=entry, message=cancel))
+    assert served.id not in board.served
+    fleet.run(1.0)
+    rollback = fleet.send_statement(
+        serving, operation=messages.Operation.ROLLBACK, transaction=begin.transaction
+    )
+    assert rollback.error is None
+
+
 def test_parked_statement_is_not_run(fleet):
     """Guards against a parked statement that is dropped with its node."""
     serving, entry = find_hosts(fleet)
