--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import signal
 import socket
 import struct
@@ -15,6 +16,11 @@
 from hyssopshelf import exceptions, messages
 from tests import test_processes
 
+CLIENTS = 4
+
+CROSSED = "crossed with the close of the node"
+"""Message in place of an answer to a statement that the node did not receive."""
+
 UNKNOWN = exceptions.ErrorKind.OUTCOME_UNKNOWN
 NOT_RUN_KINDS = {
     kind
@@ -72,7 +78,9 @@
         return messages.from_json(data, messages.Answer)
     if websocket.close_code != messages.STOPPING_CLOSE_CODE:
         raise ConnectionError(f"ended without an answer, code {websocket.close_code}")
-    return messages.Answer(id=statement.id, error=exceptions.ErrorKind.NOT_RUN)
+    return messages.Answer(
+        id=statement.id, error=exceptions.ErrorKind.NOT_RUN, message=CROSSED
+    )
 
 
 async def open_slow_websocket(fleet, host: str):
@@ -128,45 +136,72 @@
     test_processes.run(scenario, tmp_path, drain_seconds=3.0)
 
 
+async def use_transaction(fleet, host: str, transaction: str, key: str):
+    """Write in a transaction, one statement after the other, until one fails.
+
+    Returns
+    -------
+    answer : Answer
+        Answer to the last statement.
+    written : list of str
+        Values of the statements before it.
+    """
+    websocket = await open_websocket(fleet, host)
+    for number in itertools.count():
+        answer = await exchange(
+            websocket,
+            make_statement(
+                messages.Operation.APPEND,
+                id=str(number),
+                key=key,
+                value=str(number),
+                transaction=transaction,
+            ),
+        )
+        if answer.error is not None:
+            return answer, [str(n) for n in range(number)]
+
+
 @pytest.mark.parametrize("stopped", ["serving", "entry"])
-def test_transaction_open_at_the_drain_deadline_is_answered(tmp_path, stopped):
-    """Guards against the cut of a client that keeps using its transaction."""
+def test_transactions_open_at_the_drain_deadline_are_answered(tmp_path, stopped):
+    """Guards against the cut of clients that keep using their transactions.
+
+    A statement that a client sends at the deadline may cross with the close of the
+    node, which not all of several clients do.
+    """
 
     async def scenario(fleet):
+        keys = [f"kept-{number}" for number in range(CLIENTS)]
         begin = make_statement(messages.Operation.BEGIN)
-        transaction = (await post_statement(fleet, "h1", begin)).transaction
-        serving = transaction.partition("|")[0]
+        begun = [(await post_statement(fleet, "h1", begin)).transaction for _ in keys]
+        serving = begun[0].partition("|")[0]
         entry = next(host for host in fleet.nodes if host != serving)
         host, other = (serving, entry) if stopped == "serving" else (entry, serving)
-        websocket = await open_websocket(fleet, host)
         process = fleet.nodes[host]
+        tasks = [
+            asyncio.ensure_future(use_transaction(fleet, host, transaction, key))
+            for transaction, key in zip(begun, keys, strict=True)
+        ]
+        await asyncio.sleep(0.3)
         process.send_signal(signal.SIGTERM)
-        kinds = []
-        while not kinds or kinds[-1] is None:
-            number = str(len(kinds))
-            statement = make_statement(
-                messages.Operation.APPEND,
-                id=number,
-                key="kept",
-                value=number,
-                transaction=transaction,
-            )
-            kinds.append((await exchange(websocket, statement)).error)
-        assert len(kinds) > 10
+        results = await asyncio.gather(*tasks)
         assert await process.wait(5.0) == 3
-        commit = make_statement(messages.Operation.COMMIT, transaction=transaction)
-        committed = await post_statement(fleet, other, commit)
-        values = await test_processes.read_values(fleet, "kept", other)
-        if stopped == "serving":
-            assert kinds[-1] in NOT_RUN_KINDS
-            assert committed.error in NOT_RUN_KINDS
-            assert values == []
-        else:
-            assert kinds[-1] in NOT_RUN_KINDS | {UNKNOWN}
-            assert committed.error is None
-            done = [str(number) for number in range(len(kinds) - 1)]
-            unknown = [str(len(done))] if kinds[-1] is UNKNOWN else []
-            assert values in (done, done + unknown)
+        assert not all(answer.message == CROSSED for answer, _ in results)
+        for transaction, key, result in zip(begun, keys, results, strict=True):
+            kind, written = result[0].error, result[1]
+            assert len(written) > 10
+            commit = make_statement(messages.Operation.COMMIT, transaction=transaction)
+            committed = await post_statement(fleet, other, commit)
+            values = await test_processes.read_values(fleet, key, other)
+            if stopped == "serving":
+                assert kind in NOT_RUN_KINDS
+                assert committed.error in NOT_RUN_KINDS
+                assert values == []
+            else:
+                assert kind in NOT_RUN_KINDS | {UNKNOWN}
+                assert committed.error is None
+                unknown = [str(len(written))] if kind is UNKNOWN else []
+                assert values in (written, written + unknown)
 
     test_processes.run(scenario, tmp_path, drain_seconds=3.0)
 
