Don't start a queued statement after its deadline

Callers saw: a forwarded write that waited in the queue of a paused node ran after its answer outcome_unknown; shown in the simulated fleet. Cause: only a tick expires the queue, and after a pause a freed slot or a new connection may be handled before it. Evidence: test_queued_write_does_not_start_after_its_deadline failed without the change (1 of 1; the primary wrote the value 0.5 s after the deadline). Change: the deadline is compared just before a statement is sent. Why it works: nothing happens between this and the action that sends it. Measured: the tests of the package pass.

--- a/hyssopshelf/statements/serving.py
+++ b/hyssopshelf/statements/serving.py
@@ -269,6 +269,12 @@
         return
     while (item := queue.take(view, now)) is not None:
         served = board.served[item.id]
+        if now >= served.deadline:
+            # The tick that expires it is late.
+            queue.requeue(item)
+            queue.discard(item.id)
+            _expire_queued(board, item)
+            continue
         if not served.connection:
             connection = pool.claim_connection(board, endpoint, served.id)
             if connection is None:
