Don't run a statement whose cancellation came first

Cause: a CancelStatement of an unknown statement was dropped. Change: a cancellation that comes first records the request as received. Why it works: replay protection then drops the statement as a repeated one.

--- a/hyssopshelf/statements/serving.py
+++ b/hyssopshelf/statements/serving.py
@@ -60,7 +60,12 @@
 
 @base.receive.register
 def receive_cancel(message: messages.CancelStatement, board, host, now) -> None:
-    """Drop a statement that was not sent yet and whose caller disconnected."""
+    """Drop a statement that was not sent yet and whose caller disconnected.
+
+    It is also dropped if it arrives later, over an older connection.
+    """
+    if replay.accept_request(board, message.request_id, now):
+        return
     served = board.served.get(message.request_id)
     if served is None or served.state not in (
         blackboard.ServedState.WAITING,
--- a/hyssopshelf/statements/tests/test_late_writes.py
+++ b/hyssopshelf/statements/tests/test_late_writes.py
@@ -2,7 +2,7 @@
 
 import heapq
 
-from hyssopshelf import base
+from hyssopshelf import base, messages, peer_events
 from hyssopshelf.statements.tests import test_stop
 from tests import test_node
 
@@ -11,6 +11,33 @@
 fleet = test_stop.fleet
 
 
+def forward(fleet, **fields):
+    """Let an entry node forward a write; return caller, message and serving node."""
+    serving, entry = test_stop.find_hosts(fleet)
+    fleet.send_statement(entry, operation=test_stop.APPEND, value="warm")
+    caller = test_stop.send(
+        fleet, entry, operation=test_stop.APPEND, value="late", **fields
+    )
+    (request,) = fleet.nodes[entry].board.requests.values()
+    board = fleet.nodes[entry].board
+    message = messages.ForwardStatement(
+        request_id=request.id,
+        endpoint=request.endpoint,
+        statement=request.statement,
+        remaining_seconds=request.deadline - fleet.now,
+        term=board.databases[f"{test_node.POOL}/racks"].term,
+    )
+    fleet.queue.clear()
+    return caller, message, serving, entry
+
+
+def receive(fleet, host, entry, message, waited):
+    event = peer_events.PeerReceived(
+        host=entry, message=message, waited_since=fleet.now - waited
+    )
+    fleet.handle(host, event)
+
+
 def run_writes(fleet):
     """Let the fleet run and return the values that the primary has written."""
     fleet.run(0.5)
@@ -18,6 +45,15 @@
     return [change.value for entry in log for change in entry.changes]
 
 
+def test_write_whose_cancellation_came_first_does_not_run(fleet):
+    """Guards against a write that runs after the session of its caller went on."""
+    _, message, serving, entry = forward(fleet, remaining_seconds=5.0)
+    cancel = messages.CancelStatement(request_id=message.request_id)
+    for item in (cancel, message):
+        receive(fleet, serving, entry, item, 0.0)
+    assert run_writes(fleet) == ["warm"]
+
+
 def test_queued_write_does_not_start_after_its_deadline(fleet):
     """Guards against a late start before the first tick that follows a pause."""
     serving, entry = test_stop.find_hosts(fleet)
