Count the time of a write at the serving node from when it may have arrived

Callers saw: a write answered outcome_unknown while its serving node was paused was written when this node resumed. Cause: the node subtracted a pause from messages only until its first tick after it; what it read later got its remaining time again. Change: the core counts a forwarded write from waited_since of its message, converted to the core's clock, with the rule of the gateway, now in clocks. A write that may only seem late is answered not_run, so its entry node tries it again; in a transaction it is answered deadline_passed. Reads keep their time. No message has changed. Why it works: the entry node sent the write no earlier than that, so its own deadline is not before that of the serving node.

--- a/hyssopshelf/blackboard.py
+++ b/hyssopshelf/blackboard.py
@@ -190,6 +190,8 @@
         Connection on which the statement runs, empty before.
     wait_deadline : float
         Time until which a read waits for the replica to catch up.
+    may_be_early : bool
+        Whether the deadline may be too early, as the message may have waited.
     """
 
     id: str
@@ -206,6 +208,7 @@
     connection: str = ""
     sent_at: float = 0.0
     wait_deadline: float = 0.0
+    may_be_early: bool = False
     answer: messages.EndpointAnswer | None = None
 
 
@@ -322,6 +325,7 @@
     now: float = 0.0
     ticked_at: float | None = None
     pause_seconds: float = 0.0
+    waited_since: float | None = None
     draining: bool = False
     stopping: bool = False
     drained_at: float = float("-inf")
--- a/hyssopshelf/gateway/forwarded_steps.py
+++ b/hyssopshelf/gateway/forwarded_steps.py
@@ -18,9 +18,6 @@
 MAXIMUM_CANCELLED = 1000
 """Number of such units that are remembered."""
 
-LONG_WAIT_SECONDS = 0.1
-"""Possible wait of a message above which its refusal does not mean an overload."""
-
 CANCELLED_REASON = "unit was cancelled"
 """Failure that a holder reports of a unit whose Cancel came first."""
 
@@ -86,7 +83,7 @@
     def has_waited(self) -> bool:
         """Return whether it may have waited so long that another try is worth it."""
         waited = self.received_at + self.message.remaining - self.deadline
-        return waited > LONG_WAIT_SECONDS
+        return waited > clocks.LONG_WAIT_SECONDS
 
     def is_interrupted(self) -> bool:
         """Return whether the work was ended early."""
@@ -114,27 +111,6 @@
         self._forgotten_at[key] = now + CANCELLED_SECONDS
 
 
-def find_deadline(
-    message: forward_messages.Forward, now: float, waited_since: float | None
-) -> float:
-    """Return the time at which the entry node gives up, in seconds.
-
-    Work at a primary must not run after that, as the client may have got an answer, so
-    it counts from the earliest time at which it can have arrived. A late read at a
-    replica does no harm.
-
-    Parameters
-    ----------
-    now : float
-        Clock time at which the message is read, in seconds.
-    waited_since : float or None
-        Earliest clock time at which it can have arrived, if that is known.
-    """
-    if message.version and waited_since is not None:
-        return waited_since + message.remaining
-    return now + message.remaining
-
-
 def check_deadline(deadline: float) -> None:
     """Raise RefusalError if it is too late to send work.
 
--- a/hyssopshelf/gateway/forwarding.py
+++ b/hyssopshelf/gateway/forwarding.py
@@ -197,7 +197,9 @@
             reason = forwarded_steps.CANCELLED_REASON
             self._refuse(key, message.step, message.endpoint, address, reason)
             return
-        deadline = forwarded_steps.find_deadline(message, now, waited_since)
+        # Work at a primary must not run after its client may have got an answer.
+        since = waited_since if message.version else None
+        deadline = clocks.find_deadline(message.remaining, now, since)
         running = forwarded_steps.RunningStep(
             message=message, address=address, received_at=now, deadline=deadline
         )
--- a/hyssopshelf/node.py
+++ b/hyssopshelf/node.py
@@ -143,6 +143,7 @@
 @base.handle.register
 def handle_peer(event: peer_events.PeerReceived, board, now) -> None:
     """Dispatch a message of another node to its controller."""
+    board.waited_since = event.waited_since
     base.receive(event.message, board, event.host, now)
 
 
--- a/hyssopshelf/peer_events.py
+++ b/hyssopshelf/peer_events.py
@@ -14,7 +14,8 @@
     address : str
         Where that node listens.
     waited_since : float or None
-        Clock time since which it may have waited to be read, in seconds.
+        Clock time since which it may have waited to be read, in seconds. The core
+        gets it as a time of its own clock.
     """
 
     host: str
--- a/hyssopshelf/runtime/engine.py
+++ b/hyssopshelf/runtime/engine.py
@@ -5,10 +5,11 @@
 import itertools
 import time
 
+import attrs
 import result
 import tornado.ioloop
 
-from hyssopshelf import base, exceptions, logs, node, peer_events
+from hyssopshelf import base, clocks, exceptions, logs, node, peer_events
 from hyssopshelf.membership import hosts
 from hyssopshelf.runtime import endpoints, peers
 
@@ -75,8 +76,11 @@
         """
         if self._stopped:
             return
+        now = time.monotonic()
+        if isinstance(event, peer_events.PeerReceived):
+            event = _convert_time(event, now)
         try:
-            actions = self.core.handle(event, time.monotonic())
+            actions = self.core.handle(event, now)
         except exceptions.InvariantError as error:
             # The actions of the event are dropped: no answer is better than one
             # that violates a guarantee.
@@ -145,6 +149,14 @@
         return record.address if record is not None else None
 
 
+def _convert_time(event: peer_events.PeerReceived, now: float):
+    """Return the event with its time on the clock of the core, which differs."""
+    if event.waited_since is None:
+        return event
+    waited = clocks.read_clock() - event.waited_since
+    return attrs.evolve(event, waited_since=now - waited)
+
+
 @functools.singledispatch
 def carry_out(action: base.Action, engine: Engine) -> None:
     """Carry out an action of the core through the engine's adapters."""
--- a/hyssopshelf/statements/serving.py
+++ b/hyssopshelf/statements/serving.py
@@ -4,7 +4,15 @@
 a connection; :mod:`hyssopshelf.statements.completion` handles its answer.
 """
 
-from hyssopshelf import base, blackboard, exceptions, invariants, logs, messages
+from hyssopshelf import (
+    base,
+    blackboard,
+    clocks,
+    exceptions,
+    invariants,
+    logs,
+    messages,
+)
 from hyssopshelf.connections import pool
 from hyssopshelf.consistency import reads
 from hyssopshelf.membership import balancing
@@ -42,16 +50,19 @@
         )
         return
     board.forwarded_at = now
-    deadline = now + message.remaining_seconds - board.pause_seconds
+    remaining = message.remaining_seconds
+    waited_since = _find_wait_start(board, message, host)
+    deadline = clocks.find_deadline(remaining, now, waited_since)
+    deadline = min(deadline, now + remaining - board.pause_seconds)
     served = _make_request(board, message, host, deadline, now)
     if served is None:
         _answer_unavailable(board, message, host)
         return
     board.served[served.id] = served
+    if waited_since is not None and not served.statement.transaction:
+        served.may_be_early = now - waited_since > clocks.LONG_WAIT_SECONDS
     if deadline <= now:
-        completion.finish_error(
-            board, served, exceptions.ErrorKind.DEADLINE_PASSED, "deadline passed"
-        )
+        _finish_late(board, served, "deadline passed")
     elif served.statement.transaction:
         _admit_to_transaction(board, served, now)
     else:
@@ -78,6 +89,26 @@
     del board.served[served.id]
 
 
+def _find_wait_start(board, message, host) -> float | None:
+    """Return since when a forwarded write may have waited, if that is known.
+
+    Reads keep their time, and what this node forwards to itself has not waited.
+    """
+    is_read = message.statement.operation is messages.Operation.GET
+    return None if is_read or host == board.identity.host else board.waited_since
+
+
+def _finish_late(board, served, text: str) -> None:
+    """Finish a statement that is too late to be sent.
+
+    If it may have time left, its entry node tries it again.
+    """
+    kind = exceptions.ErrorKind.DEADLINE_PASSED
+    if served.may_be_early:
+        kind = exceptions.ErrorKind.NOT_RUN
+    completion.finish_error(board, served, kind, text)
+
+
 def _make_request(board, message, host, deadline, now):
     """Return the record of a forwarded statement, or None if it cannot be served."""
     statement = message.statement
@@ -249,7 +280,11 @@
         board.endpoint_queues[served.endpoint] = queue
     outcome = queue.admit(served.work, view, now)
     if outcome.is_err():
-        completion.finish_refused(board, served, outcome.unwrap_err())
+        refusal = outcome.unwrap_err()
+        if served.may_be_early:
+            _finish_late(board, served, refusal.reason)
+        else:
+            completion.finish_refused(board, served, refusal)
         return
     for shed in outcome.unwrap():
         other = board.served.get(shed.id)
@@ -405,9 +440,4 @@
         connection = board.connections.get(served.connection)
         if connection is not None and connection.work_id == served.id:
             connection.work_id = ""
-    completion.finish_error(
-        board,
-        served,
-        exceptions.ErrorKind.DEADLINE_PASSED,
-        "deadline passed in the queue",
-    )
+    _finish_late(board, served, "deadline passed in the queue")
--- a/hyssopshelf/statements/tests/test_late_writes.py
+++ b/hyssopshelf/statements/tests/test_late_writes.py
@@ -45,6 +45,29 @@
     return [change.value for entry in log for change in entry.changes]
 
 
+def test_write_that_waited_during_a_pause_does_not_run_after_its_answer(fleet):
+    """Guards against a write that runs after its caller was told that it is unknown.
+
+    Its serving node stood still and read it after its first tick.
+    """
+    caller, message, serving, entry = forward(fleet, remaining_seconds=0.8)
+    fleet.now += PAUSE_SECONDS
+    for host in (entry, serving):
+        fleet.handle(host, base.Ticked())
+    assert fleet.answers[caller].error is test_stop.UNKNOWN
+    receive(fleet, serving, entry, message, PAUSE_SECONDS)
+    assert run_writes(fleet) == ["warm"]
+
+
+def test_write_with_time_left_runs_although_its_node_stood_still(fleet):
+    """Guards against an error for a write that was sent after the pause."""
+    caller, message, serving, entry = forward(fleet, remaining_seconds=0.8)
+    receive(fleet, serving, entry, message, PAUSE_SECONDS)
+    fleet.run(0.7)
+    assert fleet.answers[caller].error is None
+    assert run_writes(fleet) == ["warm", "late"]
+
+
 def test_write_whose_cancellation_came_first_does_not_run(fleet):
     """Guards against a write that runs after the session of its caller went on."""
     _, message, serving, entry = forward(fleet, remaining_seconds=5.0)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -121,6 +121,45 @@
     run(scenario, tmp_path, nodes=4, endpoint_places=("ba-1",) * 3)
 
 
+def test_write_in_doubt_does_not_run_after_its_answer(tmp_path):
+    """Guards against a write that runs late, as its serving node was paused."""
+
+    async def scenario(fleet):
+        session = fleet.make_session("h1", timeout_seconds=10.0)
+        for host in fleet.nodes:
+            await session.roam(fleet.addresses[host])
+            found = await session.append("pause", host, kind="scan")
+        await asyncio.sleep(0.2)
+        log = fleet.nodes["h2"].read_log()
+        routes = [r for r in log.splitlines() if f"endpoint={found.endpoint} " in r]
+        serving = routes[-1].partition("host=")[2].partition(" ")[0]
+        entry = next(host for host in fleet.nodes if host != serving)
+        in_doubt = []
+
+        async def write(number):
+            other = fleet.make_session(entry, seed=number, timeout_seconds=0.8)
+            await asyncio.sleep(0.03 * (number % 10))
+            try:
+                await other.append("pause", f"{number}", kind="scan")
+            except exceptions.AnswerError as error:
+                if error.kind is UNKNOWN:
+                    in_doubt.append(f"{number}")
+            await other.close()
+
+        for first in (0, 10, 20, 30):
+            fleet.nodes[serving].send_signal(signal.SIGSTOP)
+            writes = [asyncio.ensure_future(write(first + n)) for n in range(10)]
+            await asyncio.gather(*writes)
+            fleet.nodes[serving].send_signal(signal.SIGCONT)
+            await asyncio.sleep(0.5)
+        values = await read_values(fleet, "pause")
+        assert in_doubt
+        assert set(values).isdisjoint(in_doubt)
+        await session.close()
+
+    run(scenario, tmp_path)
+
+
 def test_lost_commit_answer_is_unknown_and_not_repeated(tmp_path):
     """Guards against a write that runs twice after its answer was lost."""
 
