--- a/hyssopshelf/statements/tests/test_late_writes.py
+++ b/hyssopshelf/statements/tests/test_late_writes.py
@@ -2,7 +2,10 @@
 
 import heapq
 
-from hyssopshelf import base, messages, peer_events
+import result
+
+from hyssopshelf import base, exceptions, messages, peer_events
+from hyssopshelf.scheduling import queues, work
 from hyssopshelf.statements.tests import test_stop
 from tests import test_node
 
@@ -48,7 +51,7 @@
 def test_write_that_waited_during_a_pause_does_not_run_after_its_answer(fleet):
     """Guards against a write that runs after its caller was told that it is unknown.
 
-    Its serving node stood still and read it after its first tick.
+    Its serving node was paused and read it after its first tick.
     """
     caller, message, serving, entry = forward(fleet, remaining_seconds=0.8)
     fleet.now += PAUSE_SECONDS
@@ -59,7 +62,7 @@
     assert run_writes(fleet) == ["warm"]
 
 
-def test_write_with_time_left_runs_although_its_node_stood_still(fleet):
+def test_write_with_time_left_runs_although_its_node_was_paused(fleet):
     """Guards against an error for a write that was sent after the pause."""
     caller, message, serving, entry = forward(fleet, remaining_seconds=0.8)
     receive(fleet, serving, entry, message, PAUSE_SECONDS)
@@ -94,3 +97,20 @@
     for _ in range(len(fleet.queue)):
         heapq.heappop(fleet.queue)[2]()
     assert run_writes(fleet) == ["warm", "0"]
+
+
+def test_overload_is_told_to_a_write_that_has_waited(fleet, monkeypatch):
+    """Guards against more statements for an overloaded node, which a retry causes."""
+    caller, message, serving, entry = forward(fleet, remaining_seconds=0.8)
+    tries = []
+
+    def refuse(queue, item, *_, **__):
+        tries.append(item.id)
+        refusal = work.Refusal(reason="queue is full", retry_after_seconds=1.0)
+        return result.Err(refusal)
+
+    monkeypatch.setattr(queues.EndpointQueue, "admit", refuse)
+    receive(fleet, serving, entry, message, 0.3)
+    fleet.run(0.5)
+    assert fleet.answers[caller].error is exceptions.ErrorKind.REFUSED
+    assert tries == [message.request_id]
