--- a/hyssopshelf/gateway/forwarded_steps.py
+++ b/hyssopshelf/gateway/forwarded_steps.py
@@ -21,7 +21,7 @@
 CANCELLED_REASON = "unit was cancelled"
 """Failure that a holder reports of a unit whose Cancel came first."""
 
-STANDSTILL_REASON = "the holder stood still"
+PAUSED_REASON = "the holder was paused"
 """Failure that a holder reports of work that may have waited for too long."""
 
 
@@ -101,10 +101,12 @@
 
     def add(self, key: tuple[str, int], now: float) -> None:
         """Remember a unit for a time; forget those that are too old or too many."""
-        for old, forgotten_at in list(self._forgotten_at.items()):
-            if forgotten_at > now and len(self._forgotten_at) < MAXIMUM_CANCELLED:
+        while self._forgotten_at:
+            oldest = next(iter(self._forgotten_at))
+            too_many = len(self._forgotten_at) >= MAXIMUM_CANCELLED
+            if self._forgotten_at[oldest] > now and not too_many:
                 break
-            del self._forgotten_at[old]
+            del self._forgotten_at[oldest]
         self._forgotten_at[key] = now + CANCELLED_SECONDS
 
 
--- a/hyssopshelf/gateway/forwarding.py
+++ b/hyssopshelf/gateway/forwarding.py
@@ -303,7 +303,7 @@
                 answer = forwarded_steps.make_failure(
                     message.unit,
                     message.step,
-                    forwarded_steps.STANDSTILL_REASON,
+                    forwarded_steps.PAUSED_REASON,
                     sent=False,
                 )
             else:
--- a/hyssopshelf/gateway/tests/test_late_work.py
+++ b/hyssopshelf/gateway/tests/test_late_work.py
@@ -33,25 +33,25 @@
         monkeypatch.setattr(holder.gateway, "start_write", lambda *_: started.append(1))
         message = attrs.evolve(test_forwarding.make_write(), step=step)
         answer = await forward(holder, answers, message, waited)
-        assert answer.failure == forwarded_steps.STANDSTILL_REASON and not answer.sent
+        assert answer.failure == forwarded_steps.PAUSED_REASON and not answer.sent
         assert not started and not holder._pinned
         assert all(connection.closed for connection in opened)
 
     asyncio.run(scenario())
 
 
-# Guards against a write in doubt of a holder that stood still when it had a connection.
+# Guards against a write in doubt of a holder that was paused when it had a connection.
 def test_a_write_whose_deadline_passed_before_it_was_sent_is_not_sent(monkeypatch):
     async def scenario():
         holder, answers, _ = test_restarted_entry.make_holder(monkeypatch)
         acquire = holder.gateway.acquire_from
 
-        async def stand_still(*arguments, **options):
+        async def pause(*arguments, **options):
             checkout = await acquire(*arguments, **options)
             time.sleep(0.3)
             return checkout
 
-        holder.gateway.acquire_from = stand_still
+        holder.gateway.acquire_from = pause
         message = attrs.evolve(test_forwarding.make_write(), remaining=0.2)
         answer = await forward(holder, answers, message)
         assert answer.reason == connection_pools.LATE_REASON
--- a/hyssopshelf/runtime/pauses.py
+++ b/hyssopshelf/runtime/pauses.py
@@ -1,23 +1,23 @@
-"""Since when messages may have waited while a process stood still."""
+"""Since when messages may have waited while a process was paused."""
 
 import attrs
 
 TICK_SECONDS = 0.05
 """Time between two looks into an inbox without messages, in seconds."""
 
-STANDSTILL_SECONDS = 0.1
+PAUSE_SECONDS = 0.1
 """Time without a look into the inbox, and without work of the thread that looks, above
-which the process stood still, in seconds."""
+which the process was paused, in seconds."""
 
 SETTLE_SECONDS = 0.3
-"""Longest time after a standstill, in which the process runs, until messages from it
-have arrived, in seconds. They are in sockets that other threads read, which stood
-still, too."""
+"""Longest time after a pause, in which the process runs, until messages from it
+have arrived, in seconds. They are in sockets that other threads read, which were
+paused, too."""
 
 
 @attrs.define(kw_only=True)
-class Standstill:
-    """Standstill from which messages may still arrive.
+class Pause:
+    """Pause from which messages may still arrive.
 
     Attributes
     ----------
@@ -41,7 +41,7 @@
     ----------
     now : float
         Clock time, in seconds.
-    worked : float
+    cpu_seconds : float
         Processor time of the thread that looks, in seconds.
 
     Attributes
@@ -50,25 +50,23 @@
         Clock time at which no message waited, in seconds.
     """
 
-    def __init__(self, *, now: float, worked: float) -> None:
+    def __init__(self, *, now: float, cpu_seconds: float) -> None:
         self.emptied_at = now
-        self._worked = worked
-        self._standstills: list[Standstill] = []
+        self._cpu_seconds = cpu_seconds
+        self._pauses: list[Pause] = []
 
-    def find_wait_start(self, now: float, worked: float) -> float:
+    def find_wait_start(self, now: float, cpu_seconds: float) -> float:
         """Return the earliest time since which a message that is read now waited."""
-        stood = now - self.emptied_at - (worked - self._worked)
-        if stood > STANDSTILL_SECONDS:
-            for earlier in self._standstills:
-                earlier.settled_at += stood
-            settled_at = now + min(stood, SETTLE_SECONDS)
-            self._standstills.append(
-                Standstill(since=self.emptied_at, settled_at=settled_at)
-            )
-        self._standstills = [s for s in self._standstills if now < s.settled_at]
-        return self._standstills[0].since if self._standstills else self.emptied_at
-
-    def record_empty(self, now: float, worked: float) -> None:
+        paused = now - self.emptied_at - (cpu_seconds - self._cpu_seconds)
+        if paused > PAUSE_SECONDS:
+            for earlier in self._pauses:
+                earlier.settled_at += paused
+            settled_at = now + min(paused, SETTLE_SECONDS)
+            self._pauses.append(Pause(since=self.emptied_at, settled_at=settled_at))
+        self._pauses = [pause for pause in self._pauses if now < pause.settled_at]
+        return self._pauses[0].since if self._pauses else self.emptied_at
+
+    def record_empty(self, now: float, cpu_seconds: float) -> None:
         """Record that no message waits."""
         self.emptied_at = now
-        self._worked = worked
+        self._cpu_seconds = cpu_seconds
--- a/hyssopshelf/runtime/peers.py
+++ b/hyssopshelf/runtime/peers.py
@@ -15,7 +15,7 @@
 import pynng
 
 from hyssopshelf import clocks, envelopes, exceptions, peer_events
-from hyssopshelf.runtime import standstill
+from hyssopshelf.runtime import pauses
 
 MAXIMUM_DIALERS = 512
 """Maximum number of open dialers; beyond it the least recently used is closed."""
@@ -63,7 +63,7 @@
         self.received_bytes = 0
         self.sent_bytes = 0
         self._inbox: pynng.Pull0 | None = None
-        self._inbox_clock: standstill.InboxClock | None = None
+        self._inbox_clock: pauses.InboxClock | None = None
         self._tick_timer: asyncio.TimerHandle | None = None
         self._dialers: collections.OrderedDict[str, Dialer] = collections.OrderedDict()
 
@@ -76,8 +76,8 @@
         )
         loop = asyncio.get_running_loop()
         loop.add_reader(self._inbox.recv_fd, self._receive)
-        self._inbox_clock = standstill.InboxClock(
-            now=clocks.read_clock(), worked=time.thread_time()
+        self._inbox_clock = pauses.InboxClock(
+            now=clocks.read_clock(), cpu_seconds=time.thread_time()
         )
         self._tick()
 
@@ -149,7 +149,7 @@
 
     def _tick(self) -> None:
         loop = asyncio.get_running_loop()
-        self._tick_timer = loop.call_later(standstill.TICK_SECONDS, self._tick)
+        self._tick_timer = loop.call_later(pauses.TICK_SECONDS, self._tick)
         self._receive()
 
     def _receive(self) -> None:
--- a/hyssopshelf/runtime/tests/test_pauses.py
+++ b/hyssopshelf/runtime/tests/test_pauses.py
@@ -1,22 +1,22 @@
-"""Tests of how long messages may have waited for a process that stood still."""
+"""Tests of how long messages may have waited for a process that was paused."""
 
 import pytest
 
-from hyssopshelf.runtime import standstill
+from hyssopshelf.runtime import pauses
 
 
-def run_process(*spans: tuple[float, float]) -> standstill.InboxClock:
+def run_process(*spans: tuple[float, float]) -> pauses.InboxClock:
     """Return the clock of a process that looks into its empty inbox in some spans."""
-    clock = standstill.InboxClock(now=0.0, worked=0.0)
+    clock = pauses.InboxClock(now=0.0, cpu_seconds=0.0)
     for start, end in spans:
-        for number in range(round((end - start) / standstill.TICK_SECONDS) + 1):
-            now = start + number * standstill.TICK_SECONDS
+        for number in range(round((end - start) / pauses.TICK_SECONDS) + 1):
+            now = start + number * pauses.TICK_SECONDS
             clock.find_wait_start(now, 0.0)
             clock.record_empty(now, 0.0)
     return clock
 
 
-# Guards against messages sent to a process that stood still which count as new.
+# Guards against messages sent to a process that was paused which count as new.
 @pytest.mark.parametrize(
     ("spans", "now", "waited_since"),
     [
@@ -29,7 +29,7 @@
     ],
     ids=["runs", "resumes", "just resumed", "stalls again", "later stall", "settled"],
 )
-def test_messages_may_have_waited_since_the_standstill(spans, now, waited_since):
+def test_messages_may_have_waited_since_the_pause(spans, now, waited_since):
     found = run_process(*spans).find_wait_start(now, 0.0)
     assert found == pytest.approx(waited_since)
 
@@ -43,22 +43,22 @@
 # Guards against a busy holder that refuses all writes for as long as it is busy.
 @pytest.mark.parametrize(("busy", "running"), [(0.12, 0.01), (0.2, 0.15), (2.0, 0.0)])
 def test_a_busy_loop_costs_only_its_last_delay(busy, running):
-    clock = standstill.InboxClock(now=0.0, worked=0.0)
+    clock = pauses.InboxClock(now=0.0, cpu_seconds=0.0)
     for number in range(20):
-        now, worked = number * (busy + running), number * busy
-        clock.record_empty(now, worked)
-        since = clock.find_wait_start(now + busy, worked + busy)
+        now, cpu_seconds = number * (busy + running), number * busy
+        clock.record_empty(now, cpu_seconds)
+        since = clock.find_wait_start(now + busy, cpu_seconds + busy)
         assert since == pytest.approx(now)
 
 
-# Guards against a first standstill from which later ones count for ever.
-def test_a_standstill_settles_between_later_ones():
-    stood, ran = 0.2, 0.15
-    longest = (standstill.SETTLE_SECONDS / ran + 1) * (stood + ran)
-    clock = standstill.InboxClock(now=0.0, worked=0.0)
+# Guards against a first pause from which later ones count for ever.
+def test_a_pause_settles_between_later_ones():
+    paused, ran = 0.2, 0.15
+    longest = (pauses.SETTLE_SECONDS / ran + 1) * (paused + ran)
+    clock = pauses.InboxClock(now=0.0, cpu_seconds=0.0)
     now = 0.0
     for _ in range(20):
-        now += stood
+        now += paused
         assert now - clock.find_wait_start(now, 0.0) <= longest
         clock.record_empty(now, 0.0)
         for _ in range(3):
--- a/hyssopshelf/runtime/tests/test_peers.py
+++ b/hyssopshelf/runtime/tests/test_peers.py
@@ -51,7 +51,7 @@
     asyncio.run(scenario())
 
 
-# Guards against a message to a process that stood still which counts as sent just now.
+# Guards against a message to a process that was paused which counts as sent just now.
 def test_a_message_tells_since_when_it_may_have_waited():
     async def scenario():
         first, second = find_addresses(2)
@@ -63,14 +63,14 @@
         await wait_for(events, 1)
         sender.send("h2", second, make_message(2))
         sender._dialers[second]._flush()
-        stood_since = clocks.read_clock()
+        paused_at = clocks.read_clock()
         time.sleep(0.3)
         await asyncio.sleep(0.02)
         sender.send("h2", second, make_message(3))
         await wait_for(events, 3)
         sender.close()
         receiver.close()
-        assert all(stood_since - 0.2 < e.waited_since < stood_since for e in events[1:])
+        assert all(paused_at - 0.2 < e.waited_since < paused_at for e in events[1:])
 
     asyncio.run(scenario())
 
