Promote no other endpoint while a call may still take effect

Cause: a call to promote without an answer counted as not done. After 3 s another endpoint was promoted, and when the first call arrived after a cut, its endpoint took the lead without the members' knowledge.

Change: the outcome of a call is done, not done, refused or unknown (authority.promotions). While a call is unsettled, its endpoint stays the target and is asked whether it leads; another one is chosen 6 s after the last unanswered call at the earliest. The assignment keeps that a call is unsettled, so the next coordinator waits as well. A call that could not be sent is known as not done.

--- a/hyssopshelf/authority/assignments.py
+++ b/hyssopshelf/authority/assignments.py
@@ -29,12 +29,15 @@
         Increased with each change of the database's primary.
     promoting : bool
         Whether its promotion has been recorded and has not yet taken effect.
+    unsettled : bool
+        Whether a call that promotes it has got no answer and may be carried out late.
     """
 
     endpoint: str
     term: int
     version: int
     promoting: bool = False
+    unsettled: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/hyssopshelf/authority/change.py
+++ b/hyssopshelf/authority/change.py
@@ -14,6 +14,7 @@
     assignments,
     exchange,
     member,
+    promotions,
     replication,
     suspicion,
     targets,
@@ -33,12 +34,6 @@
 RELEASE_REPEAT_SECONDS = 0.2
 """Time between two requests to a member that has not yet released a primary."""
 
-PROMOTE_TIMEOUT_SECONDS = 1.0
-"""Timeout of one call of the platform's promotion API."""
-
-PROMOTION_TIMEOUT_SECONDS = 3.0
-"""Time in which a promotion must take effect; it takes some hundred milliseconds."""
-
 CATCH_UP_SECONDS = 0.6
 """Time in which the new primary may catch up in a planned change."""
 
@@ -52,12 +47,6 @@
 DEMOTE_ATTEMPTS = 10
 """Attempts, a second apart, to demote an old primary to a replica of the new one."""
 
-REFUSED_STATUS = 409
-"""Status of the promotion API for an endpoint that is not running."""
-
-PROMOTION_CHECK_SECONDS = 0.05
-"""Time between two checks whether a promotion has taken effect."""
-
 
 class ChangeController:
     """Checks the primaries and replaces them where needed.
@@ -75,7 +64,9 @@
     def __init__(self, *, coordinator, recorder, promotion_client) -> None:
         self.coordinator = coordinator
         self.recorder = recorder
-        self.promotion_client = promotion_client
+        self.promoter = promotions.Promoter(
+            coordinator=coordinator, promotion_client=promotion_client
+        )
         self.local_member = coordinator.local_member
         self.gateway = coordinator.local_member.gateway
         self.chooser = targets.TargetChooser(
@@ -87,6 +78,7 @@
 
     async def run(self) -> None:
         """Check all primaries until the coordinator stops."""
+        self.promoter.inherit(self.local_member.assignments.databases)
         while self.coordinator.active:
             now = clocks.read_clock()
             if self.coordinator.may_change(now):
@@ -122,6 +114,10 @@
         if assigned.promoting:
             self._start_change(database, self._resume(database, assigned))
             return
+        settled = self.promoter.is_settled(database, now)
+        if assigned.unsettled and settled:
+            self._start_change(database, self._mark_settled(database, assigned))
+            return
         if not endpoints:
             return
         if self._is_released(database, assigned.version):
@@ -134,7 +130,8 @@
         reason = suspicion.find_change_reason(
             assigned, endpoints, reports, demoted, users.get(assigned.endpoint, 0)
         )
-        if reason and self.coordinator.grant_table.is_ready_for_change(database, now):
+        ready = self.coordinator.grant_table.is_ready_for_change(database, now)
+        if reason and settled and ready:
             self._start_change(database, self._change(database, assigned, reason))
 
     def _is_demoted(self, database: str, version: int, primary, now: float) -> bool:
@@ -159,6 +156,10 @@
             state.reported_releases.get(database, 0) >= version for state in members
         )
 
+    async def _mark_settled(self, database: str, assigned) -> bool:
+        """Record that no call for a primary may be carried out late any more."""
+        return await self._record(database, attrs.evolve(assigned, unsettled=False))
+
     async def _grant_again(self, database: str, assigned) -> bool:
         """Let all nodes use the same primary again, under a new version."""
         entry = attrs.evolve(assigned, version=assigned.version + 1)
@@ -309,6 +310,9 @@
         endpoint = self._list_endpoints(database).get(entry.endpoint)
         if endpoint is not None and await self._promote(database, entry):
             return True
+        if not self.promoter.is_settled(database, clocks.read_clock()):
+            self.promoter.log_wait(database, entry.endpoint)
+            return False
         if self.chooser.get_synchronous(database):
             target = await self.chooser.wait_for_complete(
                 database, entry, resumed=True, seconds=targets.COMPLETE_SECONDS
@@ -382,52 +386,19 @@
     async def _promote(self, database: str, entry) -> bool:
         """Promote a primary and grant it; return whether it took effect in time."""
         started = clocks.read_clock()
-        deadline = started + PROMOTION_TIMEOUT_SECONDS
-        accepted = False
-        while clocks.read_clock() < deadline:
-            if not self.coordinator.may_change(clocks.read_clock()):
-                return False
-            if not accepted:
-                answer = await self.promotion_client.promote(
-                    database,
-                    entry.endpoint,
-                    self.coordinator.record.epoch,
-                    PROMOTE_TIMEOUT_SECONDS,
-                )
-                accepted = answer.is_ok()
-                if not accepted:
-                    logs.write(
-                        logs.LogEvent.PROMOTION_FAILED,
-                        {
-                            "database": database,
-                            "endpoint": entry.endpoint,
-                            "status": answer.err_value.status,
-                            "reason": answer.err_value.reason,
-                        },
-                    )
-                    if answer.err_value.status == REFUSED_STATUS:
-                        break
-                    await asyncio.sleep(CHECK_SECONDS)
-                    continue
-            endpoint = self._list_endpoints(database).get(entry.endpoint)
-            if endpoint is None:
-                break
-            others = [
-                other
-                for other in self._list_endpoints(database).values()
-                if other.id != endpoint.id
-            ]
-            status = await replication.ask_promoted(
-                self.gateway, endpoint, others, entry.term
-            )
-            if status is not None:
-                await self._complete(database, entry, status, started)
-                return True
-            await asyncio.sleep(PROMOTION_CHECK_SECONDS)
-        return False  # another target gets a new version
+        status = await self.promoter.promote(database, entry)
+        if status is None:
+            return False  # another target gets a new version
+        await self._complete(database, entry, status, started)
+        return True
 
     async def _complete(self, database: str, entry, status, started: float) -> None:
-        final = attrs.evolve(entry, term=status.term, promoting=False)
+        final = attrs.evolve(
+            entry,
+            term=status.term,
+            promoting=False,
+            unsettled=not self.promoter.is_settled(database, clocks.read_clock()),
+        )
         self.local_member.assignments = self.local_member.assignments.replace(
             database, final
         )
--- /dev/null
+++ b/hyssopshelf/authority/promotions.py
@@ -0,0 +1,175 @@
+"""Calls of the platform's promotion API, and what is not known of their outcome.
+
+A call without an answer may be carried out seconds later. Until then it is unsettled:
+if another endpoint were promoted meanwhile, the late call would replace it without the
+members' knowledge, and what they acknowledge there would be lost.
+"""
+
+import asyncio
+import enum
+
+from hyssopshelf import clocks, logs
+from hyssopshelf.authority import replication, timing
+
+CALL_TIMEOUT_SECONDS = 1.0
+"""Timeout of one call of the promotion API."""
+
+CALL_PAUSE_SECONDS = 0.1
+"""Pause after a call that was not carried out."""
+
+EFFECT_SECONDS = 3.0
+"""Time in which a promotion must take effect; it takes some hundred milliseconds."""
+
+EFFECT_CHECK_SECONDS = 0.05
+"""Time between two checks whether a promotion has taken effect."""
+
+LATE_CALL_SECONDS = 6.0
+"""Time after which a call that was given up is no longer carried out. Its connection
+has been reset, so this bounds only the platform's own delay."""
+
+REFUSED_STATUS = 409
+"""Status of the promotion API for an endpoint that is not running."""
+
+NOT_SENT_STATUS = 598
+"""Status of a call that could not be sent."""
+
+SERVER_ERROR_STATUS = 500
+"""Lowest status of a failure after which a call may have been carried out."""
+
+
+class Outcome(enum.Enum):
+    """What is known of a call."""
+
+    DONE = "done"
+    NOT_DONE = "not done"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+class Promoter:
+    """Promotes endpoints for one coordinator and keeps which calls are unsettled.
+
+    All unsettled calls of a database name the endpoint that is assigned to it, as no
+    other one is promoted before they are settled.
+
+    Parameters
+    ----------
+    coordinator : Coordinator
+        The coordinator whose epoch is the fencing token.
+    promotion_client : object
+        Client of the platform's promotion API.
+    """
+
+    def __init__(self, *, coordinator, promotion_client) -> None:
+        self.coordinator = coordinator
+        self.promotion_client = promotion_client
+        self.gateway = coordinator.local_member.gateway
+        self._settled_at: dict[str, float] = {}
+
+    def is_settled(self, database: str, now: float) -> bool:
+        """Return whether no call for a database may still be carried out late."""
+        return now >= self._settled_at.get(database, float("-inf"))
+
+    def inherit(self, databases: dict) -> None:
+        """Take over the calls of earlier coordinators, as their assignments show.
+
+        Parameters
+        ----------
+        databases : dict of str to Assignment
+            Assignments that the earlier coordinator recorded.
+        """
+        ended_at = self.coordinator.grant_table.predecessor_ended_at
+        settled_at = ended_at + timing.AUTHORITY_SECONDS + LATE_CALL_SECONDS
+        for database, entry in databases.items():
+            # Without an endpoint it is a finding of the recovery, not of a change.
+            if entry.unsettled or (entry.promoting and entry.endpoint):
+                self._settled_at[database] = settled_at
+
+    async def promote(self, database: str, entry):
+        """Promote an endpoint.
+
+        Returns
+        -------
+        ReplicationStatus or None
+            Its status as the primary; None if it does not lead in time.
+        """
+        deadline = clocks.read_clock() + EFFECT_SECONDS
+        outcome = Outcome.NOT_DONE
+        while (now := clocks.read_clock()) < deadline:
+            if not self.coordinator.may_change(now):
+                return None
+            if outcome is not Outcome.DONE:
+                outcome = await self._call(database, entry.endpoint)
+            if outcome is Outcome.REFUSED:
+                return None
+            if outcome is Outcome.NOT_DONE:
+                await asyncio.sleep(CALL_PAUSE_SECONDS)
+                continue
+            endpoints = self._list_endpoints(database)
+            endpoint = endpoints.pop(entry.endpoint, None)
+            if endpoint is None:
+                return None
+            status = await replication.ask_promoted(
+                self.gateway, endpoint, list(endpoints.values()), entry.term
+            )
+            if status is not None:
+                return status
+            await asyncio.sleep(EFFECT_CHECK_SECONDS)
+        return None
+
+    async def _call(self, database: str, endpoint: str) -> Outcome:
+        answer = await self.promotion_client.promote(
+            database, endpoint, self.coordinator.record.epoch, CALL_TIMEOUT_SECONDS
+        )
+        outcome = find_outcome(answer)
+        if outcome is Outcome.UNKNOWN:
+            self._settled_at[database] = clocks.read_clock() + LATE_CALL_SECONDS
+        if outcome is not Outcome.DONE:
+            logs.write(
+                logs.LogEvent.PROMOTION_FAILED,
+                {
+                    "database": database,
+                    "endpoint": endpoint,
+                    "status": answer.err_value.status,
+                    "reason": answer.err_value.reason,
+                    "outcome": outcome.value,
+                },
+            )
+        return outcome
+
+    def log_wait(self, database: str, endpoint: str) -> None:
+        """Log that an endpoint is not replaced before its calls are settled."""
+        remaining = self._settled_at[database] - clocks.read_clock()
+        logs.write(
+            logs.LogEvent.PROMOTION_UNSETTLED,
+            {
+                "database": database,
+                "endpoint": endpoint,
+                "seconds": round(remaining, 3),
+            },
+        )
+
+    def _list_endpoints(self, database: str) -> dict:
+        return {
+            endpoint.id: endpoint
+            for endpoint in self.gateway.board.endpoints.values()
+            if endpoint.database == database
+        }
+
+
+def find_outcome(answer) -> Outcome:
+    """Return what an answer of the promotion API tells of the call.
+
+    Parameters
+    ----------
+    answer : Result
+        Its error has the status of the answer, or one for a call without an answer.
+    """
+    if answer.is_ok():
+        return Outcome.DONE
+    status = answer.err_value.status
+    if status == REFUSED_STATUS:
+        return Outcome.REFUSED
+    if status < SERVER_ERROR_STATUS or status == NOT_SENT_STATUS:
+        return Outcome.NOT_DONE
+    return Outcome.UNKNOWN
--- a/hyssopshelf/authority/tests/test_durability.py
+++ b/hyssopshelf/authority/tests/test_durability.py
@@ -17,6 +17,7 @@
     assignments,
     change,
     durability,
+    promotions,
     replication,
     suspicion,
     targets,
@@ -76,7 +77,7 @@
     async def promote(self, database, endpoint, epoch, seconds):
         state = self.endpoints[endpoint]
         if state.refuses_promotion:
-            refusal = restorable_fleet.Failure(status=change.REFUSED_STATUS)
+            refusal = restorable_fleet.Failure(status=promotions.REFUSED_STATUS)
             return result.Err(refusal)
         self.promoted.append(endpoint)
         state.role = "primary"
