Grant nothing to a member whose registration may have been removed

Cause: a removal without an answer counted as not done. The member stayed in the coordinator's table, was served when it woke, and was never registered again. The next coordinator takes its members from the store, so it did not wait for that member's grants.

Change: from the start of a removal a member is granted nothing until a write of its registration has succeeded. A removal names the revision of each registration that it removes, so a late one has no effect after that; without an answer the registrations are read before the next attempt. A coordinator that starts also waits for members of the last list that it received.

test_members_lost_by_a_herd_kill_are_removed_within_the_store_s_limit expected 4 transactions of 107 removals; with a condition for each removal they are 8. It now also checks which registrations are removed.

--- a/hyssopshelf/authority/coordinator.py
+++ b/hyssopshelf/authority/coordinator.py
@@ -111,7 +111,7 @@
     def receive_ping(self, ping: exchange.Ping, host: str, address: str) -> None:
         """Record a member's ping and answer it, with a grant if this node may.
 
-        A host that is not registered yet gets an answer without a grant, and is
+        A host without a certain registration gets an answer without a grant, and is
         registered.
         """
         now = clocks.read_clock()
@@ -129,6 +129,8 @@
             self.registry.add(registration.make_record(ping, host, address))
             known = self.grant_table.members[host]
         known.address = address
+        if not known.registered:
+            self.registry.register(ping, host, address)
         if ping.stamp and ping.held > timing.RECONNECT_SECONDS:
             # The member has not received recent answers: the connection may be stuck.
             self.local_member.reset(address)
@@ -138,7 +140,12 @@
             known.sent_shares = self.shares.get(host)
         self._record_observations(ping, now)
         self._request_configuration(ping, host, address, now)
-        grant = follows and self.has_authority(now) and not self.recovering
+        grant = (
+            known.registered
+            and follows
+            and self.has_authority(now)
+            and not self.recovering
+        )
         if grant:
             databases = self._direct.get(host, ())
             if databases is None:
@@ -215,7 +222,9 @@
         alive = [
             state
             for state in self.grant_table.members.values()
-            if now - state.heard_at < timing.SILENCE_SECONDS and not state.draining
+            if state.registered
+            and now - state.heard_at < timing.SILENCE_SECONDS
+            and not state.draining
         ]
         chosen: list[str] = []
         while alive and len(chosen) < SUCCESSOR_COUNT:
--- a/hyssopshelf/authority/grants.py
+++ b/hyssopshelf/authority/grants.py
@@ -22,6 +22,14 @@
 
     Attributes
     ----------
+    registered : bool
+        Whether the store certainly has its registration. Without it the next
+        coordinator may not know the member, so it is granted nothing.
+    revision : int
+        Revision of the registration when it was last read, 0 if it was not.
+    removed_revision : int
+        Revision of a registration that a call without an answer may have removed or
+        may still remove, 0 without one.
     heard_at : float
         Time of the last ping.
     granted_until : float
@@ -67,6 +75,9 @@
     former_incarnations: frozenset[int] = frozenset()
     list_due_at: float = float("-inf")
     reported_releases: dict[str, int] = attrs.field(factory=dict)
+    registered: bool = True
+    revision: int = 0
+    removed_revision: int = 0
 
 
 @attrs.define(kw_only=True)
@@ -79,7 +90,7 @@
     Attributes
     ----------
     members : dict of str to MemberState
-        Registered members by host, without this node.
+        Members by host, without this node.
     confirmed_at : float
         Sending time of the last renewal or write by which the store confirmed a
         coordinator.
--- a/hyssopshelf/authority/participant.py
+++ b/hyssopshelf/authority/participant.py
@@ -223,6 +223,8 @@
             store=self.store,
             send=self.send,
         )
+        # A published list of the new coordinator replaces the one of the former.
+        listed = tuple(self.member.members.values())
         table = local_coordinator.grant_table
         table.confirmed_at = now if confirmed_at is None else confirmed_at
         if current is not None:
@@ -232,7 +234,7 @@
                 local_coordinator.registry.add_predecessor(current)
         self._adopt_coordinator(local_coordinator, reason)
         local_coordinator.run_in_background(renewal.renew(local_coordinator))
-        local_coordinator.run_in_background(self._coordinate(local_coordinator))
+        local_coordinator.run_in_background(self._coordinate(local_coordinator, listed))
 
     def _adopt_coordinator(
         self, local_coordinator: coordinator.Coordinator, reason: str
@@ -252,11 +254,15 @@
         self.member.follow(local_coordinator.record)
         self.coordinator = local_coordinator
 
-    async def _coordinate(self, local_coordinator) -> None:
-        """Load the state of earlier coordinators, then start to serve members."""
+    async def _coordinate(self, local_coordinator, listed: tuple) -> None:
+        """Load the state of earlier coordinators, then start to serve members.
+
+        ``listed`` are the members of the last list that this node has received.
+        """
         while (loaded := await self._load(local_coordinator)) is None:
             await asyncio.sleep(timing.PING_SECONDS)
         revision, era = loaded
+        local_coordinator.registry.add_unlisted(listed)
         local_coordinator.registry.publish()
         local_coordinator.recorder = recorder.AssignmentRecorder(
             coordinator=local_coordinator,
@@ -295,7 +301,7 @@
                 continue
             if clocks.read_clock() - listed_at > MEMBER_READ_SECONDS:
                 listed_at = clocks.read_clock()
-                await self._list_members(local_coordinator)
+                await local_coordinator.registry.read()
             if clocks.read_clock() - removed_at > MEMBER_REMOVAL_SECONDS:
                 removed_at = clocks.read_clock()
                 await local_coordinator.registry.remove_silent()
@@ -311,7 +317,7 @@
         """
         found, listed = await asyncio.gather(
             self.store.get(assignments.ASSIGNMENTS_KEY),
-            self._list_members(local_coordinator),
+            local_coordinator.registry.read(),
         )
         if found.is_err() or not listed:
             return None
@@ -323,18 +329,6 @@
             self.member.assignments = loaded
         return found.ok_value.revision, loaded.era
 
-    async def _list_members(self, local_coordinator) -> bool:
-        page = await self.store.list(assignments.MEMBER_PREFIX)
-        if page.is_err():
-            return False
-        for entry in page.ok_value.entries:
-            record = assignments.decode_member(entry.value)
-            known = local_coordinator.grant_table.members
-            # A member that pinged since may have been restarted after it registered.
-            if record.host != self.identity.host and record.host not in known:
-                local_coordinator.registry.add(record)
-        return True
-
     def become_interim_coordinator(self) -> None:
         """Coordinate without the store, and grant the last known assignments."""
         local_member = self.member
--- a/hyssopshelf/authority/recovery.py
+++ b/hyssopshelf/authority/recovery.py
@@ -69,13 +69,7 @@
     int
         Number of members that were asked.
     """
-    own = local_coordinator.identity.host
-    members = local_coordinator.grant_table.members
-    for record in local_coordinator.local_member.members.values():
-        # The store may have lost its registration.
-        if record.host != own and record.host not in members:
-            local_coordinator.registry.add(record)
-    asked = list(members.values())
+    asked = list(local_coordinator.grant_table.members.values())
     message = exchange.Recall(epoch=local_coordinator.record.epoch, full=False)
     for state in asked:
         local_coordinator.send(state.host, state.address, message)
--- a/hyssopshelf/authority/registration.py
+++ b/hyssopshelf/authority/registration.py
@@ -12,6 +12,9 @@
 REGISTRATION_BATCH = 30
 """Members that are registered by one transaction; the store accepts 32 entries."""
 
+REMOVAL_BATCH = 15
+"""Members whose registration is removed by one transaction, each under a condition."""
+
 REGISTRATION_PAUSE_SECONDS = 0.05
 """Pause in which hosts that start at the same time are collected for one transaction,
 in seconds."""
@@ -81,12 +84,27 @@
                 self._unregistered.pop(record.host, None)
                 if written.is_ok() and record.host != self.coordinator.identity.host:
                     self.add(record)
+                    self._mark_registered(record.host)
                     self.coordinator.announce_to(record.host, record.address)
 
-    def add(self, record: assignments.MemberRecord) -> None:
-        """Add a registered member; a new incarnation holds no grant.
+    def _mark_registered(self, host: str) -> None:
+        """Note that a write of a registration succeeded.
+
+        It has another revision, so no earlier removal takes effect any more.
+        """
+        state = self.coordinator.grant_table.members[host]
+        state.registered = True
+        state.revision = state.removed_revision = 0
+
+    def add(self, record: assignments.MemberRecord, *, registered: bool = True) -> None:
+        """Add a member; a new incarnation holds no grant.
 
         For a known incarnation only the address is updated, an earlier one is ignored.
+
+        Parameters
+        ----------
+        registered : bool
+            Whether the store has the registration of a host that is not known yet.
         """
         before = self.coordinator.grant_table.members.get(record.host)
         if before is not None and record.incarnation in before.former_incarnations:
@@ -94,9 +112,12 @@
         if before is not None and before.incarnation == record.incarnation:
             before.address = record.address
             return
-        former_incarnations = frozenset()
+        former_incarnations, revision, removed_revision = frozenset(), 0, 0
         if before is not None:
             former_incarnations = before.former_incarnations | {before.incarnation}
+            registered = before.registered
+            revision = before.revision
+            removed_revision = before.removed_revision
         self.coordinator.grant_table.members[record.host] = grants.MemberState(
             host=record.host,
             address=record.address,
@@ -106,6 +127,9 @@
             heard_at=clocks.read_clock(),
             list_due_at=clocks.read_clock() + FIRST_LIST_SECONDS,
             former_incarnations=former_incarnations,
+            registered=registered,
+            revision=revision,
+            removed_revision=removed_revision,
         )
         logs.write(
             logs.LogEvent.MEMBER_ADDED,
@@ -120,31 +144,97 @@
                 host=current.host,
                 address=current.address,
                 incarnation=current.incarnation,
-            )
+            ),
+            registered=False,
         )
 
-    async def remove_silent(self) -> None:
-        """Remove the registrations of members that have stopped pinging.
+    def add_unlisted(self, records) -> None:
+        """Add members that an earlier coordinator may have granted something.
 
-        A member whose grants may still be valid stays registered. One call removes as
-        many as fit into one transaction.
+        The store may have lost their registrations, or an interim coordinator may have
+        granted something to members that had been removed.
         """
+        known = self.coordinator.grant_table.members.keys()
+        own = self.coordinator.identity.host
+        for record in records:
+            if record.host not in known | {own}:
+                self.add(record, registered=False)
+
+    async def read(self) -> bool:
+        """Read the registrations; return whether the store answered."""
+        page = await self.coordinator.store.list(assignments.MEMBER_PREFIX)
+        if page.is_err():
+            return False
+        for entry in page.ok_value.entries:
+            record = assignments.decode_member(entry.value)
+            if record.host == self.coordinator.identity.host:
+                continue
+            # A known member may have been restarted after it registered.
+            if record.host not in self.coordinator.grant_table.members:
+                self.add(record)
+            state = self.coordinator.grant_table.members[record.host]
+            state.revision = entry.revision
+            if entry.revision != state.removed_revision:
+                state.registered = True
+        return True
+
+    def _list_silent(self) -> list[grants.MemberState]:
+        """Return the members that have stopped pinging and hold no valid grant."""
         now = clocks.read_clock()
-        silent = [
+        table = self.coordinator.grant_table
+        return [
             state
-            for state in self.coordinator.grant_table.members.values()
+            for state in table.members.values()
             if now - state.heard_at > timing.MEMBER_TIMEOUT_SECONDS
-            and now > self.coordinator.grant_table.find_grant_expiry(state)
-        ][:REGISTRATION_BATCH]
-        if not silent or not self.coordinator.may_change(now):
-            return
-        keys = tuple(assignments.MEMBER_PREFIX + state.host for state in silent)
-        removed = await self.coordinator.store.change(
-            {assignments.COORDINATOR_KEY: self.coordinator.revision}, {}, keys
-        )
-        if removed.is_err():
+            and now > table.find_grant_expiry(state)
+        ]
+
+    async def remove_silent(self) -> None:
+        """Remove the registrations of members that have stopped pinging.
+
+        A member whose grants may still be valid stays registered.
+        """
+        silent = self._list_silent()
+        if not silent or not self.coordinator.may_change(clocks.read_clock()):
             return
+        if not all(state.revision for state in silent):
+            for state in silent:
+                state.revision = 0
+            if not await self.read():
+                return
+        while silent := self._list_silent()[:REMOVAL_BATCH]:
+            if not self.coordinator.may_change(clocks.read_clock()):
+                break
+            if not await self._remove(silent):
+                break
+        self.publish()
+
+    async def _remove(self, silent: list[grants.MemberState]) -> bool:
+        """Remove members; return whether the store has done it.
+
+        From the start of the call a member is granted nothing until it has been
+        registered again. Each registration is removed under the condition that it has
+        not been written since, so a late removal has no effect after that.
+        """
+        keys = {}
         for state in silent:
+            state.registered = False
+            # One without a revision was not in the store when it was read.
+            if state.revision:
+                state.removed_revision = state.revision
+                keys[assignments.MEMBER_PREFIX + state.host] = state.revision
+        if keys:
+            expected = {assignments.COORDINATOR_KEY: self.coordinator.revision, **keys}
+            removed = await self.coordinator.store.change(expected, {}, tuple(keys))
+            if removed.is_err():
+                for state in silent:
+                    # The next attempt reads which of them are left.
+                    state.revision = 0
+                return False
+        now = clocks.read_clock()
+        for state in silent:
+            if state.registered:
+                continue  # It was registered again after the removal.
             if self.coordinator.grant_table.members.get(state.host) is state:
                 del self.coordinator.grant_table.members[state.host]
                 # If the host returns, its first answer must not wait for an attempt of
@@ -154,7 +244,7 @@
                 logs.LogEvent.MEMBER_REMOVED,
                 {"member": state.host, "silent": round(now - state.heard_at, 2)},
             )
-        self.publish()
+        return True
 
     def publish(self) -> None:
         """Update the list of members that answers to pings carry.
--- a/hyssopshelf/authority/tests/test_large_fleet.py
+++ b/hyssopshelf/authority/tests/test_large_fleet.py
@@ -6,7 +6,7 @@
 import attrs
 import result
 
-from hyssopshelf import clocks, envelopes
+from hyssopshelf import clocks, envelopes, kvstore
 from hyssopshelf.authority import (
     assignments,
     coordinator,
@@ -17,6 +17,7 @@
     registration,
     timing,
 )
+from hyssopshelf.authority.tests import restorable_fleet
 from hyssopshelf.gateway import blackboard, gateway
 
 NODES = 195
@@ -30,6 +31,21 @@
     """Accepts transactions of the size that the platform's store accepts."""
 
     calls: list = attrs.field(factory=list)
+    hosts: tuple = ()
+
+    async def list(self, prefix):
+        """Return the registrations of the hosts."""
+        entries = tuple(
+            kvstore.Entry(
+                key=prefix + host,
+                value=assignments.encode(
+                    registration.make_record(make_ping(0), host, "a:1")
+                ),
+                revision=number + 1,
+            )
+            for number, host in enumerate(self.hosts)
+        )
+        return result.Ok(restorable_fleet.Page(entries=entries))
 
     async def change(self, expected, writes, deletes=()):
         self.calls.append((dict(writes), tuple(deletes)))
@@ -118,7 +134,7 @@
     """More than 32 removals in one transaction were refused for good."""
 
     async def scenario():
-        store = RecordingStore()
+        store = RecordingStore(hosts=tuple(make_host(n) for n in range(NODES)))
         local_coordinator = make_coordinator([], store)
         add_members(local_coordinator)
         table = local_coordinator.grant_table
@@ -128,7 +144,11 @@
         for _ in range(5):
             await local_coordinator.registry.remove_silent()
         assert len(table.members) == NODES - 107
-        assert len(store.calls) == 4
+        removed = [key for _, deletes in store.calls for key in deletes]
+        assert sorted(removed) == [
+            assignments.MEMBER_PREFIX + make_host(number) for number in range(107)
+        ]
+        assert len(store.calls) == 8
 
     asyncio.run(scenario())
 
