Let fewer than half of the members take over through the store

Three of eight machines that returned after a loss of power answered every request with BUSY "no primary is known", for good.

Cause: a takeover needed the answers of half of all registered members, or none at all. Members that were more than one and fewer than half asked one another for ever, and only a coordinator removes the registrations of the lost ones. Survivors that were not restarted waited in the same way.

Change: such members take over through the store after a silence of 6 s. A live coordinator has removed their registrations by then, and the record names the revision of the candidate's own; the store still records one coordinator, which ends the lease of the one before. Changes of primary wait for members that may follow an interim coordinator, as before; without the store a majority of all is required, as before.

A member that has not heard a newer coordinator for 6 s no longer stops others.

--- a/hyssopshelf/authority/dispatch.py
+++ b/hyssopshelf/authority/dispatch.py
@@ -84,6 +84,13 @@
     if message.epoch >= participant.member.epoch:
         participant.silence_shared_at = now
     local_coordinator = participant.coordinator
+    if (
+        local_coordinator is not None
+        and local_coordinator.active
+        and message.epoch > local_coordinator.record.epoch
+    ):
+        # Members follow only newer coordinators than the one that they have lost.
+        local_coordinator.stop("a newer coordinator existed")
     if local_coordinator is not None and local_coordinator.has_authority(now):
         silence = 0.0
     answer = exchange.Contact(
@@ -100,7 +107,11 @@
 ) -> None:
     if message.number != participant.candidate.inquiry_number:
         return
-    newer = message.epoch > participant.member.epoch
+    # The coordinator of a newer epoch may only have started, or is lost as well.
+    newer = (
+        message.epoch > participant.member.epoch
+        and message.silence < timing.MINORITY_TAKEOVER_SECONDS
+    )
     if not newer and message.silence > timing.SILENCE_SECONDS:
         participant.silence_shared_at = clocks.read_clock()
     participant.candidate.contacts[host] = 0.0 if newer else message.silence
--- a/hyssopshelf/authority/election.py
+++ b/hyssopshelf/authority/election.py
@@ -124,8 +124,10 @@
     """Return whether the other members do not hear the coordinator either.
 
     A member that hears it prevents the takeover. So that the small side of a
-    network partition does not take over, at least half of all members must take
-    part; a member without any answer waits ``ISOLATED_TAKEOVER_SECONDS``.
+    network partition does not take over at once, fewer than half of all members wait
+    ``MINORITY_TAKEOVER_SECONDS``, as the others may be lost for good. A member
+    without any answer waits ``ISOLATED_TAKEOVER_SECONDS``. The store still records
+    one coordinator only; without the store a majority is required.
 
     Parameters
     ----------
@@ -144,4 +146,6 @@
         return 2 * (len(contacts) + 1) > others + 1
     if 2 * (len(contacts) + 1) >= others + 1:
         return True
-    return not contacts and silence > timing.ISOLATED_TAKEOVER_SECONDS
+    if not contacts:
+        return silence > timing.ISOLATED_TAKEOVER_SECONDS
+    return silence > timing.MINORITY_TAKEOVER_SECONDS
--- a/hyssopshelf/authority/participant.py
+++ b/hyssopshelf/authority/participant.py
@@ -177,16 +177,17 @@
                 return
         else:
             await asyncio.sleep(timing.REGISTRATION_DELAY_SECONDS)
-        key = assignments.MEMBER_PREFIX + self.identity.host
-        while True:
-            written = await self.store.change(
-                {}, {key: assignments.encode(self.identity)}
-            )
-            if written.is_ok():
-                self.own_revision = written.ok_value
-                return
+        while not await self.write_registration():
             await asyncio.sleep(timing.PING_SECONDS)
 
+    async def write_registration(self) -> bool:
+        """Write this node's registration; return whether the store has taken it."""
+        key = assignments.MEMBER_PREFIX + self.identity.host
+        written = await self.store.change({}, {key: assignments.encode(self.identity)})
+        if written.is_ok():
+            self.own_revision = written.ok_value
+        return written.is_ok()
+
     def start_coordinating(
         self,
         record,
--- a/hyssopshelf/authority/takeover.py
+++ b/hyssopshelf/authority/takeover.py
@@ -309,16 +309,31 @@
         return Confirmation(revision=found.ok_value.revision, sent_at=sent_at)
 
     async def _find_own_revision(self) -> int:
-        """Return the revision of this node's registration, 0 without one."""
+        """Return the revision of this node's registration, 0 without one.
+
+        The coordinator that removed it, or a late registration of an earlier process,
+        may be all that is left of the fleet before. After a long silence it is written
+        again, so that a later attempt succeeds.
+        """
         participant = self.participant
         key = assignments.MEMBER_PREFIX + participant.identity.host
         found = await participant.store.get(key)
-        if found.is_err() or found.ok_value is None:
+        if found.is_err():
             return participant.own_revision
-        record = assignments.decode_member(found.ok_value.value)
-        if record.incarnation == participant.identity.incarnation:
-            return found.ok_value.revision
-        return participant.own_revision
+        if found.ok_value is not None:
+            record = assignments.decode_member(found.ok_value.value)
+            if record.incarnation == participant.identity.incarnation:
+                return found.ok_value.revision
+        if self._measure_silence() > timing.REGISTER_AGAIN_SECONDS:
+            await participant.write_registration()
+        return 0
+
+    def _measure_silence(self) -> float:
+        """Return the seconds for which this node has not heard its coordinator."""
+        local_member = self.participant.member
+        return clocks.read_clock() - max(
+            local_member.answered_at, local_member.followed_at
+        )
 
     async def _end_lease(self, current, own_lease: int) -> bool:
         """End the earlier coordinator's lease, and so its authority.
@@ -369,9 +384,7 @@
         expected = len(others) - 1
         while len(self.contacts) < expected and clocks.read_clock() < deadline:
             await asyncio.sleep(member.RELEASE_CHECK_SECONDS)
-        silence = clocks.read_clock() - max(
-            local_member.answered_at, local_member.followed_at
-        )
+        silence = self._measure_silence()
         agreed = election.is_agreed(len(others), self.contacts, silence, False)
         logs.write(
             logs.LogEvent.TAKEOVER_ASKED,
--- a/hyssopshelf/authority/tests/test_rules.py
+++ b/hyssopshelf/authority/tests/test_rules.py
@@ -87,6 +87,15 @@
     assert election.is_agreed(5, {}, timing.ISOLATED_TAKEOVER_SECONDS + 0.1, False)
 
 
+# RECOVER: members that were fewer than half never had a coordinator again (review/8).
+def test_a_minority_takes_over_through_the_store_after_a_long_silence():
+    silence = timing.MINORITY_TAKEOVER_SECONDS
+    assert not election.is_agreed(7, {"a": 9.0, "b": 9.0}, silence - 0.1, False)
+    assert election.is_agreed(7, {"a": 9.0, "b": 9.0}, silence + 0.1, False)
+    assert not election.is_agreed(7, {"a": 9.0, "b": 0.1}, silence + 0.1, False)
+    assert not election.is_agreed(7, {"a": 9.0, "b": 9.0}, 600.0, True)
+
+
 def test_an_interim_coordinator_needs_a_majority():
     assert not election.is_agreed(5, {"a": 3.0, "b": 3.0}, 60.0, True)
     assert election.is_agreed(5, {"a": 3.0, "b": 3.0, "c": 3.0}, 3.0, True)
--- a/hyssopshelf/authority/timing.py
+++ b/hyssopshelf/authority/timing.py
@@ -27,6 +27,15 @@
 coordinator would have removed its registration by then, and the write that records
 the takeover would fail."""
 
+MINORITY_TAKEOVER_SECONDS = 6.0
+"""Silence after which members that are fewer than half take over through the store. A
+live coordinator has removed their registrations by then, in a second attempt if the
+first one had no answer."""
+
+REGISTER_AGAIN_SECONDS = 15.0
+"""Silence after which a member whose registration is gone registers itself again. Most
+partitions have ended by then, so a live coordinator is heard first."""
+
 AUTHORITY_SECONDS = 2.0
 """Validity of the coordinator's authority, from the sending of a lease renewal."""
 
