Count no majority by a list that lacks this node

Found by a test of lost registrations: a node that was cut off in its first seconds coordinated without the store, with no member but itself. Its list of members was older than its registration and named the coordinator only, so the count of the others was zero. It granted nothing, as it had no promise of a member, but a longer list of that age is a smaller majority than the fleet's, and two could lead.

Change: an interim coordinator needs a list that names itself. The test failed before.

--- a/hyssopshelf/authority/takeover.py
+++ b/hyssopshelf/authority/takeover.py
@@ -352,9 +352,13 @@
 
     def _has_majority(self, reason: str) -> bool:
         """Return whether a majority of the members supported the last inquiry."""
-        others = len(self.participant.member.members) - 1
-        return self._is_still_needed(reason) and election.is_agreed(
-            others, self.contacts, 0.0, True
+        known = self.participant.member.members.keys()
+        own = self.participant.identity.host
+        # A list without this node is older than its registration.
+        return (
+            own in known
+            and self._is_still_needed(reason)
+            and election.is_agreed(len(known) - 1, self.contacts, 0.0, True)
         )
 
     async def _others_agree(self) -> bool:
--- a/hyssopshelf/authority/tests/test_lost_majority.py
+++ b/hyssopshelf/authority/tests/test_lost_majority.py
@@ -113,3 +113,19 @@
         assert fleet.nodes[host].coordinator.record.epoch > inquiry.epoch
 
     test_two_coordinators.run_cut_fleet(scenario)
+
+
+# ONE: a node whose list of members lacked itself took itself for a majority.
+def test_a_list_without_this_node_gives_no_majority():
+    async def scenario(store, fleet):
+        await fleet.start_all("a", "b")
+        node = fleet.nodes["b"]
+        node.member.members = {"a": fleet.nodes["a"].identity}
+        lose(fleet, "a")
+        store.down = True
+        ends_at = clocks.read_clock() + 4.0
+        while clocks.read_clock() < ends_at:
+            assert node.coordinator is None
+            await asyncio.sleep(0.02)
+
+    test_two_coordinators.run_cut_fleet(scenario)
