Leave a flag that is not set out of stored assignments

Cause: nodes of the version before refuse a document with a field that they don't know, so the new flag of unsettled calls would have kept assignments from them in a rolling change. Change: flags that are not set are not encoded. The test failed before (b"unsettled" was in every document).

--- a/hyssopshelf/authority/assignments.py
+++ b/hyssopshelf/authority/assignments.py
@@ -108,8 +108,13 @@
 
 
 def encode(value) -> bytes:
-    """Encode an attrs object as a document for the store."""
-    return msgpack.packb(attrs.asdict(value))
+    """Encode an attrs object as a document for the store.
+
+    A flag that is not set is left out, as nodes of an earlier version may not know it.
+    """
+    return msgpack.packb(
+        attrs.asdict(value, filter=lambda field, known: known is not False)
+    )
 
 
 def decode_assignments(data: bytes) -> Assignments:
--- a/hyssopshelf/authority/tests/test_rules.py
+++ b/hyssopshelf/authority/tests/test_rules.py
@@ -3,6 +3,7 @@
 import os
 import types
 
+import attrs
 import hypothesis
 from hypothesis import strategies
 
@@ -227,6 +228,18 @@
     assert assignments.decode_assignments(assignments.encode(value)) == value
 
 
+# A node of the version before reads no assignments that have a field it does not know.
+def test_only_an_unsettled_assignment_has_the_new_field():
+    entry = assignments.Assignment(endpoint="e", term=1, version=1)
+    for unsettled in (False, True):
+        known = assignments.Assignments(
+            databases={"db": attrs.evolve(entry, unsettled=unsettled)}
+        )
+        data = assignments.encode(known)
+        assert (b"unsettled" in data) == unsettled
+        assert assignments.decode_assignments(data) == known
+
+
 def make_coordinator(sent: list, members: int):
     """Return a coordinator of members in three places, with a large configuration."""
     local_member = types.SimpleNamespace(
