--- a/hyssopshelf/authority/registration.py
+++ b/hyssopshelf/authority/registration.py
@@ -219,7 +219,8 @@
         keys = {}
         for state in silent:
             state.registered = False
-            # One without a revision was not in the store when it was read.
+            # One without a revision was not in the store when it was read; if it has
+            # been written since, the next read adds it again.
             if state.revision:
                 state.removed_revision = state.revision
                 keys[assignments.MEMBER_PREFIX + state.host] = state.revision
