--- a/hyssopshelf/authority/change.py
+++ b/hyssopshelf/authority/change.py
@@ -95,18 +95,11 @@
             names &= board.configuration.connections.keys()
         return sorted(names | set(self.local_member.assignments.databases))
 
-    def _list_endpoints(self, database: str) -> dict:
-        return {
-            endpoint.id: endpoint
-            for endpoint in self.gateway.board.endpoints.values()
-            if endpoint.database == database
-        }
-
     def _check_database(self, database: str, failure_reports: dict, now: float) -> None:
         if database in self._changing or now < self._retry_at[database]:
             return
         assigned = self.local_member.assignments.databases.get(database)
-        endpoints = self._list_endpoints(database)
+        endpoints = self.promoter.list_endpoints(database)
         if assigned is None:
             if any(endpoint.leads for endpoint in endpoints.values()):
                 self._start_change(database, self._assign_first(database, endpoints))
@@ -292,7 +285,7 @@
         """Return whether a change is still needed after the wait for the release."""
         if reason != "gone":
             return True
-        return assigned.endpoint not in self._list_endpoints(database)
+        return assigned.endpoint not in self.promoter.list_endpoints(database)
 
     async def _resume(self, database: str, entry) -> bool:
         """Finish a recorded change, which an earlier coordinator may have started."""
@@ -307,7 +300,7 @@
             # An earlier coordinator may still be calling the promotion API.
             return False
         self.coordinator.revoked.add(database)
-        endpoint = self._list_endpoints(database).get(entry.endpoint)
+        endpoint = self.promoter.list_endpoints(database).get(entry.endpoint)
         if endpoint is not None and await self._promote(database, entry):
             return True
         if not self.promoter.is_settled(database, clocks.read_clock()):
@@ -371,7 +364,7 @@
     async def _catch_up(self, database: str, assigned, target):
         """Wait a bounded time until a replica has the old primary's last entry."""
         deadline = clocks.read_clock() + CATCH_UP_SECONDS
-        old = self._list_endpoints(database).get(assigned.endpoint)
+        old = self.promoter.list_endpoints(database).get(assigned.endpoint)
         last = (
             await replication.ask_status(self.gateway, old) if old is not None else None
         )
@@ -422,7 +415,7 @@
         for _ in range(DEMOTE_ATTEMPTS):
             others = [
                 endpoint
-                for endpoint in self._list_endpoints(database).values()
+                for endpoint in self.promoter.list_endpoints(database).values()
                 if endpoint.id != final.endpoint and endpoint.leads
             ]
             if not others:
--- a/hyssopshelf/authority/promotions.py
+++ b/hyssopshelf/authority/promotions.py
@@ -105,7 +105,7 @@
             if outcome is Outcome.NOT_DONE:
                 await asyncio.sleep(CALL_PAUSE_SECONDS)
                 continue
-            endpoints = self._list_endpoints(database)
+            endpoints = self.list_endpoints(database)
             endpoint = endpoints.pop(entry.endpoint, None)
             if endpoint is None:
                 return None
@@ -149,7 +149,8 @@
             },
         )
 
-    def _list_endpoints(self, database: str) -> dict:
+    def list_endpoints(self, database: str) -> dict:
+        """Return the registered endpoints of a database, by id."""
         return {
             endpoint.id: endpoint
             for endpoint in self.gateway.board.endpoints.values()
