--- a/hyssopshelf/authority/tests/test_lost_majority.py
+++ b/hyssopshelf/authority/tests/test_lost_majority.py
@@ -115,6 +115,22 @@
     test_two_coordinators.run_cut_fleet(scenario)
 
 
+# RECOVER: a member that had lost a newer coordinator, too, kept others from a takeover.
+def test_a_member_that_has_lost_a_newer_coordinator_tells_its_silence():
+    async def scenario(store, fleet):
+        node = fleet.add("a")
+        for silence, counted in ((1.0, 0.0), (60.0, 60.0)):
+            contact = exchange.Contact(
+                number=node.candidate.inquiry_number,
+                epoch=node.member.epoch + 1,
+                silence=silence,
+            )
+            node.receive("b", "b:1", contact)
+            assert node.candidate.contacts["b"] == counted
+
+    test_two_coordinators.run_cut_fleet(scenario)
+
+
 # ONE: a node whose list of members lacked itself took itself for a majority.
 def test_a_list_without_this_node_gives_no_majority():
     async def scenario(store, fleet):
