Show that a fleet without its majority and primary is not served

After a loss of power three of eight machines return and the primary is lost: the coordinator waits 22 s for grants of processes that have ended.

--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -118,6 +118,7 @@
             )
             self.nodes.append(node)
             node.start()
+            node.set_restarted()
         ready = await nodes.wait_until_ready(self.nodes, READY_SECONDS)
         if not ready:
             self.log.add("the nodes are not ready")
@@ -127,6 +128,12 @@
         """Run a coroutine until the end of the case."""
         self.tasks.append(asyncio.get_running_loop().create_task(work))
 
+    def end_clients(self) -> None:
+        """End what `spawn` has started."""
+        for task in self.tasks:
+            task.cancel()
+        self.tasks.clear()
+
     async def wait_for_call(self, name: str, prefix: str = "") -> None:
         """Wait until a node makes a call to the store."""
         made = asyncio.Event()
@@ -159,8 +166,7 @@
 
     def stop(self) -> None:
         """End clients and nodes."""
-        for task in self.tasks:
-            task.cancel()
+        self.end_clients()
         for node in self.nodes:
             node.end()
 
--- a/review/standins-3/nodes.py
+++ b/review/standins-3/nodes.py
@@ -80,9 +80,12 @@
         ]
         self.path.write_text("\n".join(lines) + "\n", encoding="utf-8")
         self.process: subprocess.Popen | None = None
+        self.next_text = ""
 
     def start(self) -> None:
         """Start the process as the platform does."""
+        if self.next_text:
+            self.path.write_text(self.next_text, encoding="utf-8")
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         environment = {
             name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ
@@ -98,6 +101,11 @@
                 stderr=log,
             )
 
+    def set_restarted(self) -> None:
+        """Write the settings of the next start: the system has started before."""
+        text = self.path.read_text(encoding="utf-8")
+        self.next_text = text.replace("bootstrap=true", "bootstrap=false")
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it runs."""
         if self.process is not None and self.process.poll() is None:
