Send no request to an endpoint after its time to leave

Callers' writes and reads reached instances up to 9 s after their report that they drain (bound 7 s).

Each node now stores a deadline for each endpoint that leaves and asks it before it sends: in the choice of endpoints, in the queue, when a slot is free, at holders of other nodes' work and after the start of a transaction. The bound counts from the latest time at which the registry is known to have been without the report, which every node knows for itself; answers to pings carry the age of the coordinator's registry and its deadlines. Open transactions go on. If all endpoints of a database have left, work is refused at once.

--- a/hyssopshelf/authority/coordinator.py
+++ b/hyssopshelf/authority/coordinator.py
@@ -293,6 +293,8 @@
                 else None
             ),
             holders_version=self.holders_version,
+            registry_age=max(0.0, now - document_cache.registry_read_at),
+            leaving=self.local_member.gateway.board.leave_deadlines.list_remaining(now),
         )
         self.send(host, address, pong)
 
--- a/hyssopshelf/authority/exchange.py
+++ b/hyssopshelf/authority/exchange.py
@@ -110,6 +110,11 @@
     holders : bytes or None
         Compressed hosts and addresses that hold the connections of endpoints with too
         few for all nodes; None if the member is up to date.
+    registry_age : float
+        Time for which the store may have had another registry than the coordinator, in
+        seconds; infinite if it has never read it.
+    leaving : dict of str to float
+        Seconds left for endpoints that leave until they are sent no more requests.
     """
 
     sequence: int
@@ -133,6 +138,8 @@
     shares: dict[str, int] | None = None
     holders: bytes | None = None
     holders_version: int = 0
+    registry_age: float = float("inf")
+    leaving: dict[str, float] = attrs.field(factory=dict)
 
 
 @envelopes.register("authority.release")
--- a/hyssopshelf/authority/member.py
+++ b/hyssopshelf/authority/member.py
@@ -31,7 +31,7 @@
     registry : bytes or None
         The registry's entries; their version is a digest of the content.
     registry_read_at : float
-        Latest time at which the store is known to have had this registry.
+        Latest time at which the store certainly had this registry.
     members : bytes or None
         The compressed list of members; its version is a checksum.
     """
@@ -201,7 +201,7 @@
             self.successors = pong.successors
             self.successors_version = pong.successors_version
         self.store_age, self.store_age_at = pong.store_age, now
-        self._apply_documents(pong, now)
+        self._apply_documents(pong, now, sent_at)
         if not pong.authoritative:
             return
         silence = now - self.answered_at
@@ -268,7 +268,7 @@
             endpoint for endpoint in holders if forwarder.is_forwarded(endpoint)
         }
 
-    def _apply_documents(self, pong: exchange.Pong, now: float) -> None:
+    def _apply_documents(self, pong: exchange.Pong, now: float, sent_at: float) -> None:
         document_cache = self.document_cache
         if pong.assignments is not None:
             newer = assignments.decode_assignments(pong.assignments)
@@ -287,10 +287,33 @@
                 self._missing_since = now
         else:
             self._missing_since = None
-        read_at = now - pong.store_age
+        self._apply_registry(pong, sent_at - pong.registry_age, sent_at)
+
+    def _apply_registry(
+        self, pong: exchange.Pong, read_at: float, sent_at: float
+    ) -> None:
+        """Apply what an answer tells of the registry.
+
+        Parameters
+        ----------
+        read_at : float
+            Time at which the store certainly had the coordinator's registry.
+        sent_at : float
+            Sending time of the ping, from which times in the answer count.
+        """
+        document_cache = self.document_cache
         if pong.registry is not None and read_at > document_cache.registry_read_at:
             document_cache.registry_read_at = read_at
             self.apply_document("registry", zlib.decompress(pong.registry))
+        deadlines = self.gateway.board.leave_deadlines
+        if pong.registry_version == document_cache.registry_version:
+            document_cache.registry_read_at = max(
+                document_cache.registry_read_at, read_at
+            )
+            deadlines.confirm(read_at)
+        deadlines.extend(
+            {name: sent_at + seconds for name, seconds in pong.leaving.items()}
+        )
 
     def apply_grants(
         self,
--- a/hyssopshelf/authority/tests/test_restarted_member.py
+++ b/hyssopshelf/authority/tests/test_restarted_member.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import attrs
+import pytest
 
 from hyssopshelf import clocks
 from hyssopshelf.authority import (
@@ -155,3 +156,27 @@
         assert newest.databases["db"].endpoint == "new"
 
     restorable_fleet.run_fleet(scenario)
+
+
+# DRAIN: times in an answer count from the ping, however late the answer is.
+def test_what_an_answer_tells_of_the_registry_counts_from_the_ping():
+    async def scenario():
+        sent = []
+        node = make_member(sent)
+        deadlines = node.gateway.board.leave_deadlines
+        deadlines.deadlines["e"] = float("-inf")
+        sent_at = clocks.read_clock()
+        node.member.ping()
+        await asyncio.sleep(0.3)
+        answer = exchange.Pong(
+            sequence=sent[0].sequence,
+            epoch=COORDINATOR.epoch,
+            authoritative=False,
+            registry_age=1.0,
+            leaving={"e": 2.0},
+        )
+        node.member.receive_pong(answer, "c")
+        assert deadlines.current_at == pytest.approx(sent_at - 1.0, abs=0.1)
+        assert deadlines.deadlines["e"] == pytest.approx(sent_at + 2.0, abs=0.1)
+
+    asyncio.run(scenario())
--- a/hyssopshelf/gateway/blackboard.py
+++ b/hyssopshelf/gateway/blackboard.py
@@ -3,7 +3,7 @@
 import attrs
 
 from hyssopshelf.balancing import spillover
-from hyssopshelf.gateway import catalog, freshness, statements
+from hyssopshelf.gateway import catalog, freshness, leaving, statements
 
 
 @attrs.frozen(kw_only=True)
@@ -141,6 +141,8 @@
     isolated : bool
         Whether this node reaches no coordinator, so it cannot learn of a primary;
         requests for one are refused instead of waiting.
+    leave_deadlines : LeaveDeadlines
+        Until when endpoints that leave may be sent requests.
     """
 
     place: str
@@ -159,6 +161,9 @@
     reported_waits: dict[str, spillover.ReportedWait] = attrs.field(factory=dict)
     spillovers: dict[str, spillover.Spillover] = attrs.field(factory=dict)
     isolated: bool = False
+    leave_deadlines: leaving.LeaveDeadlines = attrs.field(
+        factory=leaving.LeaveDeadlines
+    )
 
     def get_positions(self, database: str) -> freshness.PrimaryPositions:
         """Return the log positions of a database's primary, created on demand."""
@@ -203,10 +208,23 @@
         ]
 
     def find_primary(self, database: str, now: float) -> catalog.Endpoint | None:
-        """Return the primary, or None if its grant expired or it is being replaced."""
+        """Return the primary, or None if no request may be sent to one now.
+
+        Its grant may have expired, it may be in the course of being replaced, or its
+        time to leave may have come.
+        """
         grant = self.primary_grants.get(database)
         if grant is None or database in self.releasing:
             return None
         if not grant.is_valid(now, direct=grant.endpoint not in self.held_elsewhere):
             return None
+        if not self.leave_deadlines.accepts(grant.endpoint, now):
+            return None
         return self.endpoints.get(grant.endpoint)
+
+    def have_all_left(self, database: str, now: float) -> bool:
+        """Return whether no registered endpoint may be sent requests any more."""
+        registered = [e for e in self.endpoints.values() if e.database == database]
+        return bool(registered) and not any(
+            self.leave_deadlines.accepts(endpoint.id, now) for endpoint in registered
+        )
--- a/hyssopshelf/gateway/connection_pools.py
+++ b/hyssopshelf/gateway/connection_pools.py
@@ -36,6 +36,9 @@
 LATE_REASON = "cannot start before its deadline"
 """Reason with which work that is too late is refused."""
 
+LEFT_REASON = "endpoint is leaving and takes no more requests"
+"""Reason with which work at an endpoint that leaves is refused."""
+
 _ids = itertools.count(1)
 
 
@@ -83,6 +86,9 @@
         Codec of the endpoint's protocol.
     view : PoolView
         Ranks and limits of slots and connections in force.
+    accepts_requests : callable or None
+        Takes the time and returns whether the endpoint may be sent requests; None if
+        it always may.
 
     Attributes
     ----------
@@ -103,8 +109,9 @@
         Connections of one customer that were closed for one of another.
     """
 
-    def __init__(self, *, endpoint, codec, view) -> None:
+    def __init__(self, *, endpoint, codec, view, accepts_requests=None) -> None:
         self.endpoint = endpoint
+        self._accepts_requests = accepts_requests
         self.codec = codec
         self.view = view
         self.queue = queues.EndpointQueue(endpoint=endpoint.id, pool=view.pool)
@@ -181,6 +188,8 @@
             If no connection could be opened.
         """
         now = clocks.read_clock()
+        if connection is None:
+            self.check_accepts(now)
         item = work.Work(
             id=str(next(_ids)),
             partner=catalog.DEFAULT_PARTNER,
@@ -219,11 +228,25 @@
         if connection is None:
             try:
                 checkout.connection = await self._take_connection(session, customer)
+                self._check_taken(checkout.connection)
             except BaseException:
                 self.release_slot(checkout)
                 raise
         return checkout
 
+    def check_accepts(self, now: float) -> None:
+        """Raise RefusalError if the endpoint may be sent no more requests."""
+        if self._accepts_requests is not None and not self._accepts_requests(now):
+            raise RefusalError(exceptions.ErrorKind.UNAVAILABLE, LEFT_REASON)
+
+    def _check_taken(self, connection) -> None:
+        """Give a connection back if the wait for it was too long for the endpoint."""
+        try:
+            self.check_accepts(clocks.read_clock())
+        except RefusalError:
+            self.release_connection(connection)
+            raise
+
     def release_slot(self, checkout: Checkout) -> None:
         """Release the slot of a checkout and start waiting work."""
         seconds = self.queue.finish(checkout.work_id, clocks.read_clock())
@@ -310,16 +333,19 @@
     def close(self) -> None:
         """Refuse waiting work and close idle connections."""
         self.closed = True
+        self.refuse_waiting("endpoint was removed or restarted", transactions=True)
+        for connection in list(self.idle):
+            self.discard_connection(connection)
+
+    def refuse_waiting(self, reason: str, *, transactions: bool) -> None:
+        """Refuse waiting work, of which nothing ran; that of open ones if asked for."""
         for item_id, waiter in list(self._waiters.items()):
-            if not waiter.done() and self.queue.discard(item_id):
+            if waiter.done() or not (transactions or self.queue.is_new(item_id)):
+                continue
+            if self.queue.discard(item_id):
                 waiter.set_exception(
-                    RefusalError(
-                        exceptions.ErrorKind.UNAVAILABLE,
-                        "endpoint was removed or restarted",
-                    )
+                    RefusalError(exceptions.ErrorKind.UNAVAILABLE, reason)
                 )
-        for connection in list(self.idle):
-            self.discard_connection(connection)
 
     def _count_available(self, now: float) -> int:
         """Return how many more work items can get a connection, idle or new."""
--- a/hyssopshelf/gateway/execution.py
+++ b/hyssopshelf/gateway/execution.py
@@ -223,8 +223,10 @@
     """Return whether waiting for another endpoint is no use.
 
     While no primary is known the next one may run the work, also after endpoints
-    that have failed.
+    that have failed. There is none if all endpoints have left.
     """
+    if gateway.board.have_all_left(route.database, now):
+        return True
     if not retry.excluded:
         return False
     return gateway.board.find_primary(route.database, now) is not None
--- a/hyssopshelf/gateway/gateway.py
+++ b/hyssopshelf/gateway/gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 
 from hyssopshelf import clocks, logs
 from hyssopshelf.gateway import (
@@ -101,6 +102,9 @@
                 endpoint=endpoint,
                 codec=self.endpoint_codec,
                 view=self._make_view(endpoint),
+                accepts_requests=functools.partial(
+                    self.board.leave_deadlines.accepts, endpoint.id
+                ),
             )
             self.connection_pools[endpoint.id] = pool
         return pool
@@ -127,11 +131,23 @@
         self.notify()
         return True
 
-    def apply_endpoints(self, endpoints: dict[str, catalog.Endpoint]) -> None:
-        """Replace the registered endpoints and close the pools of removed ones."""
+    def apply_endpoints(
+        self, endpoints: dict[str, catalog.Endpoint], read_at: float | None = None
+    ) -> None:
+        """Replace the registered endpoints and close the pools of removed ones.
+
+        Parameters
+        ----------
+        read_at : float or None
+            Time at which the registry certainly had them, in seconds; None for now.
+        """
         previous = self.board.endpoints
+        deadlines = self.board.leave_deadlines
+        read_at = clocks.read_clock() if read_at is None else read_at
         if endpoints == previous:
+            deadlines.confirm(read_at)
             return
+        deadlines.observe(previous, endpoints, read_at)
         for endpoint in endpoints.values():
             if previous.get(endpoint.id) != endpoint:
                 logs.write(
@@ -167,6 +183,25 @@
                 pool.close_idle(0, clocks.read_clock())
         self.notify()
 
+    def end_leaving(self) -> None:
+        """Turn away what waits for endpoints whose time to leave has come.
+
+        It may run elsewhere. Open transactions go on where they are.
+        """
+        now = clocks.read_clock()
+        for endpoint_id in self.board.leave_deadlines.take_ended(now):
+            endpoint = self.board.endpoints.get(endpoint_id)
+            if endpoint is None:
+                continue
+            logs.write(
+                logs.LogEvent.ENDPOINT_LEFT,
+                {"endpoint": endpoint_id, "database": endpoint.database},
+            )
+            pool = self.connection_pools.get(endpoint_id)
+            if pool is not None:
+                pool.refuse_waiting(connection_pools.LEFT_REASON, transactions=False)
+            self.notify()
+
     def refresh_views(self) -> None:
         """Update the limits and ranks of all pools."""
         for pool in self.connection_pools.values():
--- a/hyssopshelf/gateway/routing.py
+++ b/hyssopshelf/gateway/routing.py
@@ -129,7 +129,12 @@
                     board.get_health(endpoint.id), position, now
                 )
             ]
-    return [c for c in candidates if c.endpoint.id not in excluded]
+    return [
+        c
+        for c in candidates
+        if c.endpoint.id not in excluded
+        and board.leave_deadlines.accepts(c.endpoint.id, now)
+    ]
 
 
 def sort_by_cost(
--- a/hyssopshelf/gateway/transactions.py
+++ b/hyssopshelf/gateway/transactions.py
@@ -93,6 +93,20 @@
     return execution.make_error(_KIND.ABORTED, reply.error.value)
 
 
+def _check_accepts(session, transaction: Transaction, checkout):
+    """Return the checkout, or an error if the endpoint left while it began.
+
+    Only the first statement of a transaction may come too late.
+    """
+    endpoint = transaction.pool.endpoint.id
+    deadlines = session.gateway.board.leave_deadlines
+    if deadlines.accepts(endpoint, clocks.read_clock()):
+        return checkout
+    transaction.pool.release_slot(checkout)
+    session.trace.add(endpoint, connection_pools.LEFT_REASON)
+    return execution.make_error(_KIND.ABORTED, connection_pools.LEFT_REASON)
+
+
 async def _send(session, request, shape, checkout, deadline, commits_writes: bool):
     """Send a statement on the transaction's connection and return its reply."""
     gateway = session.gateway
@@ -148,7 +162,7 @@
             return reservation
         reply = await _begin(session, transaction, reservation, deadline)
         if reply.error is None:
-            return reservation.checkout
+            return _check_accepts(session, transaction, reservation.checkout)
         retry.record_failure(
             reservation.pool.endpoint.id,
             reservation.version,
--- a/hyssopshelf/scheduling/queues.py
+++ b/hyssopshelf/scheduling/queues.py
@@ -278,6 +278,11 @@
         self._remove(item)
         return True
 
+    def is_new(self, work_id: str) -> bool:
+        """Return whether work that is waiting belongs to no open transaction."""
+        item = self._waiting.get(work_id)
+        return item is not None and not item.in_transaction
+
     @property
     def waiting(self) -> int:
         """Return the number of waiting work items."""
