Settle a promotion that is seen to have taken effect

When a coordinator was lost while it promoted an endpoint and that endpoint then left, the next one kept it for 8 s, as a call of the former one might still be carried out late. Nobody acknowledged a write from the endpoint's time to leave until then.

A coordinator now makes one call under the assignment that it has recorded, and records that a call is unsettled before it repeats one. So whoever sees the endpoint lead, after no more than one call, knows that this call is over. A successor looks before it calls. Calls of two coordinators, and repeated ones, are settled by time alone, as before.

Two tests expected that a single call without an answer stays unsettled although its endpoint leads. That was stricter than needed; the test of the wait now has two calls, and two tests are new: of the former coordinator's call that took effect (fails on the code before) and of calls of two coordinators.

--- a/hyssopshelf/authority/assignments.py
+++ b/hyssopshelf/authority/assignments.py
@@ -30,7 +30,8 @@
     promoting : bool
         Whether its promotion has been recorded and has not yet taken effect.
     unsettled : bool
-        Whether a call that promotes it has got no answer and may be carried out late.
+        Whether calls that promote it have got no answer and may be carried out late
+        although it leads. While ``promoting``, one such call needs no mark.
     """
 
     endpoint: str
--- a/hyssopshelf/authority/change.py
+++ b/hyssopshelf/authority/change.py
@@ -65,7 +65,9 @@
         self.coordinator = coordinator
         self.recorder = recorder
         self.promoter = promotions.Promoter(
-            coordinator=coordinator, promotion_client=promotion_client
+            coordinator=coordinator,
+            promotion_client=promotion_client,
+            record=self._record,
         )
         self.local_member = coordinator.local_member
         self.gateway = coordinator.local_member.gateway
--- a/hyssopshelf/authority/promotions.py
+++ b/hyssopshelf/authority/promotions.py
@@ -3,11 +3,16 @@
 A call without an answer may be carried out seconds later. Until then it is unsettled:
 if another endpoint were promoted meanwhile, the late call would replace it without the
 members' knowledge, and what they acknowledge there would be lost.
+
+An endpoint that is seen to lead after a single call settles it, also a call of an
+earlier coordinator. So a second call is recorded before it is made.
 """
 
 import asyncio
 import enum
 
+import attrs
+
 from hyssopshelf import clocks, logs
 from hyssopshelf.authority import replication, timing
 
@@ -58,10 +63,14 @@
         The coordinator whose epoch is the fencing token.
     promotion_client : object
         Client of the platform's promotion API.
+    record : callable
+        Coroutine function that takes a database and its assignment and returns whether
+        the store has it.
     """
 
-    def __init__(self, *, coordinator, promotion_client) -> None:
+    def __init__(self, *, coordinator, promotion_client, record) -> None:
         self.coordinator = coordinator
+        self._record = record
         self.promotion_client = promotion_client
         self.gateway = coordinator.local_member.gateway
         self._settled_at: dict[str, float] = {}
@@ -93,30 +102,63 @@
         ReplicationStatus or None
             Its status as the primary; None if it does not lead in time.
         """
-        deadline = clocks.read_clock() + EFFECT_SECONDS
+        now = clocks.read_clock()
+        deadline = now + EFFECT_SECONDS
         outcome = Outcome.NOT_DONE
+        if not self.is_settled(database, now):
+            status = await self._ask(database, entry)
+            if status is not None:
+                return status
+            outcome = Outcome.UNKNOWN
         while (now := clocks.read_clock()) < deadline:
             if not self.coordinator.may_change(now):
                 return None
             if outcome is not Outcome.DONE:
+                entry = await self._prepare_call(database, entry, outcome)
+                if entry is None:
+                    return None
                 outcome = await self._call(database, entry.endpoint)
-            if outcome is Outcome.REFUSED:
+            registered = entry.endpoint in self.list_endpoints(database)
+            if outcome is Outcome.REFUSED or not registered:
                 return None
             if outcome is Outcome.NOT_DONE:
                 await asyncio.sleep(CALL_PAUSE_SECONDS)
                 continue
-            endpoints = self.list_endpoints(database)
-            endpoint = endpoints.pop(entry.endpoint, None)
-            if endpoint is None:
-                return None
-            status = await replication.ask_promoted(
-                self.gateway, endpoint, list(endpoints.values()), entry.term
-            )
+            status = await self._ask(database, entry)
             if status is not None:
                 return status
             await asyncio.sleep(EFFECT_CHECK_SECONDS)
         return None
 
+    async def _prepare_call(self, database: str, entry, outcome: Outcome):
+        """Record that a call without an answer is about to be repeated.
+
+        Returns
+        -------
+        Assignment or None
+            The assignment as recorded; None if the store did not take it.
+        """
+        if outcome is not Outcome.UNKNOWN or entry.unsettled:
+            return entry
+        entry = attrs.evolve(entry, unsettled=True)
+        return entry if await self._record(database, entry) else None
+
+    async def _ask(self, database: str, entry):
+        """Return the status of an endpoint that leads a later term, else None.
+
+        It leads because of the only call that was made, unless there were several.
+        """
+        endpoints = self.list_endpoints(database)
+        endpoint = endpoints.pop(entry.endpoint, None)
+        if endpoint is None:
+            return None
+        status = await replication.ask_promoted(
+            self.gateway, endpoint, list(endpoints.values()), entry.term
+        )
+        if status is not None and not entry.unsettled:
+            self._settled_at.pop(database, None)
+        return status
+
     async def _call(self, database: str, endpoint: str) -> Outcome:
         answer = await self.promotion_client.promote(
             database, endpoint, self.coordinator.record.epoch, CALL_TIMEOUT_SECONDS
--- a/hyssopshelf/authority/recovery.py
+++ b/hyssopshelf/authority/recovery.py
@@ -40,7 +40,12 @@
     local_member.assignments = assignments.Assignments(
         version=max(newest.version + 1, first),
         databases={
-            database: attrs.evolve(entry, version=max(entry.version + 1, first))
+            database: attrs.evolve(
+                entry,
+                version=max(entry.version + 1, first),
+                # The store may have lost that a call was repeated.
+                unsettled=entry.unsettled or newest.databases[database].promoting,
+            )
             for database, entry in zip(newest.databases, checked, strict=True)
         },
     )
