Wait no longer for a lost coordinator than it could act

After a coordinator was lost, the next one waited 4 s before it replaced a primary: as long as a member could use one that the former coordinator had granted to it last. But the one that stays silent is mostly the former coordinator itself, which grants itself nothing beyond its authority. With two lost in turn the second successor waited the same for the first one lost, too; past the drain deadline of a primary nobody acknowledged a write.

- The wait for the predecessor itself covers its authority only.
- A coordinator names in its record the hosts from which it withholds grants: those that were lost when it took over.
- Members tell the promises that they gave to earlier coordinators, in place of the longest ones being assumed.

A store that was restored proves nothing of this; the waits stay as they were there.

--- a/hyssopshelf/authority/assignments.py
+++ b/hyssopshelf/authority/assignments.py
@@ -77,6 +77,10 @@
     lease : int
         Lease that the coordinator renews; ending it ends its authority. 0 if the
         record comes from a message, or the coordinator is an interim one.
+    withheld : tuple of str
+        Hosts that it grants nothing, as they were lost before it took over. One that
+        returns is taken out of the record first, so that the next coordinator need not
+        wait for grants of those that are left.
     """
 
     host: str
@@ -84,6 +88,7 @@
     incarnation: int
     epoch: int
     lease: int
+    withheld: tuple[str, ...] = attrs.field(default=(), converter=tuple)
 
 
 @attrs.frozen(kw_only=True)
@@ -111,10 +116,13 @@
 def encode(value) -> bytes:
     """Encode an attrs object as a document for the store.
 
-    A flag that is not set is left out, as nodes of an earlier version may not know it.
+    A flag that is not set, or a list without entries, is left out, as nodes of an
+    earlier version may not know it.
     """
     return msgpack.packb(
-        attrs.asdict(value, filter=lambda field, known: known is not False)
+        attrs.asdict(
+            value, filter=lambda field, known: known is not False and known != ()
+        )
     )
 
 
--- a/hyssopshelf/authority/coordinator.py
+++ b/hyssopshelf/authority/coordinator.py
@@ -12,6 +12,7 @@
     grants,
     member,
     registration,
+    renewal,
     timing,
 )
 
@@ -92,6 +93,7 @@
         self._requested_at = float("-inf")
         self._tasks = background.TaskSet(on_failure=self._stop_after_failure)
         self._had_authority = True
+        self._admitting: set[str] = set()
 
     def has_authority(self, now: float) -> bool:
         """Return whether this node may grant the use of primaries."""
@@ -140,11 +142,15 @@
             known.sent_shares = self.shares.get(host)
         self._record_observations(ping, now)
         self._request_configuration(ping, host, address, now)
+        withheld = host in self.record.withheld
+        if withheld and follows:
+            self._admit(host)
         grant = (
             known.registered
             and follows
             and self.has_authority(now)
             and not self.recovering
+            and not withheld
         )
         if grant:
             databases = self._direct.get(host, ())
@@ -153,6 +159,12 @@
             self.grant_table.record_grant(known, databases, now)
         self._answer(ping, host, address, now, grant=grant)
 
+    def _admit(self, host: str) -> None:
+        """Start to grant something to a host that was lost and has returned."""
+        if host not in self._admitting:
+            self._admitting.add(host)
+            self.run_in_background(renewal.admit(self, host))
+
     def renew_own_grants(self) -> None:
         """Renew the grants of this node's own member while it has authority."""
         now = clocks.read_clock()
--- a/hyssopshelf/authority/exchange.py
+++ b/hyssopshelf/authority/exchange.py
@@ -55,6 +55,8 @@
         Connections that the member could use, by endpoint.
     released : dict of str to int
         Newest assignment version that the member does not use again, by database.
+    former_promise : float
+        Seconds left of the member's promises to earlier coordinators.
     """
 
     sequence: int
@@ -78,6 +80,7 @@
     reach: dict[str, FailureReport] = attrs.field(factory=dict)
     demand: dict[str, int] = attrs.field(factory=dict)
     released: dict[str, int] = attrs.field(factory=dict)
+    former_promise: float = float("inf")
 
 
 @envelopes.register("authority.pong")
--- a/hyssopshelf/authority/grants.py
+++ b/hyssopshelf/authority/grants.py
@@ -41,6 +41,8 @@
         Time up to which the member does not take over.
     follows : bool
         Whether its last ping carried this coordinator's epoch.
+    promised_before : float
+        Time up to which its promises to earlier coordinators hold.
     released : dict of str to int
         Newest assignment version released to this coordinator, by database.
     failure_reports : dict of str to FailureReport
@@ -65,6 +67,7 @@
     granted_until: float = float("-inf")
     direct_until: dict[str, float] = attrs.field(factory=dict)
     promised_until: float = float("-inf")
+    promised_before: float = float("inf")
     draining: bool = False
     follows: bool = False
     released: dict[str, int] = attrs.field(factory=dict)
@@ -99,12 +102,20 @@
     majority_since : float
         Time since which a majority of the members has followed without a gap;
         infinite while none does.
+    own_promised_before : float
+        Time up to which this node's promises to earlier coordinators hold.
+    ungranted : frozenset of str
+        Hosts that the predecessor granted nothing: it has withheld grants from them,
+        or it is the host itself, which used primaries by its authority alone.
     """
 
     members: dict[str, MemberState] = attrs.field(factory=dict)
     confirmed_at: float = float("-inf")
     predecessor_ended_at: float = float("-inf")
     majority_since: float = float("inf")
+    own_promised_before: float = float("inf")
+    ungranted: frozenset[str] = frozenset()
+    _others_promised_until: float = float("inf")
 
     def find_authority_end(self) -> float:
         """Return the time up to which no other coordinator can change anything.
@@ -147,6 +158,7 @@
         member.capacity = ping.capacity
         for database, version in ping.released.items():
             member.reported_releases[database] = version
+        member.promised_before = now + ping.former_promise
         member.promised_until = float("-inf")
         if follows and ping.promises and ping.stamp:
             sent_after = min(now, ping.stamp + ping.held)
@@ -162,15 +174,18 @@
     def update_majority(self, now: float) -> None:
         """Update the time since which a majority of the members has followed.
 
-        This node counts as a follower; a member does while its pings arrive.
+        This node counts as a follower; a member does while its pings arrive. Once none
+        of the majority is bound by an earlier promise, no other coordinator can have
+        the promises of one.
         """
-        followers = 1 + sum(
-            1 for state in self.members.values() if self._is_follower(state, now)
-        )
-        if 2 * followers <= len(self.members) + 1:
+        followers = [s for s in self.members.values() if self._is_follower(s, now)]
+        if 2 * (1 + len(followers)) <= len(self.members) + 1:
             self.majority_since = float("inf")
-        else:
-            self.majority_since = min(self.majority_since, now)
+        elif now < self.majority_since:
+            self.majority_since = now
+            self._others_promised_until = max(
+                [self.own_promised_before, *(s.promised_before for s in followers)]
+            )
 
     def record_grant(self, member: MemberState, databases, now: float) -> None:
         """Record that an answer with a grant is being sent.
@@ -199,10 +214,14 @@
         granted_until = member.granted_until
         if database is not None:
             granted_until = member.direct_until.get(database, float("-inf"))
-        renewed = (
-            self.predecessor_ended_at + timing.AUTHORITY_SECONDS + GRANT_EXPIRY_SECONDS
+        renewed = self.predecessor_ended_at + timing.AUTHORITY_SECONDS
+        if member.host in self.ungranted:
+            renewed += timing.CLOCK_MARGIN_SECONDS
+        else:
+            renewed += GRANT_EXPIRY_SECONDS
+        promised = GRANT_EXPIRY_SECONDS + min(
+            self.majority_since + timing.PROMISE_SECONDS, self._others_promised_until
         )
-        promised = self.majority_since + timing.PROMISE_SECONDS + GRANT_EXPIRY_SECONDS
         # An interim coordinator chooses other holders, so any grant counts here.
         longest = (
             max(member.granted_until, self.predecessor_ended_at + GRANT_EXPIRY_SECONDS)
--- a/hyssopshelf/authority/member.py
+++ b/hyssopshelf/authority/member.py
@@ -86,6 +86,8 @@
         self.answered_at = float("-inf")
         self.followed_at = clocks.read_clock()
         self.promised_until = float("-inf")
+        # The host's former process may have promised something just before its end.
+        self.former_promised_until = clocks.read_clock() + timing.PROMISE_SECONDS
         self.store_age = float("inf")
         self.store_age_at = float("-inf")
         self.resigning = False
@@ -113,6 +115,7 @@
                     "incarnation": record.incarnation,
                 },
             )
+            self.former_promised_until = self.find_last_promise()
             self._stamp = 0.0
             self.resigning = False
             self.store_age_at = float("-inf")
@@ -120,6 +123,10 @@
         self.epoch = record.epoch
         self.coordinator_record = record
 
+    def find_last_promise(self) -> float:
+        """Return the time up to which promises to any coordinator hold."""
+        return max(self.former_promised_until, self.promised_until)
+
     def ping(self) -> None:
         """Send a ping to the coordinator, with a promise if it answered recently.
 
@@ -174,6 +181,7 @@
                 if count
             },
             released=self.released,
+            former_promise=max(0.0, self.former_promised_until - now),
         )
         self.send(record.host, record.address, message)
 
--- a/hyssopshelf/authority/participant.py
+++ b/hyssopshelf/authority/participant.py
@@ -228,8 +228,11 @@
         listed = tuple(self.member.members.values())
         table = local_coordinator.grant_table
         table.confirmed_at = now if confirmed_at is None else confirmed_at
+        table.own_promised_before = self.member.find_last_promise()
         if current is not None:
             table.predecessor_ended_at = now if ended_at is None else ended_at
+            if election.find_era(current.epoch) >= (self.store.era or 0):
+                table.ungranted = frozenset({current.host, *current.withheld})
             if current.host != self.identity.host:
                 local_coordinator.predecessor = current.host
                 local_coordinator.registry.add_predecessor(current)
--- a/hyssopshelf/authority/recorder.py
+++ b/hyssopshelf/authority/recorder.py
@@ -49,6 +49,32 @@
             local_member.assignments = local_member.assignments.replace(database, entry)
         return True
 
+    async def admit(self, host: str) -> bool:
+        """Take a host out of those that the coordinator's record withholds grants from.
+
+        Returns whether the store has taken it. A write in between would change the
+        revision on which the others depend, so they are serialized with it.
+        """
+        local_coordinator = self.coordinator
+        async with self._lock:
+            known = local_coordinator.record
+            record = attrs.evolve(
+                known, withheld=tuple(h for h in known.withheld if h != host)
+            )
+            written = await local_coordinator.store.change(
+                {assignments.COORDINATOR_KEY: local_coordinator.revision},
+                {assignments.COORDINATOR_KEY: assignments.encode(record)},
+            )
+            if written.is_ok():
+                local_coordinator.record = record
+                local_coordinator.revision = written.ok_value
+                local_coordinator.local_member.follow(record)
+                return True
+        conflict = written.err_value.status == election.CONFLICT_STATUS
+        if conflict and self.on_replaced is not None:
+            await self.on_replaced()
+        return False
+
     async def save(self) -> bool:
         """Write the assignments in force; return whether they were written."""
         async with self._lock:
--- a/hyssopshelf/authority/renewal.py
+++ b/hyssopshelf/authority/renewal.py
@@ -59,6 +59,20 @@
         await check_record(local_coordinator)
 
 
+async def admit(local_coordinator, host: str) -> None:
+    """Grant a host something again, once the store has recorded that this may be."""
+    while local_coordinator.active and host in local_coordinator.record.withheld:
+        recorder = local_coordinator.recorder
+        if recorder is None or not await recorder.admit(host):
+            await asyncio.sleep(timing.PING_SECONDS)
+    if not local_coordinator.active:
+        return
+    logs.write(logs.LogEvent.MEMBER_ADMITTED, {"member": host})
+    state = local_coordinator.grant_table.members.get(host)
+    if state is not None:
+        local_coordinator.announce_to(host, state.address)
+
+
 async def check_record(local_coordinator) -> None:
     """Read the coordinator's record after the store refused a write.
 
--- a/hyssopshelf/authority/takeover.py
+++ b/hyssopshelf/authority/takeover.py
@@ -272,6 +272,7 @@
             # No call comes between this and the write, so the era is the same.
             epoch=election.find_next_epoch(known_epoch, store.era or 0),
             lease=lease.ok_value,
+            withheld=() if restored else self._list_withheld(current, reason),
         )
         confirmation = await self._write_record(expected, record)
         if confirmation is None:
@@ -287,6 +288,19 @@
         if restored:
             participant.coordinator.registry.register_again()
 
+    def _list_withheld(self, current, reason: str) -> tuple[str, ...]:
+        """Return the hosts that are granted nothing until they are known to be back.
+
+        These are the former coordinator and those that it withheld grants from.
+        """
+        if current is None:
+            return ()
+        known = self.participant.member.members.keys()
+        withheld = {host for host in current.withheld if host in known}
+        if reason != election.RESIGNING:
+            withheld.add(current.host)
+        return tuple(sorted(withheld - {self.participant.identity.host}))
+
     async def _write_record(
         self, expected: dict[str, int], record: assignments.CoordinatorRecord
     ) -> Confirmation | None:
