Forget what a majority promised once it is lost

The bound by the majority's own promises, new with the shorter waits, stayed in force after the majority had been lost, so a change of primary would not have waited for members that follow an interim coordinator (ONE).

--- a/hyssopshelf/authority/grants.py
+++ b/hyssopshelf/authority/grants.py
@@ -180,7 +180,7 @@
         """
         followers = [s for s in self.members.values() if self._is_follower(s, now)]
         if 2 * (1 + len(followers)) <= len(self.members) + 1:
-            self.majority_since = float("inf")
+            self.majority_since = self._others_promised_until = float("inf")
         elif now < self.majority_since:
             self.majority_since = now
             self._others_promised_until = max(
--- a/hyssopshelf/authority/renewal.py
+++ b/hyssopshelf/authority/renewal.py
@@ -63,7 +63,9 @@
     """Grant a host something again, once the store has recorded that this may be."""
     while local_coordinator.active and host in local_coordinator.record.withheld:
         recorder = local_coordinator.recorder
-        if recorder is None or not await recorder.admit(host):
+        if recorder is None:  # The assignments are not loaded yet.
+            await asyncio.sleep(timing.ELECTION_CHECK_SECONDS)
+        elif not await recorder.admit(host):
             await asyncio.sleep(timing.PING_SECONDS)
     if not local_coordinator.active:
         return
--- a/hyssopshelf/authority/takeover.py
+++ b/hyssopshelf/authority/takeover.py
@@ -291,13 +291,14 @@
     def _list_withheld(self, current, reason: str) -> tuple[str, ...]:
         """Return the hosts that are granted nothing until they are known to be back.
 
-        These are the former coordinator and those that it withheld grants from.
+        These are the former coordinator, unless it was heard just now, and those that
+        it withheld grants from.
         """
         if current is None:
             return ()
         known = self.participant.member.members.keys()
         withheld = {host for host in current.withheld if host in known}
-        if reason != election.RESIGNING:
+        if reason not in (election.RESIGNING, election.STORE_UNREACHABLE):
             withheld.add(current.host)
         return tuple(sorted(withheld - {self.participant.identity.host}))
 
--- a/hyssopshelf/authority/tests/test_grants.py
+++ b/hyssopshelf/authority/tests/test_grants.py
@@ -1,5 +1,6 @@
 """Tests that a primary is never changed while a grant of it may be in use."""
 
+import attrs
 import hypothesis
 from hypothesis import strategies
 
@@ -104,6 +105,21 @@
     assert table.find_grant_holders("db", 1, much_later) == []
 
 
+# ONE: what a majority promised says nothing once it is lost again.
+def test_silent_members_may_follow_an_interim_coordinator_after_a_majority_is_lost():
+    table = make_table(4)
+    table.own_promised_before = NOW
+    table.predecessor_ended_at = NOW - 9.0
+    table.ungranted = frozenset({"h3"})
+    for state in table.members.values():
+        ping = attrs.evolve(make_ping(NOW - 0.1, 0.05), former_promise=0.0)
+        table.record_ping(state, ping, True, NOW)
+    later = NOW + 5.0
+    record_pings(table, 1, later)
+    assert table.majority_since == float("inf")
+    assert table.find_grant_holders("db", 1, later) == ["h0", "h1", "h2", "h3"]
+
+
 # ONE: a coordinator that a majority does not hear replaced a primary which that
 # majority used by grants of an interim coordinator, with other holders.
 def test_a_member_without_a_direct_grant_counts_while_it_may_follow_another_one():
