--- a/hyssopshelf/gateway/explanation.py
+++ b/hyssopshelf/gateway/explanation.py
@@ -59,7 +59,7 @@
         "primary": primary.id if primary is not None else None,
         "candidates": found,
         "choice": found[0]["endpoint"] if found else None,
-        "reason": _find_reason(board, found, needs_primary),
+        "reason": _find_reason(board, route.database, found, needs_primary, now),
     }
     spill = board.spillovers.get(route.database)
     if board.prices is not None and not needs_primary and spill is not None:
@@ -97,9 +97,13 @@
     }
 
 
-def _find_reason(board, found: list[dict], needs_primary: bool) -> str:
+def _find_reason(
+    board, database: str, found: list[dict], needs_primary: bool, now: float
+) -> str:
     if not found and board.isolated:
         return "refused at once: this node hears no coordinator"
+    if not found and board.have_all_left(database, now):
+        return "refused at once: all endpoints of the database have left"
     if not found:
         return "waits: no endpoint is fresh enough and no primary is known"
     if needs_primary:
--- a/hyssopshelf/gateway/tests/test_explanation.py
+++ b/hyssopshelf/gateway/tests/test_explanation.py
@@ -40,6 +40,17 @@
     assert "refused" in found["reason"]
 
 
+def test_it_says_that_work_is_refused_once_all_endpoints_have_left():
+    node_gateway = make_gateway()
+    deadlines = node_gateway.board.leave_deadlines.deadlines
+    deadlines["one"] = clocks.read_clock()
+    found = explanation.explain(node_gateway, "db", writes=True)
+    assert found["choice"] is None and "waits" in found["reason"]
+    deadlines["two"] = clocks.read_clock()
+    found = explanation.explain(node_gateway, "db", writes=True)
+    assert found["choice"] is None and "have left" in found["reason"]
+
+
 def test_an_unknown_name_has_no_route():
     found = explanation.explain(make_gateway(), "nowhere", writes=False)
     assert found["choice"] is None
