Call for no endpoint that leaves the registry while it is asked

Since a promotion is looked at before it is called for, the endpoint could leave the registry in between, and a call for it delayed the next promotion by 6 s. The registration is checked again right before each call.

--- a/hyssopshelf/authority/promotions.py
+++ b/hyssopshelf/authority/promotions.py
@@ -111,15 +111,15 @@
                 return status
             outcome = Outcome.UNKNOWN
         while (now := clocks.read_clock()) < deadline:
-            if not self.coordinator.may_change(now):
+            registered = self._is_registered(database, entry.endpoint)
+            if not registered or not self.coordinator.may_change(now):
                 return None
             if outcome is not Outcome.DONE:
                 entry = await self._prepare_call(database, entry, outcome)
                 if entry is None:
                     return None
                 outcome = await self._call(database, entry.endpoint)
-            registered = entry.endpoint in self.list_endpoints(database)
-            if outcome is Outcome.REFUSED or not registered:
+            if outcome is Outcome.REFUSED:
                 return None
             if outcome is Outcome.NOT_DONE:
                 await asyncio.sleep(CALL_PAUSE_SECONDS)
@@ -136,12 +136,15 @@
         Returns
         -------
         Assignment or None
-            The assignment as recorded; None if the store did not take it.
+            The assignment as recorded; None if the store did not take it, or the
+            endpoint is registered no more.
         """
         if outcome is not Outcome.UNKNOWN or entry.unsettled:
             return entry
         entry = attrs.evolve(entry, unsettled=True)
-        return entry if await self._record(database, entry) else None
+        if not await self._record(database, entry):
+            return None
+        return entry if self._is_registered(database, entry.endpoint) else None
 
     async def _ask(self, database: str, entry):
         """Return the status of an endpoint that leads a later term, else None.
@@ -191,6 +194,9 @@
             },
         )
 
+    def _is_registered(self, database: str, endpoint: str) -> bool:
+        return endpoint in self.list_endpoints(database)
+
     def list_endpoints(self, database: str) -> dict:
         """Return the registered endpoints of a database, by id."""
         return {
--- a/hyssopshelf/authority/tests/test_promotions.py
+++ b/hyssopshelf/authority/tests/test_promotions.py
@@ -235,6 +235,28 @@
     run_change(platform, scenario)
 
 
+# A call was made for an endpoint that had left the registry while it was asked.
+def test_an_endpoint_that_leaves_the_registry_when_it_is_asked_is_not_called(platform):
+    async def scenario(controller, board):
+        known = controller.local_member.assignments.replace("db", PROMOTING)
+        controller.local_member.assignments = known
+        table = controller.coordinator.grant_table
+        table.predecessor_ended_at = clocks.read_clock()
+        controller.promoter.inherit(known.databases)
+        ask = controller.promoter._ask
+
+        async def ask_and_remove(database, entry):
+            status = await ask(database, entry)
+            board.endpoints.pop("near", None)
+            return status
+
+        controller.promoter._ask = ask_and_remove
+        assert not await controller._promote("db", PROMOTING)
+        assert not platform.promoted
+
+    run_change(platform, scenario)
+
+
 @pytest.mark.parametrize(
     ("status", "outcome"),
     [
